Mint signed keys that name their home, and choose the homes

Cause: a non-idempotent call needs one process that may run it, known to every router without a shared record.

A key is deterministic CBOR with a truncated HMAC-SHA256 (16 of 32 bytes), in base64url.

Ruled out: NotRun for a signature that is not known. While secrets rotate, another router may know the secret and have run the call, so it is Unknown. The policy is signed into the key: were it read from the configuration, a change of the route's policy would change what a lost home can have done.

--- /dev/null
+++ b/hitchclaim/key_test.go
@@ -0,0 +1,138 @@
+package hitchclaim
+
+import (
+	"encoding/base64"
+	"errors"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/oklog/ulid/v2"
+
+	"citronhitch.example/citronhitch/hitchoutcome"
+)
+
+var (
+	start   = time.Date(2026, 12, 3, 9, 0, 0, 0, time.UTC)
+	secretA = []byte("the first secret of the tests")
+	secretB = []byte("the second secret of the tests")
+	homeA   = HomeID{Instance: "router-a", Incarnation: 7}
+)
+
+// entropy yields the same nonces in each run.
+type entropy struct{ next byte }
+
+func (e *entropy) Read(p []byte) (int, error) {
+	for i := range p {
+		e.next++
+		p[i] = e.next
+	}
+	return len(p), nil
+}
+
+func testMinter() Minter {
+	return Minter{Secrets: Secrets{}.WithSigning(secretA), Entropy: &entropy{}}
+}
+
+func TestParse(t *testing.T) {
+	text, key, err := testMinter().Mint(start, homeA, "aquarium", "booking")
+	qt.Assert(t, err, qt.IsNil)
+	tests := map[string]struct {
+		secrets Secrets
+		text    string
+		want    KeyFault
+		outcome hitchoutcome.Outcome
+	}{
+		"other secret":       {Secrets{}.WithSigning(secretB), text, KeyForged, hitchoutcome.Unknown},
+		"no secret":          {Secrets{}, text, KeyForged, hitchoutcome.Unknown},
+		"changed signature":  {testMinter().Secrets, flip(text, len(text)-2), KeyForged, hitchoutcome.Unknown},
+		"changed content":    {testMinter().Secrets, flip(text, 12), KeyForged, hitchoutcome.Unknown},
+		"a caller's own key": {testMinter().Secrets, "order-17", KeyMalformed, hitchoutcome.NotRun},
+		"prefix alone":       {testMinter().Secrets, keyPrefix, KeyMalformed, hitchoutcome.NotRun},
+		"line break":         {testMinter().Secrets, text[:20] + "\n" + text[20:], KeyMalformed, hitchoutcome.NotRun},
+		"too long":           {testMinter().Secrets, text + strings.Repeat("A", maxKeyText), KeyMalformed, hitchoutcome.NotRun},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			_, err := test.secrets.Parse(test.text)
+			var fault *KeyError
+			qt.Assert(t, errors.As(err, &fault), qt.IsTrue)
+			qt.Assert(t, fault.Fault, qt.Equals, test.want)
+			qt.Assert(t, fault.Refusal().Outcome, qt.Equals, test.outcome)
+		})
+	}
+	got, err := testMinter().Secrets.Parse(text)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, got, qt.Equals, key)
+	qt.Assert(t, got.Minted(), qt.Equals, start)
+	qt.Assert(t, got.Deadline, qt.Equals, start.Add(KeyLife))
+}
+
+// flip changes one character of a key's text.
+func flip(text string, at int) string {
+	b := []byte(text)
+	b[at] = map[bool]byte{true: 'B', false: 'A'}[b[at] == 'A']
+	return string(b)
+}
+
+func TestCheck(t *testing.T) {
+	_, key, err := testMinter().Mint(start, homeA, "aquarium", "booking")
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, key.Check("aquarium", "booking"), qt.IsNil)
+	qt.Assert(t, key.Check("school", "booking"), qt.ErrorMatches, ".*another organisation")
+	qt.Assert(t, key.Check("aquarium", "payment"), qt.ErrorMatches, ".*another route")
+}
+
+func TestRotationKeepsKeysAcrossItsSteps(t *testing.T) {
+	minter := testMinter()
+	old, _, err := minter.Mint(start, homeA, "aquarium", "booking")
+	qt.Assert(t, err, qt.IsNil)
+	accepting := minter.Secrets.WithAccepted(secretB)
+	signing := accepting.WithSigning(secretB)
+	newer, _, err := minter.WithSecrets(signing).Mint(start, homeA, "aquarium", "booking")
+	qt.Assert(t, err, qt.IsNil)
+	for _, secrets := range []Secrets{accepting, signing} {
+		for _, text := range []string{old, newer} {
+			_, err := secrets.Parse(text)
+			qt.Assert(t, err, qt.IsNil)
+		}
+	}
+	_, err = signing.Without(secretA).Parse(old)
+	qt.Assert(t, err, qt.ErrorMatches, ".*signature.*")
+	_, _, err = Minter{}.Mint(start, homeA, "aquarium", "booking")
+	qt.Assert(t, errors.Is(err, ErrNoSecret), qt.IsTrue)
+}
+
+func FuzzParse(f *testing.F) {
+	secrets := testMinter().Secrets
+	text, key, _ := testMinter().Mint(start, homeA, "aquarium", "booking")
+	expired, _, _ := testMinter().MintUntil(start, start.Add(-time.Hour), homeA, "aquarium", "booking")
+	other, _, _ := testMinter().WithSecrets(Secrets{}.WithSigning(secretB)).Mint(start, homeA, "aquarium", "booking")
+	for _, seed := range []string{text, expired, other, "order-17", keyPrefix, text + "=", text[:40], ""} {
+		f.Add(seed, []byte(seed))
+	}
+	f.Add("", key.payload())
+	f.Fuzz(func(t *testing.T, text string, payload []byte) {
+		if k, err := secrets.Parse(text); err == nil {
+			again, err := secrets.Sign(k)
+			qt.Assert(t, err, qt.IsNil)
+			qt.Assert(t, again, qt.Equals, text)
+		}
+		// A well signed payload of any content has one key and one text, or none.
+		signed := append(append([]byte{}, payload...), mac(secretA, payload)...)
+		forged := keyPrefix + base64.RawURLEncoding.EncodeToString(signed)
+		if k, err := secrets.Parse(forged); err == nil {
+			qt.Assert(t, k.ID(), qt.Equals, idOf(payload))
+		}
+	})
+}
+
+func TestKeyIDText(t *testing.T) {
+	id := Key{Nonce: ulid.ULID{1}}.ID()
+	got, err := ParseKeyID(id.String())
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, got, qt.Equals, id)
+	_, err = ParseKeyID("zz")
+	qt.Assert(t, err, qt.IsNotNil)
+}
--- /dev/null
+++ b/hitchclaim/minter.go
@@ -0,0 +1,81 @@
+package hitchclaim
+
+import (
+	"crypto/rand"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/oklog/ulid/v2"
+
+	"citronhitch.example/citronhitch/hitchfleet"
+)
+
+const (
+	// KeyLife is the time from minting to a key's deadline.
+	KeyLife = 15 * time.Minute
+	// MaxKeyLife is the longest life of any key, that of a bound one.
+	MaxKeyLife = BindingLife
+	// ClockSkew bounds the difference between the clocks of two instances.
+	ClockSkew = time.Minute
+)
+
+// Minter mints keys. Any router mints for any home.
+//
+//	minter := hitchclaim.Minter{Secrets: secrets}
+//	home := hitchclaim.PickHome(hitchclaim.Homes(live), self.Region, seed)
+//	text, key, err := minter.Mint(now, hitchclaim.HomeOf(home), organisation, route)
+type Minter struct {
+	Secrets Secrets
+	Policy  JournalPolicy
+	// Entropy is read for nonces. Nil means crypto/rand.
+	Entropy io.Reader
+}
+
+// WithPolicy returns a copy that mints keys of the policy.
+func (m Minter) WithPolicy(p JournalPolicy) Minter {
+	m.Policy = p
+	return m
+}
+
+// WithSecrets returns a copy that signs by the secrets.
+func (m Minter) WithSecrets(s Secrets) Minter {
+	m.Secrets = s
+	return m
+}
+
+// Mint returns a new key that lives for KeyLife, and its text.
+func (m Minter) Mint(now time.Time, home HomeID, organisation hitchfleet.OrganisationID, route hitchfleet.RouteID) (text string, k Key, err error) {
+	return m.MintUntil(now, now.Add(KeyLife), home, organisation, route)
+}
+
+// MintUntil returns a new key with the deadline, and its text. A deadline later
+// than MaxKeyLife from now is shortened to it.
+func (m Minter) MintUntil(now, deadline time.Time, home HomeID, organisation hitchfleet.OrganisationID, route hitchfleet.RouteID) (text string, k Key, err error) {
+	defer func() {
+		if err != nil {
+			err = fmt.Errorf("mint key for %s: %w", home, err)
+		}
+	}()
+	entropy := m.Entropy
+	if entropy == nil {
+		entropy = rand.Reader
+	}
+	nonce, err := ulid.New(ulid.Timestamp(now), entropy)
+	if err != nil {
+		return "", Key{}, err
+	}
+	if latest := now.Add(MaxKeyLife); deadline.After(latest) {
+		deadline = latest
+	}
+	k = Key{
+		Home:         home,
+		Organisation: organisation,
+		Route:        route,
+		Deadline:     deadline.UTC().Truncate(time.Millisecond),
+		Policy:       m.Policy,
+		Nonce:        nonce,
+	}
+	text, err = m.Secrets.Sign(k)
+	return text, k, err
+}
