--- /dev/null
+++ b/hitchadmit/codec.go
@@ -0,0 +1,67 @@
+package hitchadmit
+
+import (
+	"fmt"
+
+	"github.com/fxamacker/cbor/v2"
+)
+
+// Packet is one message between routers about slots: exactly one field is set.
+// It is an array in CBOR, as are the messages, so that an Ask takes about 100
+// bytes.
+type Packet struct {
+	_          struct{} `cbor:",toarray"`
+	Ask        *Ask
+	Decision   *Decision
+	Release    *Release
+	Heartbeat  *Heartbeat
+	FirstToken *FirstToken
+	LoadReport *LoadReport
+	Digest     *Digest
+	Handover   *Handover
+}
+
+var (
+	encoder = mustEncoder()
+	decoder = mustDecoder()
+)
+
+func mustEncoder() cbor.EncMode {
+	mode, err := cbor.EncOptions{Time: cbor.TimeUnixMicro}.EncMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}
+
+// The most elements that a message from the network may hold.
+const maxElements = 1 << 16
+
+func mustDecoder() cbor.DecMode {
+	mode, err := cbor.DecOptions{MaxArrayElements: maxElements, MaxMapPairs: maxElements}.DecMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}
+
+// Encode returns the packet in CBOR.
+func (p Packet) Encode() (data []byte, err error) {
+	defer func() {
+		if err != nil {
+			err = fmt.Errorf("hitchadmit: encoding a packet: %w", err)
+		}
+	}()
+	return encoder.Marshal(p)
+}
+
+// DecodePacket reads a packet from CBOR.
+func DecodePacket(data []byte) (p Packet, err error) {
+	defer func() {
+		if err != nil {
+			err = fmt.Errorf("hitchadmit: decoding a packet: %w", err)
+		}
+	}()
+	err = decoder.Unmarshal(data, &p)
+	return p, err
+}
--- /dev/null
+++ b/hitchadmit/room.go
@@ -0,0 +1,98 @@
+package hitchadmit
+
+import (
+	"time"
+
+	"citronhitch.example/citronhitch/hitchfleet"
+	"citronhitch.example/citronhitch/hitchoutcome"
+)
+
+// shortage says what an endpoint lacks for an ask.
+type shortage uint8
+
+const (
+	shortNothing shortage = iota
+	shortCold             // the limit of its cold start
+	shortBound            // the multiple of the mean load
+	shortCapacity
+	shortShare // the organisation is above its share and the rest is kept
+)
+
+func (s shortage) reason() hitchoutcome.Reason {
+	if s == shortShare {
+		return hitchoutcome.ReasonShareExceeded
+	}
+	return hitchoutcome.ReasonOverloaded
+}
+
+// limit is the most work that the endpoint may hold with one more ask of this
+// cost, and what sets it.
+func (e *endpoint) limit(l *Limits, cost int64) (int64, shortage) {
+	bound := Bound(l.BoundFactor, l.floor(e.spec.Kind), e.pool.total.Load(), cost, e.pool.serving.Load())
+	bound = int64(SettledShare * float64(bound))
+	if capacity := l.capacity(e.spec.Kind); capacity < bound {
+		return capacity, shortCapacity
+	}
+	return bound, shortBound
+}
+
+// takeoverLimit is the most work that a new owner may grant by itself.
+func (e *endpoint) takeoverLimit(l *Limits, cost int64) int64 {
+	bound := Bound(l.BoundFactor, l.floor(e.spec.Kind), e.pool.total.Load(), cost, e.pool.serving.Load())
+	return int64(TakeoverShare * float64(min(bound, l.capacity(e.spec.Kind))))
+}
+
+// room tells what the endpoint lacks for one more ask of a tenant. settled is
+// false during a takeover and without a majority of the members.
+func (e *endpoint) room(now time.Time, l *Limits, t *tenant, cost int64, settled bool) shortage {
+	load := e.load()
+	requests := e.warmth.limit(now, l.ColdLimit)
+	if e.warmth.phase != phaseWarm && (!settled || load.Requests >= requests) {
+		return shortCold
+	}
+	limit, limited := e.limit(l, cost)
+	if !settled {
+		if e.granted.Cost+cost > e.takeoverLimit(l, cost) || load.Cost+cost > limit {
+			return shortBound
+		}
+		return shortNothing
+	}
+	if load.Cost == 0 && load.Requests == 0 {
+		return shortNothing
+	}
+	if load.Cost+cost > limit {
+		return limited
+	}
+	if load.Cost+cost > e.tenants.limit(t, cost, limit) {
+		return shortShare
+	}
+	return shortNothing
+}
+
+// The times that a grant is taken to last before any was seen to end.
+const (
+	firstEngineHolding  = 10.0 // seconds
+	firstServiceHolding = 1.0  // seconds
+)
+
+// wait estimates when a tenant's work of cost, behind queued work of ahead, will
+// have found room: the work in hand drains at its amount over the mean time of a
+// grant (Little's law).
+func (e *endpoint) wait(l *Limits, t *tenant, ahead, cost int64) time.Duration {
+	limit, _ := e.limit(l, cost)
+	limit = e.tenants.limit(t, cost, limit)
+	load := e.load().Cost
+	over := load + ahead + cost - limit
+	if over <= 0 && e.warmth.phase == phaseWarm {
+		return 0
+	}
+	holding := e.meanHolding
+	if holding <= 0 {
+		holding = firstEngineHolding
+		if e.spec.Kind == hitchfleet.KindService {
+			holding = firstServiceHolding
+		}
+	}
+	rate := float64(max(load, cost)) / holding
+	return time.Duration(float64(max(over, cost)) / rate * float64(time.Second))
+}
