Add the client of the key-value service and the stand-ins

Cause: the routers need compare-and-swap, leases and watches on the platform's service, whose answers can be lost after a write has taken effect, and tests need back ends and a platform that fail on demand.

Ruled out: to read the key back after a lost answer. A write that was overwritten since looks as if it had never been, and one that is still under way may land after the read. Write IDs in the value alone have the same gap.

Change: each transaction of hitchstore also puts its write ID into a key that belongs to the writer alone, and needs that key to be unchanged. The key tells what became of a write, also of one overwritten since, and an attempt whose key has moved on can never land. hitchfake has the engine, the service, the store, the list, the weight store, an in-memory network for synctest and a TCP relay, each with its faults.

--- /dev/null
+++ b/hitchfake/engine_order.go
@@ -0,0 +1,103 @@
+package hitchfake
+
+import (
+	"fmt"
+	"net/http"
+	"time"
+)
+
+// OrderKind names what an order asks of an engine.
+type OrderKind string
+
+// The kinds of orders.
+const (
+	OrderLoad   OrderKind = "Load"
+	OrderUnload OrderKind = "Unload"
+	OrderRole   OrderKind = "Role"
+)
+
+// Order is the body of POST /v1/orders.
+type Order struct {
+	Kind OrderKind
+	// FencingNumber rises with each holder of the right to give orders.
+	FencingNumber uint64
+	Model         string
+	Version       string
+	Adapter       string
+	// Role is the new role of a Role order, such as Prefill.
+	Role string
+}
+
+// OrderRecord is an order that an engine has got.
+type OrderRecord struct {
+	Order    Order
+	Accepted bool
+	At       time.Time
+}
+
+// OrderAnswer is the answer of POST /v1/orders.
+type OrderAnswer struct {
+	Accepted bool
+	// Newest is the highest fencing number that the engine has seen.
+	Newest uint64
+}
+
+// orderBook is what orders have done to an engine.
+type orderBook struct {
+	newest   uint64
+	records  []OrderRecord
+	unloaded map[string]bool // by model
+	falls    int
+}
+
+// take records an order and says whether it is carried out.
+func (b *orderBook) take(order Order, ignoresFencing bool, now time.Time) bool {
+	accepted := ignoresFencing || order.FencingNumber >= b.newest
+	b.newest = max(b.newest, order.FencingNumber)
+	b.records = append(b.records, OrderRecord{Order: order, Accepted: accepted, At: now})
+	return accepted
+}
+
+// carryOut changes the models that are served. Orders for adapters are only
+// recorded.
+func (b *orderBook) carryOut(order Order) {
+	if order.Adapter != "" {
+		return
+	}
+	if b.unloaded == nil {
+		b.unloaded = make(map[string]bool)
+	}
+	switch order.Kind {
+	case OrderLoad:
+		delete(b.unloaded, order.Model)
+	case OrderUnload:
+		b.unloaded[order.Model] = true
+	}
+}
+
+func (e *Engine) serveOrder(w http.ResponseWriter, r *http.Request) {
+	var order Order
+	err := readJSON(r, &order)
+	if err == nil && order.Kind != OrderLoad && order.Kind != OrderUnload && order.Kind != OrderRole {
+		err = fmt.Errorf("no order has the kind %q", order.Kind)
+	}
+	if err != nil {
+		writeProblem(w, http.StatusBadRequest, err.Error())
+		return
+	}
+	e.mu.Lock()
+	accepted := e.orders.take(order, e.IgnoresFencing, time.Now())
+	if accepted {
+		e.orders.carryOut(order)
+	}
+	if accepted && order.Kind == OrderLoad && e.ColdMillis > 0 {
+		e.coldUntil = time.Now().Add(millis(e.ColdMillis, 0))
+	}
+	answer := OrderAnswer{Accepted: accepted, Newest: e.orders.newest}
+	e.mu.Unlock()
+	status := http.StatusOK
+	if !accepted {
+		status = http.StatusConflict
+	}
+	writeJSON(w, status, answer)
+}
--- /dev/null
+++ b/hitchfake/history.go
@@ -0,0 +1,42 @@
+package hitchfake
+
+import (
+	"sort"
+	"time"
+)
+
+// history keeps the latest values of something, so that a stand-in can report
+// what held a while ago. The zero value is empty.
+type history[T any] struct {
+	values []dated[T]
+}
+
+type dated[T any] struct {
+	at    time.Time
+	value T
+}
+
+const historyLength = 4096
+
+// add records a value. Times must not fall.
+func (h *history[T]) add(at time.Time, value T) {
+	if n := len(h.values); n > 0 && h.values[n-1].at.Equal(at) {
+		h.values[n-1].value = value
+		return
+	}
+	if len(h.values) >= historyLength {
+		h.values = append(h.values[:0], h.values[historyLength/2:]...)
+	}
+	h.values = append(h.values, dated[T]{at: at, value: value})
+}
+
+// at returns the newest value that is no younger than the time. If all are
+// younger it returns the oldest one, or the zero value of an empty history.
+func (h *history[T]) at(at time.Time) T {
+	var none T
+	if len(h.values) == 0 {
+		return none
+	}
+	i := sort.Search(len(h.values), func(i int) bool { return h.values[i].at.After(at) })
+	return h.values[max(0, i-1)].value
+}
--- /dev/null
+++ b/hitchfake/list.go
@@ -0,0 +1,106 @@
+package hitchfake
+
+import (
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"citronhitch.example/citronhitch/hitchfleet"
+)
+
+// ListSettings is the body of POST /settings.
+type ListSettings struct {
+	// LagMillis is the age of what the list says.
+	LagMillis int
+	// Duplicate makes the list name every instance and endpoint twice.
+	Duplicate bool
+	// Missing is a list of IDs, of instances or endpoints, that are left out.
+	Missing []string
+}
+
+// List is a stand-in for the platform's instance list.
+//
+//	var list hitchfake.List
+//	list.Put(hitchfleet.InstanceList{Instances: instances, Endpoints: endpoints})
+//	server := httptest.NewServer(list.Handler())
+type List struct {
+	Faults Faults
+
+	mu       sync.Mutex
+	settings ListSettings
+	lists    history[hitchfleet.InstanceList]
+}
+
+// Put replaces the fleet that the list tells of after its lag.
+func (l *List) Put(list hitchfleet.InstanceList) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	list.AsOf = time.Now()
+	l.lists.add(list.AsOf, list)
+}
+
+// Set replaces the lag and the errors of the list.
+func (l *List) Set(settings ListSettings) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.settings = settings
+}
+
+// Handler serves GET /instances.
+func (l *List) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /instances", func(w http.ResponseWriter, r *http.Request) {
+		applyCommon(&l.Faults, r)
+		if _, ok := l.Faults.strike(FaultRefuse, r.URL.Path); ok {
+			writeProblem(w, http.StatusServiceUnavailable, "refused")
+			return
+		}
+		writeJSON(w, http.StatusOK, l.report(time.Now()))
+	})
+	return mux
+}
+
+// Admin serves the faults, PUT /instances and POST /settings.
+func (l *List) Admin() http.Handler {
+	mux := http.NewServeMux()
+	l.Faults.register(mux)
+	mux.HandleFunc("PUT /instances", func(w http.ResponseWriter, r *http.Request) {
+		var list hitchfleet.InstanceList
+		if err := readJSON(r, &list); err != nil {
+			writeProblem(w, http.StatusBadRequest, err.Error())
+			return
+		}
+		l.Put(list)
+		w.WriteHeader(http.StatusNoContent)
+	})
+	mux.HandleFunc("POST /settings", func(w http.ResponseWriter, r *http.Request) {
+		var settings ListSettings
+		if err := readJSON(r, &settings); err != nil {
+			writeProblem(w, http.StatusBadRequest, err.Error())
+			return
+		}
+		l.Set(settings)
+		w.WriteHeader(http.StatusNoContent)
+	})
+	return mux
+}
+
+// report returns what the list says at a time, errors and all.
+func (l *List) report(now time.Time) hitchfleet.InstanceList {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	list := l.lists.at(now.Add(-millis(l.settings.LagMillis, 0)))
+	missing := l.settings.Missing
+	list.Instances = slices.DeleteFunc(slices.Clone(list.Instances), func(i hitchfleet.Instance) bool {
+		return slices.Contains(missing, string(i.ID))
+	})
+	list.Endpoints = slices.DeleteFunc(slices.Clone(list.Endpoints), func(e hitchfleet.Endpoint) bool {
+		return slices.Contains(missing, string(e.ID))
+	})
+	if l.settings.Duplicate {
+		list.Instances = slices.Repeat(list.Instances, 2)
+		list.Endpoints = slices.Repeat(list.Endpoints, 2)
+	}
+	return list
+}
--- /dev/null
+++ b/hitchfake/load.go
@@ -0,0 +1,67 @@
+package hitchfake
+
+import (
+	"cmp"
+	"net/http"
+	"time"
+)
+
+// Load is the load report of an engine or a service.
+type Load struct {
+	Running int
+	Waiting int
+	// MaxRunning is how many requests run at once; more wait.
+	MaxRunning int
+	// TokensOutstanding counts prompt and answer tokens still to be worked on.
+	TokensOutstanding int
+	CachedTokens      int
+	// Cold is set while a back end in cold start says so.
+	Cold bool
+	// AsOf is when the report was true.
+	AsOf time.Time
+}
+
+// load returns the engine's load. It needs the lock.
+func (e *Engine) load(now time.Time) Load {
+	_, announced := e.coldState()
+	l := Load{
+		Running:      len(e.running),
+		Waiting:      len(e.waiting),
+		MaxRunning:   cmp.Or(e.MaxRunning, defaultMaxRunning),
+		CachedTokens: e.cache.tokens,
+		Cold:         announced,
+		AsOf:         now,
+	}
+	for _, s := range e.running {
+		l.TokensOutstanding += s.outstanding()
+	}
+	for _, s := range e.waiting {
+		l.TokensOutstanding += s.prompt + len(s.tokens)
+	}
+	return l
+}
+
+func (e *Engine) serveLoad(w http.ResponseWriter, r *http.Request) {
+	applyCommon(&e.Faults, r)
+	e.mu.Lock()
+	now := time.Now()
+	current := e.load(now)
+	e.loads.add(now, current)
+	lag := millis(e.LoadLagMillis, 0)
+	report := e.loads.at(now.Add(-lag))
+	// What is idle for longer than the lag leaves no history behind.
+	report.Cold = current.Cold
+	report.AsOf = now.Add(-lag)
+	e.mu.Unlock()
+	writeJSON(w, http.StatusOK, report)
+}
+
+// applyCommon goes silent or breaks the connection if a fault at once says so.
+func applyCommon(faults *Faults, r *http.Request) {
+	if _, ok := faults.strike(FaultSilent, r.URL.Path); ok {
+		silence(r)
+	}
+	if _, ok := faults.strike(FaultCut, r.URL.Path); ok {
+		cut()
+	}
+}
--- /dev/null
+++ b/hitchstore/rig_test.go
@@ -0,0 +1,91 @@
+package hitchstore
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"citronhitch.example/citronhitch/hitchfake"
+)
+
+// rig is a store on an in-memory network with a client.
+type rig struct {
+	store   hitchfake.Store
+	network hitchfake.Network
+	client  *Client
+}
+
+// withRig runs a test on the clock of a bubble.
+func withRig(t *testing.T, test func(t *testing.T, r *rig)) {
+	synctest.Test(t, func(t *testing.T) {
+		r := &rig{}
+		r.network.Serve("store-1:80", r.store.Handler())
+		r.network.Serve("store-2:80", r.store.Handler())
+		defer func() { qt.Check(t, r.network.Close(), qt.IsNil) }()
+		r.client = r.newClient("router-1")
+		test(t, r)
+	})
+}
+
+func (r *rig) newClient(writer string) *Client {
+	return &Client{
+		Endpoints: []string{"http://store-1", "http://store-2"},
+		Writer:    writer,
+		HTTP:      r.network.Client(),
+	}
+}
+
+// losing makes the next transactions take effect without an answer.
+func losing(times int) hitchfake.Fault {
+	return hitchfake.Fault{Kind: hitchfake.FaultLoseAnswers, Path: pathTxn, Times: times}
+}
+
+func mustSwap(t *testing.T, c *Client, key string, was Revision, value string) Entry {
+	t.Helper()
+	entry, err := c.Swap(t.Context(), key, was, []byte(value), 0)
+	qt.Assert(t, err, qt.IsNil)
+	return entry
+}
+
+func mustGet(t *testing.T, c *Client, key string) Entry {
+	t.Helper()
+	entry, err := c.Get(t.Context(), key)
+	qt.Assert(t, err, qt.IsNil)
+	return entry
+}
+
+// kindOf names the type of an error for tables.
+func kindOf(err error) string {
+	var conflict *ConflictError
+	var unavailable *UnavailableError
+	var tooLarge *TooLargeError
+	var lapsed *LeaseLapsedError
+	switch {
+	case err == nil:
+		return "none"
+	case errors.As(err, &conflict):
+		return "conflict"
+	case errors.As(err, &tooLarge):
+		return "too large"
+	case errors.As(err, &lapsed):
+		return "lapsed"
+	case errors.As(err, &unavailable) && unavailable.MayHaveTakenEffect:
+		return "unknown"
+	case errors.As(err, &unavailable):
+		return "unavailable"
+	case errors.Is(err, context.Canceled):
+		return "cancelled"
+	default:
+		return err.Error()
+	}
+}
+
+func waitUntil(t *testing.T, deadline time.Time) {
+	t.Helper()
+	time.Sleep(time.Until(deadline))
+	synctest.Wait()
+}
--- /dev/null
+++ b/hitchstore/swap_test.go
@@ -0,0 +1,183 @@
+package hitchstore
+
+import (
+	"context"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"citronhitch.example/citronhitch/hitchfake"
+)
+
+func TestSwap(t *testing.T) {
+	withRig(t, func(t *testing.T, r *rig) {
+		c := r.client
+		qt.Assert(t, mustGet(t, c, "k"), qt.DeepEquals, Entry{Key: "k"})
+		first := mustSwap(t, c, "k", 0, "one")
+		got := mustGet(t, c, "k")
+		qt.Assert(t, got, qt.DeepEquals, first)
+		qt.Assert(t, got.Writer, qt.Equals, "router-1")
+
+		_, err := r.newClient("router-2").Swap(t.Context(), "k", 0, []byte("two"), 0)
+		var conflict *ConflictError
+		qt.Assert(t, err, qt.ErrorAs, &conflict)
+		qt.Assert(t, conflict.Now, qt.DeepEquals, first)
+
+		second := mustSwap(t, c, "k", first.Revision, "two")
+		qt.Assert(t, kindOf(c.Delete(t.Context(), "k", first.Revision)), qt.Equals, "conflict")
+		qt.Assert(t, c.Delete(t.Context(), "k", second.Revision), qt.IsNil)
+		qt.Assert(t, mustGet(t, c, "k").Exists, qt.IsFalse)
+	})
+}
+
+func TestSwapTellsTheTruth(t *testing.T) {
+	type state struct {
+		*rig
+		other *Client
+		was   Revision
+	}
+	// meanwhile lets another writer change the key while the first attempt is on
+	// its way.
+	meanwhile := func(t *testing.T, s state, change func()) {
+		go func() {
+			time.Sleep(callTimeout / 2)
+			change()
+		}()
+	}
+	tests := map[string]struct {
+		faults    []hitchfake.Fault
+		meanwhile func(t *testing.T, s state)
+		want      string
+		value     string
+	}{
+		"answer lost": {
+			faults: []hitchfake.Fault{losing(1)},
+			want:   "none", value: "mine",
+		},
+		"four answers lost": {
+			faults: []hitchfake.Fault{losing(4)},
+			want:   "none", value: "mine",
+		},
+		"all answers lost": {
+			faults: []hitchfake.Fault{losing(0)},
+			want:   "unknown", value: "mine",
+		},
+		"answer lost and overwritten since": {
+			faults: []hitchfake.Fault{losing(1)},
+			meanwhile: func(t *testing.T, s state) {
+				mustSwap(t, s.other, "k", mustGet(t, s.other, "k").Revision, "other")
+			},
+			want: "none", value: "other",
+		},
+		"answer lost and deleted since": {
+			faults: []hitchfake.Fault{losing(1)},
+			meanwhile: func(t *testing.T, s state) {
+				qt.Check(t, s.other.Delete(t.Context(), "k", mustGet(t, s.other, "k").Revision), qt.IsNil)
+			},
+			want: "none", value: "",
+		},
+		"late write lands between": {
+			faults: []hitchfake.Fault{{Kind: hitchfake.FaultLateWrite, Path: pathTxn, Times: 1, Millis: 15}},
+			want:   "none", value: "mine",
+		},
+		"late write lands after": {
+			faults: []hitchfake.Fault{{Kind: hitchfake.FaultLateWrite, Path: pathTxn, Times: 1, Millis: 9000}},
+			want:   "none", value: "mine",
+		},
+		"late write loses to another": {
+			faults: []hitchfake.Fault{{Kind: hitchfake.FaultSlow, Path: pathTxn, Times: 1, Millis: 9000}},
+			meanwhile: func(t *testing.T, s state) {
+				mustSwap(t, s.other, "k", s.was, "other")
+			},
+			want: "conflict", value: "other",
+		},
+		"out": {
+			faults: []hitchfake.Fault{{Kind: hitchfake.FaultOut}},
+			want:   "unknown", value: "before",
+		},
+		"out for a moment": {
+			faults: []hitchfake.Fault{{Kind: hitchfake.FaultOut, Times: 2}},
+			want:   "none", value: "mine",
+		},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			withRig(t, func(t *testing.T, r *rig) {
+				s := state{rig: r, other: r.newClient("router-2")}
+				mustSwap(t, r.client, "warm", 0, "up")
+				mustSwap(t, s.other, "cold", 0, "up")
+				s.was = mustSwap(t, r.client, "k", 0, "before").Revision
+				r.store.Faults.Set(test.faults...)
+				if test.meanwhile != nil {
+					meanwhile(t, s, func() { test.meanwhile(t, s) })
+				}
+				_, err := r.client.Swap(t.Context(), "k", s.was, []byte("mine"), 0)
+				qt.Assert(t, kindOf(err), qt.Equals, test.want)
+				r.store.Faults.Set()
+				time.Sleep(10 * time.Second)
+				qt.Assert(t, string(mustGet(t, r.client, "k").Value), qt.Equals, test.value)
+			})
+		})
+	}
+}
+
+// A create is the one write whose expected revision can come back, so that an
+// attempt under way could still land after the key was deleted.
+func TestLateCreateDoesNotComeBack(t *testing.T) {
+	withRig(t, func(t *testing.T, r *rig) {
+		other := r.newClient("router-2")
+		mustSwap(t, r.client, "warm", 0, "up")
+		mustSwap(t, other, "cold", 0, "up")
+		late := hitchfake.Fault{Kind: hitchfake.FaultSlow, Path: pathTxn, Times: 1, Millis: 5000}
+		r.store.Faults.Set(late)
+		go func() {
+			time.Sleep(callTimeout / 2)
+			mustSwap(t, other, "k", 0, "other")
+		}()
+		_, err := r.client.Swap(t.Context(), "k", 0, []byte("mine"), 0)
+		qt.Assert(t, kindOf(err), qt.Equals, "conflict")
+		qt.Assert(t, other.Delete(t.Context(), "k", mustGet(t, other, "k").Revision), qt.IsNil)
+		time.Sleep(10 * time.Second)
+		qt.Assert(t, mustGet(t, other, "k").Exists, qt.IsFalse)
+	})
+}
+
+func TestSwapNotSent(t *testing.T) {
+	tests := map[string]struct {
+		disrupt func(r *rig)
+		value   string
+		want    string
+	}{
+		"connections refused": {func(r *rig) {
+			r.network.Refuse("store-1:80", true)
+			r.network.Refuse("store-2:80", true)
+		}, "v", "unavailable"},
+		"one endpoint refuses": {func(r *rig) { r.network.Refuse("store-1:80", true) }, "v", "none"},
+		"too large":            {func(*rig) {}, strings.Repeat("x", MaxValueBytes), "too large"},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			withRig(t, func(t *testing.T, r *rig) {
+				test.disrupt(r)
+				_, err := r.client.Swap(t.Context(), "k", 0, []byte(test.value), 0)
+				qt.Assert(t, kindOf(err), qt.Equals, test.want)
+				qt.Assert(t, r.client.Out(time.Now()), qt.Equals, test.want == "unavailable")
+			})
+		})
+	}
+}
+
+func TestSwapEndsWithItsContext(t *testing.T) {
+	withRig(t, func(t *testing.T, r *rig) {
+		mustSwap(t, r.client, "warm", 0, "up")
+		r.store.Faults.Set(hitchfake.Fault{Kind: hitchfake.FaultSilent})
+		ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
+		defer cancel()
+		start := time.Now()
+		_, err := r.client.Swap(ctx, "k", 0, []byte("v"), 0)
+		qt.Assert(t, kindOf(err), qt.Equals, "unknown")
+		qt.Assert(t, time.Since(start), qt.Equals, 300*time.Millisecond)
+	})
+}
