One request from a caller through a router to an endpoint and back

Cause: the decision packages stood alone; nothing served a request.

Found on the way: a new owner's digest called an endpoint cold that it merely didn't know yet. Its next owner took that for a cold start, which nothing but traffic ends, and placement sends no traffic to a route whose endpoints are all cold: every lookup was refused as NoEndpoint. Ruled out: the load report (it came, and was not cold), the zone and the list. Now a digest says cold only of an endpoint known to be, and placement falls back to cold endpoints where there is no other; admission bounds the work there.

--- a/hitchadmit/digest.go
+++ b/hitchadmit/digest.go
@@ -23,7 +23,7 @@
 					Endpoint: id,
 					Load:     e.load().Cost,
 					Granted:  e.granted.Cost,
-					Cold:     e.warmth.cold(),
+					Cold:     e.warmth.phase == phaseCold,
 				})
 			}
 		}
@@ -89,7 +89,7 @@
 				continue
 			}
 			if ev.settled {
-				all = append(all, Handover{From: self, Endpoint: id, Granted: e.load(), Cold: e.warmth.cold()})
+				all = append(all, Handover{From: self, Endpoint: id, Granted: e.load(), Cold: e.warmth.phase == phaseCold})
 			}
 			e.handed = true
 			due = e.settle(&ev, due)
--- /dev/null
+++ b/hitchnode/store.go
@@ -0,0 +1,87 @@
+package hitchnode
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/samber/lo"
+
+	"citronhitch.example/citronhitch/hitchclaim"
+	"citronhitch.example/citronhitch/hitchconfig"
+	"citronhitch.example/citronhitch/hitchstore"
+)
+
+// claimStore adapts the client of the key-value service to bookings.
+func claimStore(client *hitchstore.Client) hitchclaim.Store {
+	return hitchclaim.Store{
+		List: func(ctx context.Context, prefix string) ([]hitchclaim.Stored, hitchclaim.StoreStatus) {
+			entries, err := client.List(ctx, prefix)
+			return lo.Map(entries, storedOf), statusOf(err)
+		},
+		Swap: func(ctx context.Context, name string, was uint64, value []byte, expiry time.Time) (uint64, hitchclaim.StoreStatus) {
+			var lease hitchstore.Lease
+			var err error
+			if !expiry.IsZero() {
+				lease, err = client.GrantLease(ctx, expiry)
+			}
+			if err != nil {
+				return 0, hitchclaim.StoreFailed
+			}
+			entry, err := client.Swap(ctx, name, hitchstore.Revision(was), value, lease.ID)
+			return uint64(entry.Revision), statusOf(err)
+		},
+		Delete: func(ctx context.Context, name string, was uint64) hitchclaim.StoreStatus {
+			return statusOf(client.Delete(ctx, name, hitchstore.Revision(was)))
+		},
+	}
+}
+
+func storedOf(e hitchstore.Entry, _ int) hitchclaim.Stored {
+	return hitchclaim.Stored{Name: e.Key, Revision: uint64(e.Revision), Value: e.Value}
+}
+
+// statusOf says what became of a command.
+func statusOf(err error) hitchclaim.StoreStatus {
+	var conflict *hitchstore.ConflictError
+	var unavailable *hitchstore.UnavailableError
+	var tooLarge *hitchstore.TooLargeError
+	switch {
+	case err == nil:
+		return hitchclaim.StoreDone
+	case errors.As(err, &conflict):
+		return hitchclaim.StoreConflict
+	case errors.As(err, &unavailable) && !unavailable.MayHaveTakenEffect, errors.As(err, &tooLarge):
+		return hitchclaim.StoreFailed
+	default:
+		return hitchclaim.StoreLost
+	}
+}
+
+// configStore adapts the client of the key-value service to configurations.
+func configStore(client *hitchstore.Client) hitchconfig.Store {
+	return hitchconfig.Store{
+		Get: func(ctx context.Context, key string) (hitchconfig.StoreValue, error) {
+			entry, err := client.Get(ctx, key)
+			return hitchconfig.StoreValue{Data: entry.Value, Revision: int64(entry.Revision)}, err
+		},
+		Swap: func(ctx context.Context, key string, was int64, data []byte) (hitchconfig.SwapOutcome, error) {
+			_, err := client.Swap(ctx, key, hitchstore.Revision(was), data, 0)
+			return outcomeOf(err), err
+		},
+	}
+}
+
+// outcomeOf says what became of a compare-and-swap.
+func outcomeOf(err error) hitchconfig.SwapOutcome {
+	switch statusOf(err) {
+	case hitchclaim.StoreDone:
+		return hitchconfig.SwapDone
+	case hitchclaim.StoreConflict:
+		return hitchconfig.SwapConflict
+	case hitchclaim.StoreFailed:
+		return hitchconfig.SwapNotDone
+	default:
+		return hitchconfig.SwapUnknown
+	}
+}
--- /dev/null
+++ b/hitchnode/wire.go
@@ -0,0 +1,100 @@
+package hitchnode
+
+import (
+	"github.com/samber/do/v2"
+
+	"citronhitch.example/citronhitch/hitchapi"
+	"citronhitch.example/citronhitch/hitchfleet"
+	"citronhitch.example/citronhitch/hitchpeer"
+	"citronhitch.example/citronhitch/hitchrouter"
+	"citronhitch.example/citronhitch/hitchstore"
+)
+
+// wire builds the parts of the node.
+func (n *Node) wire() {
+	n.changed = make(chan struct{}, 1)
+	n.peerErr = make(chan error, 1)
+	n.injector = do.New()
+	do.ProvideValue(n.injector, n)
+	do.Provide(n.injector, provideStore)
+	do.Provide(n.injector, provideList)
+	do.Provide(n.injector, providePeers)
+	do.Provide(n.injector, provideRouter)
+	do.Provide(n.injector, provideConfig)
+	do.Provide(n.injector, provideServer)
+	n.store = do.MustInvoke[*hitchstore.Client](n.injector)
+	n.list = do.MustInvoke[*instanceList](n.injector)
+	n.peers = do.MustInvoke[*hitchpeer.Node](n.injector)
+	n.router = do.MustInvoke[*hitchrouter.Router](n.injector)
+	n.config = do.MustInvoke[*configSource](n.injector)
+	n.server = do.MustInvoke[*hitchapi.Server](n.injector)
+	n.router.Peers = hitchrouter.Peers{Call: n.peers.CallIncarnation, Share: n.peers.Share}
+	n.router.Bookings.OnHome = n.router.ShareHome
+	for kind, handler := range n.router.Handlers() {
+		n.peers.Handle(kind, handler)
+	}
+	n.config.handle(n.peers)
+}
+
+func provideStore(i do.Injector) (*hitchstore.Client, error) {
+	n := do.MustInvoke[*Node](i)
+	return &hitchstore.Client{Endpoints: n.Settings.Stores, Writer: string(n.Settings.ID)}, nil
+}
+
+func provideList(i do.Injector) (*instanceList, error) {
+	return &instanceList{url: do.MustInvoke[*Node](i).Settings.ListURL}, nil
+}
+
+func providePeers(i do.Injector) (*hitchpeer.Node, error) {
+	n := do.MustInvoke[*Node](i)
+	list := do.MustInvoke[*instanceList](i)
+	return &hitchpeer.Node{
+		Listen:   n.Settings.PeerListen,
+		Keys:     n.Settings.PeerKeys,
+		Seeds:    list.instances,
+		OnChange: func([]hitchfleet.Instance) { n.change() },
+		OnShare:  n.learn,
+		Log:      n.Settings.Log,
+	}, nil
+}
+
+func provideRouter(i do.Injector) (*hitchrouter.Router, error) {
+	n := do.MustInvoke[*Node](i)
+	return &hitchrouter.Router{
+		Forward: n.forwardClient(),
+		Log:     n.Settings.Log,
+		Bookings: &hitchrouter.Bookings{
+			Store:   claimStore(do.MustInvoke[*hitchstore.Client](i)),
+			Secrets: n.Settings.BookingSecrets,
+			Log:     n.Settings.Log,
+		},
+	}, nil
+}
+
+func provideConfig(i do.Injector) (*configSource, error) {
+	n := do.MustInvoke[*Node](i)
+	return &configSource{node: n, store: do.MustInvoke[*hitchstore.Client](i)}, nil
+}
+
+func provideServer(i do.Injector) (*hitchapi.Server, error) {
+	n := do.MustInvoke[*Node](i)
+	api := &hitchapi.API{Router: do.MustInvoke[*hitchrouter.Router](i)}
+	return &hitchapi.Server{
+		Addr:        n.Settings.Listen,
+		Handler:     api.Handler(),
+		Certificate: n.Settings.Certificate,
+		Connections: n.Settings.Connections,
+	}, nil
+}
+
+// learn takes a value that another router shared.
+func (n *Node) learn(value hitchpeer.SharedValue) {
+	switch value.Topic.Name {
+	case hitchrouter.TopicLoads.Name:
+		n.router.LearnLoads(value.Origin, value.Body)
+	case hitchrouter.TopicHome.Name:
+		n.router.LearnHome(value.Origin, value.Body)
+	default:
+		n.config.learn(value)
+	}
+}
--- a/hitchplace/choose.go
+++ b/hitchplace/choose.go
@@ -104,7 +104,26 @@
 		dst = c.tryCold(dst)
 	}
 	dst = c.rank(dst, start)
-	return c.leastLoaded(dst, start)
+	dst = c.leastLoaded(dst, start)
+	if len(dst) == start {
+		dst = c.allCold(dst)
+	}
+	return dst
+}
+
+// allCold appends endpoints in cold start in the chat's order. It is for a route
+// that has no other: admission keeps the work there to what they bear.
+func (c *choice) allCold(dst []Candidate) []Candidate {
+	var cold ranked
+	for i := range c.pool.targets {
+		if t := &c.pool.targets[i]; t.Cold && c.fits(t) {
+			cold.add(maxCandidates, hitchfleet.Score(c.request.Chat, t.key), i)
+		}
+	}
+	for _, item := range cold.items[:cold.n] {
+		dst = append(dst, Candidate{Endpoint: c.pool.targets[item.index].Endpoint.ID, Why: ByColdTrial})
+	}
+	return dst
 }
 
 // coldTrialEvery is how many new chats there are for each that tries an endpoint
--- /dev/null
+++ b/hitchrouter/report.go
@@ -0,0 +1,91 @@
+package hitchrouter
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"citronhitch.example/citronhitch/hitchadmit"
+	"citronhitch.example/citronhitch/hitchfleet"
+)
+
+// Limits of the question for a load report.
+const (
+	reportLimit    = 800 * time.Millisecond
+	maxReportBytes = 1 << 20
+)
+
+// endpointReport is what an endpoint says of itself, in its own format.
+type endpointReport struct {
+	Running           int64
+	Waiting           int64
+	TokensOutstanding int64
+	Cold              bool
+	AsOf              time.Time
+}
+
+// collectReports asks the endpoints that this router owns for their loads.
+func (rt *Router) collectReports(ctx context.Context) {
+	p := rt.placement()
+	var group sync.WaitGroup
+	for id, owner := range p.owners {
+		if owner.ID == rt.Self.ID {
+			group.Go(func() { rt.collectReport(ctx, p.endpoints[id]) })
+		}
+	}
+	group.Wait()
+}
+
+func (rt *Router) collectReport(ctx context.Context, e hitchfleet.Endpoint) {
+	report, err := rt.fetchReport(ctx, e)
+	if err != nil {
+		rt.log().Debug("no load report", "Endpoint", string(e.ID), "Error", err)
+		return
+	}
+	load := report.TokensOutstanding
+	if e.Kind == hitchfleet.KindService {
+		load = report.Running + report.Waiting
+	}
+	now := rt.now()
+	rt.notify(rt.Owners.Report(now, hitchadmit.LoadReport{
+		Endpoint: e.ID,
+		AsOf:     earlier(report.AsOf, now),
+		Load:     load,
+		Requests: report.Running + report.Waiting,
+		Cold:     report.Cold,
+	}, nil))
+}
+
+func (rt *Router) fetchReport(ctx context.Context, e hitchfleet.Endpoint) (report endpointReport, err error) {
+	path := "/v1/load"
+	if e.Kind == hitchfleet.KindService {
+		path = "/load"
+	}
+	ctx, cancel := context.WithTimeout(ctx, reportLimit)
+	defer cancel()
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, e.URL+path, nil)
+	if err != nil {
+		return report, err
+	}
+	answer, err := rt.reports.Do(r)
+	if err != nil {
+		return report, err
+	}
+	defer func() { _ = answer.Body.Close() }()
+	if answer.StatusCode != http.StatusOK {
+		return report, fmt.Errorf("status %d", answer.StatusCode)
+	}
+	err = json.NewDecoder(io.LimitReader(answer.Body, maxReportBytes)).Decode(&report)
+	return report, err
+}
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
