--- a/hitchconfig/check.go
+++ b/hitchconfig/check.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"strings"
-	"unicode"
 
 	"citronhitch.example/citronhitch/hitchfleet"
 )
@@ -30,8 +29,14 @@
 }
 
 const (
-	maxWeight       = 1_000_000
+	nameBytes       = "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789._:/@+-"
 	maxNameBytes    = 128
+	maxPathBytes    = 256
+	maxVersions     = 16
+	maxAdapters     = 48
+	maxMethods      = 8
+	maxRoutesOfOne  = 64
+	maxWeight       = 1_000_000
 	maxPriority     = 1000
 	maxMilliseconds = 24 * 60 * 60 * 1000
 )
@@ -51,13 +56,19 @@
 	k.want(n >= low && n <= high, path, "is %d, want %d to %d", n, low, high)
 }
 
+// few checks a bound on the length of a list. The bounds keep each element
+// small enough for the accept records.
+func few[T any](k *checker, all []T, most int, path string) {
+	k.want(len(all) <= most, path, "has %d elements, want at most %d", len(all), most)
+}
+
 // names checks that names are usable, sorted and unique.
 func names[T any](k *checker, all []T, path string, nameOf func(T) string) {
 	k.want(all == nil || len(all) > 0, path, "is empty, want null")
 	for i, element := range all {
 		name := nameOf(element)
 		at := fmt.Sprintf("%s[%s]", path, name)
-		k.want(isName(name), at, "is no name: want 1 to %d printable bytes without space", maxNameBytes)
+		k.want(isName(name), at, "is no name: want 1 to %d letters, digits or ._:/@+-", maxNameBytes)
 		if i > 0 {
 			before := nameOf(all[i-1])
 			k.want(before != name, at, "stands twice")
@@ -66,11 +77,14 @@
 	}
 }
 
+// isName takes letters, digits and a few signs of ASCII, so that a name has the
+// same bytes in JSON, in a path and on a command line.
 func isName(name string) bool {
-	return name != "" && len(name) <= maxNameBytes &&
-		strings.IndexFunc(name, func(r rune) bool {
-			return r == unicode.ReplacementChar || unicode.IsSpace(r) || !unicode.IsPrint(r)
-		}) < 0
+	return name != "" && len(name) <= maxNameBytes && hasNameBytes(name)
+}
+
+func hasNameBytes(s string) bool {
+	return strings.IndexFunc(s, func(r rune) bool { return !strings.ContainsRune(nameBytes, r) }) < 0
 }
 
 // Check checks the configuration as a whole. It returns a *CheckError with
@@ -116,6 +130,8 @@
 }
 
 func (k *checker) engine(r Route, path string) {
+	few(k, r.Versions, maxVersions, path+".Versions")
+	few(k, r.Adapters, maxAdapters, path+".Adapters")
 	names(k, r.Versions, path+".Versions", ModelVersion.name)
 	names(k, r.Adapters, path+".Adapters", func(s string) string { return s })
 	for _, v := range r.Versions {
@@ -136,19 +152,20 @@
 		"is %q, want a path that starts with / and doesn't end with it", s.PathPrefix)
 	k.want(s.Journal == JournalRequired || s.Journal == JournalBestEffort, path+".Journal",
 		"is %q, want %s or %s", s.Journal, JournalRequired, JournalBestEffort)
+	few(k, s.IdempotentMethods, maxMethods, path+".IdempotentMethods")
 	names(k, s.IdempotentMethods, path+".IdempotentMethods", func(m string) string { return m })
 	for _, m := range s.IdempotentMethods {
 		k.want(strings.ToUpper(m) == m, path+".IdempotentMethods", "%q is no HTTP method in capitals", m)
 	}
 	if s.OutcomePath != "" {
-		k.want(strings.HasPrefix(s.OutcomePath, "/") && strings.Contains(s.OutcomePath, "{key}"),
+		k.want(strings.HasPrefix(s.OutcomePath, "/") && len(s.OutcomePath) <= maxPathBytes && strings.Contains(s.OutcomePath, "{key}"),
 			path+".OutcomePath", "is %q, want a path with {key}", s.OutcomePath)
 	}
 }
 
 func isPrefix(p string) bool {
-	return strings.HasPrefix(p, "/") && len(p) > 1 && !strings.HasSuffix(p, "/") &&
-		!strings.Contains(p, "//") && !strings.ContainsAny(p, "?#% ")
+	return strings.HasPrefix(p, "/") && len(p) > 1 && len(p) <= maxPathBytes && !strings.HasSuffix(p, "/") &&
+		!strings.Contains(p, "//") && hasNameBytes(p)
 }
 
 func (k *checker) prefixes(routes []Route) {
@@ -167,6 +184,8 @@
 func (k *checker) organisation(c Configuration, o Organisation, path string) {
 	k.within(o.ShareWeight, 1, maxWeight, path+".ShareWeight")
 	k.within(o.PriorityCeiling, 0, maxPriority, path+".PriorityCeiling")
+	few(k, o.Routes, maxRoutesOfOne, path+".Routes")
+	few(k, o.Keys, maxKeysAtOnce, path+".Keys")
 	names(k, o.Routes, path+".Routes", func(id hitchfleet.RouteID) string { return string(id) })
 	for _, id := range o.Routes {
 		_, ok := c.Route(id)
