--- a/hitchadmit/ask.go
+++ b/hitchadmit/ask.go
@@ -12,6 +12,11 @@
 // its prefix, than goes to another one.
 const homePatience = 200 * time.Millisecond
 
+// queueMargin is the part of the time to its deadline that an ask's expected wait
+// may take. The rest is for what the estimate doesn't know, so that few asks are
+// refused after they have waited.
+const queueMargin = 0.7
+
 // The bounds of how far in the future RetryAt lies.
 const (
 	minRetry = time.Second
@@ -82,7 +87,8 @@
 	due = e.pump(ev, due)
 	for i := range due {
 		if due[i].Decision.ID == d.ID {
-			return due[i].Decision, slices.Delete(due, i, i+1)
+			d = due[i].Decision
+			return d, slices.Delete(due, i, i+1)
 		}
 	}
 	return d, due
@@ -102,7 +108,7 @@
 // closedReason tells why this router may not grant at the endpoint at all.
 func (e *endpoint) closedReason(ev *event) (hitchoutcome.Reason, bool) {
 	switch {
-	case !e.owned, e.handed, !ev.view.fresh(ev.real):
+	case !e.owned, e.handed, !ev.view.isCurrent(ev.real):
 		return hitchoutcome.ReasonStale, true
 	case !e.open:
 		return hitchoutcome.ReasonNoEndpoint, true
@@ -127,7 +133,8 @@
 // endpoint has room, or if its wait would pass its deadline.
 func (e *endpoint) enqueue(ev *event, a *Ask, t *tenant, short shortage, due []Notice) (Decision, []Notice) {
 	l := &ev.view.limits
-	wait := e.wait(l, t, e.queue.ahead(a.Priority, e.queue.startTag(t, a.Priority)), a.Cost)
+	ahead, own := e.queue.ahead(t, a.Priority, e.queue.startTag(t, a.Priority))
+	wait := e.wait(l, t, ahead, own, a.Cost)
 	allowed := max(a.Deadline.Sub(a.SentAt), 0)
 	d := refuse(a, ev.now, clampRetry(ev.now, wait), short.reason())
 	if a.Hops < MaxHops && wait > min(homePatience, allowed) {
@@ -136,7 +143,7 @@
 			return d, due
 		}
 	}
-	if wait > allowed || allowed == 0 {
+	if float64(wait) > queueMargin*float64(allowed) || allowed == 0 {
 		return d, due
 	}
 	if len(e.queue.entries) >= l.QueueLimit {
@@ -158,11 +165,17 @@
 	return w
 }
 
+// queuedWait estimates how long an entry still waits.
+func (e *endpoint) queuedWait(ev *event, w *waiting) time.Duration {
+	ahead, own := e.queue.ahead(w.tenant, w.ask.Priority, w.start)
+	ahead, own = max(ahead-w.ask.Cost, 0), max(own-w.ask.Cost, 0)
+	return e.wait(&ev.view.limits, w.tenant, ahead, own, w.ask.Cost)
+}
+
 // evict refuses a queued ask.
 func (e *endpoint) evict(ev *event, i int, reason hitchoutcome.Reason) Notice {
 	w := e.unqueue(i)
-	wait := e.wait(&ev.view.limits, w.tenant, e.queue.ahead(w.ask.Priority, w.start), w.ask.Cost)
-	d := refuse(&w.ask, w.arrived, clampRetry(ev.now, wait), reason)
+	d := refuse(&w.ask, w.arrived, clampRetry(ev.now, e.queuedWait(ev, &w)), reason)
 	return Notice{Asker: w.ask.Asker, Endpoint: e.spec.ID, Decision: d}
 }
 
@@ -180,8 +193,7 @@
 	due = e.pump(ev, due)
 	for i := len(e.queue.entries) - 1; i >= 0; i-- {
 		w := &e.queue.entries[i]
-		ahead := e.queue.ahead(w.ask.Priority, w.start) - w.ask.Cost
-		if wait := e.wait(&ev.view.limits, w.tenant, ahead, w.ask.Cost); ev.now.Add(wait).After(w.deadline) {
+		if ev.now.Add(e.queuedWait(ev, w)).After(w.deadline) {
 			due = append(due, e.evict(ev, i, hitchoutcome.ReasonOverloaded))
 		}
 	}
--- a/hitchadmit/budget.go
+++ b/hitchadmit/budget.go
@@ -43,14 +43,14 @@
 func (b *Budget) First(now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.bucket(b.clock.advance(now)).first++
+	b.bucket(b.clock.advanceAtMost(now, budgetWindow)).first++
 }
 
 // Retry counts a retry and returns true, if the budget allows one more.
 func (b *Budget) Retry(now time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	steady := b.clock.advance(now)
+	steady := b.clock.advanceAtMost(now, budgetWindow)
 	first, retries := 0, 0
 	for i := range b.buckets {
 		if steady.Before(b.buckets[i].deadline) {
--- a/hitchadmit/clock.go
+++ b/hitchadmit/clock.go
@@ -14,12 +14,15 @@
 }
 
 // advance takes the time of an event and returns the steady time.
-func (c *clock) advance(now time.Time) time.Time {
+func (c *clock) advance(now time.Time) time.Time { return c.advanceAtMost(now, maxStep) }
+
+// advanceAtMost is advance with another bound of what one event lets pass.
+func (c *clock) advanceAtMost(now time.Time, most time.Duration) time.Time {
 	if c.last.IsZero() {
 		c.last, c.current = now, now
 		return now
 	}
-	step := min(max(now.Sub(c.last), 0), maxStep)
+	step := min(max(now.Sub(c.last), 0), most)
 	c.last = now
 	c.current = c.current.Add(step)
 	return c.current
--- a/hitchadmit/endpoint.go
+++ b/hitchadmit/endpoint.go
@@ -52,6 +52,9 @@
 	queue       queue
 	meanHolding float64 // seconds that a grant lasts, as a moving average
 
+	// swept is when deadlines were last looked at.
+	swept time.Time
+
 	// publishedLoad and publishedOpen are read by other shards.
 	publishedLoad atomic.Int64
 	publishedOpen atomic.Bool
@@ -183,11 +186,22 @@
 	e.meanHolding += holdingGain * (took - e.meanHolding)
 }
 
-// expire ends what has passed its deadline.
+// sweepEvery is how often deadlines are looked at.
+const sweepEvery = 100 * time.Millisecond
+
+// expire ends what has passed its deadline. A grant that lapses may still run: it
+// counts as stray work until the next load report.
 func (e *endpoint) expire(now time.Time) {
+	if now.Sub(e.swept) < sweepEvery {
+		return
+	}
+	e.swept = now
 	for id, g := range e.grants {
 		if now.After(g.deadline) {
 			e.dropGrant(now, id, g)
+			e.stray.holding.Cost += g.cost
+			e.stray.holding.Requests++
+			e.stray.deadline = now.Add(ReportLife)
 		}
 	}
 	for asker, f := range e.foreign {
--- a/hitchadmit/members.go
+++ b/hitchadmit/members.go
@@ -9,11 +9,16 @@
 // SetMembers takes a new view of the fleet: who owns which endpoint, which of
 // them leave and which zones are out. Call it at each change, and often enough
 // that Members.Until doesn't pass. Queued asks at endpoints that this router no
-// longer owns are refused as Stale: the asker turns to the new owner.
+// longer owns are refused as Stale: the asker turns to the new owner. If the last
+// view had lapsed, the others may have replaced this router in the meantime: it
+// takes its endpoints over anew.
 func (o *Owners) SetMembers(now time.Time, m Members, due []Notice) []Notice {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	v := newView(now, m, o.Limits.withDefaults())
+	steady := o.age.advanceAtMost(now, longestWait)
+	v.until = steady.Add(m.Until.Sub(now))
+	v.lapsed = !o.view.Load().fresh(now, steady)
 	o.view.Store(v)
 	listed := make(map[hitchfleet.EndpointID]bool, len(m.Endpoints))
 	for _, spec := range m.Endpoints {
@@ -40,7 +45,7 @@
 	}
 	steady := s.clock.advance(now)
 	owned := v.owns(spec)
-	if owned && !e.owned {
+	if owned && (!e.owned || v.lapsed) {
 		e.takeOver(steady)
 	}
 	e.leavePool()
@@ -60,14 +65,33 @@
 	}
 }
 
-// Renew lets the last view count until a later time: nothing in it has changed.
-func (o *Owners) Renew(now, until time.Time) {
+// Renew lets the last view count until a later time: nothing in it has changed. It
+// returns false if the view had lapsed; only SetMembers makes another.
+func (o *Owners) Renew(now, until time.Time) bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if v := o.view.Load(); v != nil {
-		renewed := *v
-		renewed.asOf, renewed.members.Until = now, until
-		o.view.Store(&renewed)
+	v := o.view.Load()
+	steady := o.age.advanceAtMost(now, longestWait)
+	if !v.fresh(now, steady) {
+		return false
+	}
+	renewed := *v
+	renewed.asOf, renewed.members.Until = now, until
+	renewed.until = steady.Add(until.Sub(now))
+	o.view.Store(&renewed)
+	return true
+}
+
+// ageView notes when the view has become too old, also where the clock was set
+// back in the meantime.
+func (o *Owners) ageView(now time.Time) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	steady := o.age.advanceAtMost(now, longestWait)
+	if v := o.view.Load(); v != nil && !v.over && !steady.Before(v.until) {
+		old := *v
+		old.over = true
+		o.view.Store(&old)
 	}
 }
 
--- a/hitchadmit/owners.go
+++ b/hitchadmit/owners.go
@@ -25,8 +25,11 @@
 	view   atomic.Pointer[view]
 	shards [shardCount]shard
 
-	mu    sync.Mutex // guards pools and orders SetMembers
+	mu    sync.Mutex // guards the fields below and orders SetMembers
 	pools map[poolKey]*pool
+	// age is the clock of the view. It counts all time that passes, as a paused
+	// router must not grant on an old view.
+	age clock
 }
 
 type shard struct {
@@ -86,12 +89,19 @@
 // Release takes a slot back and returns the grants that it makes room for. A
 // second Release of the same slot does nothing.
 func (o *Owners) Release(now time.Time, r Release, due []Notice) []Notice {
-	return o.change(now, r.Endpoint, due, func(e *endpoint, ev *event) {
-		e.release(ev.now, r.ID)
-		if i := e.queue.find(r.ID); i >= 0 {
-			e.unqueue(i)
-		}
-	})
+	s := o.shard(r.Endpoint)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e := s.endpoints[r.Endpoint]
+	if e == nil {
+		return due
+	}
+	ev := o.event(s, e, now)
+	e.release(ev.now, r.ID)
+	if i := e.queue.find(r.ID); i >= 0 {
+		e.unqueue(i)
+	}
+	return e.settle(&ev, due)
 }
 
 // Heartbeat renews the grants that an asker holds.
@@ -131,6 +141,7 @@
 // Tick ends what has passed its deadline, at all endpoints, and returns the
 // grants and refusals that fall due by it. Call it a few times a second.
 func (o *Owners) Tick(now time.Time, due []Notice) []Notice {
+	o.ageView(now)
 	for i := range o.shards {
 		s := &o.shards[i]
 		s.mu.Lock()
--- a/hitchadmit/queue.go
+++ b/hitchadmit/queue.go
@@ -83,16 +83,20 @@
 	q.interactive++
 }
 
-// ahead sums the cost of the entries that come before a start tag.
-func (q *queue) ahead(p Priority, start float64) int64 {
-	var cost int64
+// ahead sums the cost of the entries that come before a start tag, and of those
+// among them that are the tenant's own.
+func (q *queue) ahead(t *tenant, p Priority, start float64) (all, own int64) {
 	for i := range q.entries {
 		w := &q.entries[i]
-		if w.ask.Priority < p || (w.ask.Priority == p && w.start <= start) {
-			cost += w.ask.Cost
+		if w.ask.Priority > p || (w.ask.Priority == p && w.start > start) {
+			continue
+		}
+		all += w.ask.Cost
+		if w.tenant == t {
+			own += w.ask.Cost
 		}
 	}
-	return cost
+	return all, own
 }
 
 // victim returns the newest entry of the tenant that has the most entries above
--- a/hitchadmit/room.go
+++ b/hitchadmit/room.go
@@ -75,24 +75,35 @@
 	firstServiceHolding = 1.0  // seconds
 )
 
-// wait estimates when a tenant's work of cost, behind queued work of ahead, will
-// have found room: the work in hand drains at its amount over the mean time of a
-// grant (Little's law).
-func (e *endpoint) wait(l *Limits, t *tenant, ahead, cost int64) time.Duration {
-	limit, _ := e.limit(l, cost)
-	limit = e.tenants.limit(t, cost, limit)
+// longestWait bounds the estimates of waits.
+const longestWait = time.Hour
+
+// holding is how long a grant lasts, in seconds.
+func (e *endpoint) holding() float64 {
+	switch {
+	case e.meanHolding > 0:
+		return e.meanHolding
+	case e.spec.Kind == hitchfleet.KindService:
+		return firstServiceHolding
+	default:
+		return firstEngineHolding
+	}
+}
+
+// wait estimates when a tenant's work of cost will have found room. Work in hand
+// drains at its amount over the mean time of a grant (Little's law), and a
+// tenant's queued work at the part of that which the tenant holds, or has a right
+// to. ahead is the queued work before it, own the tenant's part of that.
+func (e *endpoint) wait(l *Limits, t *tenant, ahead, own, cost int64) time.Duration {
+	whole, _ := e.limit(l, cost)
+	limit := e.tenants.limit(t, cost, whole)
 	load := e.load().Cost
 	over := load + ahead + cost - limit
 	if over <= 0 && e.warmth.phase == phaseWarm {
 		return 0
 	}
-	holding := e.meanHolding
-	if holding <= 0 {
-		holding = firstEngineHolding
-		if e.spec.Kind == hitchfleet.KindService {
-			holding = firstServiceHolding
-		}
-	}
-	rate := float64(max(load, cost)) / holding
-	return time.Duration(float64(max(over, cost)) / rate * float64(time.Second))
+	endpointRate := float64(max(load, cost)) / e.holding()
+	tenantRate := float64(max(t.granted.Cost, min(e.tenants.fair(t, whole), load), cost)) / e.holding()
+	seconds := max(float64(max(over, cost))/endpointRate, float64(own+cost)/tenantRate)
+	return time.Duration(min(seconds, longestWait.Seconds()) * float64(time.Second))
 }
--- a/hitchadmit/view.go
+++ b/hitchadmit/view.go
@@ -12,7 +12,12 @@
 	members Members
 	limits  Limits
 	asOf    time.Time
+	// until is Members.Until by the clock of views, and over is set once it passed.
+	until   time.Time
+	over    bool
 	settled bool
+	// lapsed is set if the view before this one was too old to grant on.
+	lapsed  bool
 	weights map[hitchfleet.OrganisationID]float64
 	owners  candidates
 }
@@ -55,10 +60,15 @@
 	return 1
 }
 
-// fresh tells whether the view may be granted on. A clock set back before the
-// view was taken makes it stale as well.
-func (v *view) fresh(now time.Time) bool {
-	return v != nil && !now.Before(v.asOf) && now.Before(v.members.Until)
+// isCurrent tells whether the view may be granted on at a time by the caller's
+// clock. A clock set back before the view was taken makes it stale as well.
+func (v *view) isCurrent(now time.Time) bool {
+	return v != nil && !v.over && !now.Before(v.asOf) && now.Before(v.members.Until)
+}
+
+// fresh is isCurrent with the time by the clock of views too.
+func (v *view) fresh(now, steady time.Time) bool {
+	return v.isCurrent(now) && steady.Before(v.until)
 }
 
 func (v *view) isOpen(e hitchfleet.Endpoint) bool {
