--- a/cmd/citronhitch/devonce.go
+++ b/cmd/citronhitch/devonce.go
@@ -6,10 +6,17 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"net/http"
+	"sync"
 
+	"github.com/samber/lo"
+
+	"citronhitch.example/citronhitch/hitchapi"
 	"citronhitch.example/citronhitch/hitchclient"
 	"citronhitch.example/citronhitch/hitchdev"
 	"citronhitch.example/citronhitch/hitchfake"
+	"citronhitch.example/citronhitch/hitchfleet"
+	"citronhitch.example/citronhitch/hitchnode"
 )
 
 // errStep says that a step of the session had another outcome than it should.
@@ -54,6 +61,10 @@
 		{"Lookup", s.lookup},
 		{"Book", s.book},
 		{"Repeat", s.repeat},
+		{"ZoneOut", s.zoneOut},
+		{"NoNewWork", s.noNewWork},
+		{"ZoneReturn", s.zoneReturn},
+		{"StopRouter", s.stopRouter},
 	}
 }
 
@@ -169,6 +180,117 @@
 	return n
 }
 
+// change plans and confirms an intent at one router, and waits until it is in
+// force on all.
+func (s *devSession) change(ctx context.Context, kind string, args ...string) (string, error) {
+	c := &operatorClient{program: s.program, router: s.fleet.Addresses()[0], key: s.fleet.Deployment.OperatorKey(), asJSON: true}
+	intent, err := intentOf(kind, args)
+	if err != nil {
+		return "", err
+	}
+	var plan hitchapi.PlanAnswer
+	if _, err := c.ask(ctx, http.MethodPost, "/v1/operator/plan", intent, &plan); err != nil {
+		return "", err
+	}
+	var accepted hitchapi.ConfirmAnswer
+	if _, err := c.ask(ctx, http.MethodPost, "/v1/operator/confirm", planName{plan.Plan}, &accepted); err != nil {
+		return "", err
+	}
+	if err := c.awaitForce(ctx, accepted.Revision); err != nil {
+		return "", err
+	}
+	return fmt.Sprintf("Base=%d Revision=%d InForce=all", plan.Base, accepted.Revision), nil
+}
+
+func (s *devSession) zoneOut(ctx context.Context) (string, error) {
+	return s.change(ctx, "take-zone-out", string(s.fleet.Deployment.Zone(1)))
+}
+
+func (s *devSession) zoneReturn(ctx context.Context) (string, error) {
+	return s.change(ctx, "return-zone", string(s.fleet.Deployment.Zone(1)))
+}
+
+// newChats is how many chats show that a zone gets no new work.
+const newChats = 20
+
+// noNewWork starts chats while the zone is out and looks for them there.
+func (s *devSession) noNewWork(ctx context.Context) (string, error) {
+	zone := s.fleet.Deployment.Zone(1)
+	before := s.submitted(zone)
+	for n := range newChats {
+		body, err := json.Marshal(s.request("How many seals live here?"))
+		if err != nil {
+			return "", err
+		}
+		if _, err := s.client.Chat(ctx, fmt.Sprintf("zone-chat-%d", n), body, nil); err != nil {
+			return "", err
+		}
+	}
+	if got := s.submitted(zone) - before; got != 0 {
+		return "", fmt.Errorf("%d chats went to zone %s", got, zone)
+	}
+	return fmt.Sprintf("Chats=%d InZoneOut=0", newChats), nil
+}
+
+// submitted counts the chats that the engines of a zone were given.
+func (s *devSession) submitted(zone hitchfleet.AvailabilityZone) (n uint64) {
+	for _, host := range s.fleet.Engines() {
+		if host.Endpoint.Zone == zone {
+			n += host.Engine.Records().Submitted
+		}
+	}
+	return n
+}
+
+func (s *devSession) request(text string) hitchfake.ChatRequest {
+	return hitchfake.ChatRequest{
+		Model: string(s.fleet.Deployment.EngineRoute), Stream: true,
+		Messages: []hitchfake.Message{{Role: "user", Content: text}},
+	}
+}
+
+// longAnswer is the tokens of an answer that is still streaming when its router
+// is stopped.
+const longAnswer = 400
+
+// stopRouter stops the router that streams an answer, in the midst of it. The
+// answer comes whole at the first try, and the next turn goes elsewhere.
+func (s *devSession) stopRouter(ctx context.Context) (string, error) {
+	request := s.request("Tell me all about the kelp forest.")
+	request.MinTokens = longAnswer
+	body, err := json.Marshal(request)
+	if err != nil {
+		return "", err
+	}
+	address, err := s.client.Address(ctx, "long-chat")
+	if err != nil {
+		return "", err
+	}
+	node, ok := lo.Find(s.fleet.Routers(), func(n *hitchnode.Node) bool { return n.Addr() == address.Addresses[0] })
+	if !ok {
+		return "", errors.New("the answer names no router of the fleet")
+	}
+	stopped := make(chan error, 1)
+	var once sync.Once
+	answer, err := s.client.Chat(ctx, "long-chat", body, func(string) {
+		once.Do(func() { go func() { stopped <- s.fleet.StopRouter(ctx, node) }() })
+	})
+	if err != nil {
+		return "", err
+	}
+	if err := <-stopped; err != nil {
+		return "", err
+	}
+	if answer.Text != hitchfake.Answer(request) || answer.Tries != 1 {
+		return "", fmt.Errorf("the answer has %d tokens after %d tries and isn't whole", answer.Tokens, answer.Tries)
+	}
+	next, err := s.client.Chat(ctx, "long-chat", body, nil)
+	if err == nil && next.Router == answer.Router {
+		err = errors.New("the next turn went to the router that was stopped")
+	}
+	return "Whole=true Tries=1 NextElsewhere=true", err
+}
+
 func (s *devSession) stop(ctx context.Context) (string, error) {
 	return "Graceful=true", s.fleet.Stop(ctx)
 }
--- a/cmd/citronhitch/main.go
+++ b/cmd/citronhitch/main.go
@@ -70,7 +70,13 @@
 	p.app.ErrorWriter(p.stderr)
 	p.app.DefaultEnvars()
 	p.commands = []command{
+		p.serveCommand(),
 		p.devCommand(),
+		p.planCommand(),
+		p.confirmCommand(),
+		p.statusCommand(),
+		p.historyCommand(),
+		p.doubtsCommand(),
 		p.fakeCommand(),
 	}
 }
--- a/hitchapi/service.go
+++ b/hitchapi/service.go
@@ -1,11 +1,13 @@
 package hitchapi
 
 import (
+	"errors"
 	"net/http"
 	"strings"
 	"time"
 
 	"citronhitch.example/citronhitch/hitchforward"
+	"citronhitch.example/citronhitch/hitchoutcome"
 	"citronhitch.example/citronhitch/hitchrouter"
 )
 
@@ -65,3 +67,24 @@
 		},
 	}, nil
 }
+
+// withKey hands the caller a key where the refusal is about the lack of one.
+func (a *API) withKey(call hitchrouter.ServiceCall, err error) error {
+	var refusal *hitchoutcome.Refusal
+	if !errors.As(err, &refusal) {
+		return err
+	}
+	problem := ProblemOf(err)
+	var handed *hitchrouter.KeyRefusal
+	if errors.As(err, &handed) {
+		return problem.WithBookingKey(handed.BookingKey)
+	}
+	if refusal.Reason != hitchoutcome.ReasonKeyMissing {
+		return problem
+	}
+	key, _, mintErr := a.Router.MintKey(call.Organisation, call.Route.ID)
+	if mintErr != nil {
+		return problem
+	}
+	return problem.WithBookingKey(key)
+}
--- a/hitchclaim/key.go
+++ b/hitchclaim/key.go
@@ -109,6 +109,10 @@
 	})
 }
 
+func homeFrom(w wireHome) HomeID {
+	return HomeID{Instance: hitchfleet.InstanceID(w.Instance), Incarnation: w.Incarnation}
+}
+
 func keyFrom(w wireKey) Key {
 	return Key{
 		Home:         HomeID{Instance: hitchfleet.InstanceID(w.Instance), Incarnation: w.Incarnation},
--- a/hitchconfig/offer.go
+++ b/hitchconfig/offer.go
@@ -46,30 +46,30 @@
 	Proof    Proof
 }
 
-// Open applies the delta to the revision that it starts from, and verifies the
-// result.
-func (d Delta) Open(base Configuration, keys Keyring) (c Configuration, err error) {
+// Open applies the delta to the revision that it starts from, verifies the
+// result and returns it with its bytes.
+func (d Delta) Open(base Configuration, keys Keyring) (c Configuration, data []byte, err error) {
 	defer annotate(&err, "delta from revision %d to %d", d.From, d.To)
 	if base.Revision != d.From || d.To != d.From+uint64(len(d.Intents)) {
-		return Configuration{}, errors.New("doesn't fit the revision")
+		return Configuration{}, nil, errors.New("doesn't fit the revision")
 	}
 	if !verifyRevision(keys, d.Proof, d.To, d.Checksum) {
-		return Configuration{}, ErrOrigin
+		return Configuration{}, nil, ErrOrigin
 	}
 	c = base
 	for _, intent := range d.Intents {
 		if c, err = intent.Apply(c); err != nil {
-			return Configuration{}, err
+			return Configuration{}, nil, err
 		}
 	}
-	sum, err := c.Checksum()
+	data, err = c.Encode()
 	if err != nil {
-		return Configuration{}, err
+		return Configuration{}, nil, err
 	}
-	if sum != d.Checksum {
-		return Configuration{}, ErrOrigin
+	if checksumOf(data) != d.Checksum {
+		return Configuration{}, nil, ErrOrigin
 	}
-	return c, nil
+	return c, data, nil
 }
 
 // Mark says that a revision was current at a time, as a router that holds the
@@ -103,6 +103,8 @@
 	// Ready says that the sender serves, so that it vouches for its revision as
 	// one that isn't older than the bound on the spread.
 	Ready bool
+	// Started says that the sender is no longer starting.
+	Started bool
 	// Mark is the newest mark that the sender knows; it may be zero.
 	Mark Mark
 }
--- /dev/null
+++ b/hitchforward/forward_test.go
@@ -0,0 +1,219 @@
+package hitchforward
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"citronhitch.example/citronhitch/hitchfake"
+	"citronhitch.example/citronhitch/hitchfleet"
+	"citronhitch.example/citronhitch/hitchoutcome"
+)
+
+const testSilenceMillis = 200
+
+func host(t *testing.T, id hitchfleet.EndpointID, handler http.Handler) hitchfleet.Endpoint {
+	server := httptest.NewServer(handler)
+	t.Cleanup(func() {
+		server.CloseClientConnections()
+		server.Close()
+	})
+	return hitchfleet.Endpoint{ID: id, URL: server.URL}
+}
+
+func chatCall(t *testing.T, content string) (Call, string) {
+	request := hitchfake.ChatRequest{
+		Model: "guide-llm", Stream: true, MinTokens: 40,
+		Messages: []hitchfake.Message{{Role: "user", Content: content}},
+	}
+	body, err := json.Marshal(request)
+	qt.Assert(t, err, qt.IsNil)
+	return Call{Method: http.MethodPost, Path: "/v1/chat/completions", Body: body, Idempotent: true}, hitchfake.Answer(request)
+}
+
+// collect is a caller that keeps the text of a stream.
+type collect struct {
+	text strings.Builder
+	done bool
+	ids  []int
+}
+
+func (c *collect) deliver(event Event) error {
+	if event.Done() {
+		c.done = true
+		return nil
+	}
+	content, err := contentOf(event)
+	c.text.Write(content)
+	c.ids = append(c.ids, event.ID)
+	return err
+}
+
+// Each fault strikes the first engine once. The caller gets each token once, and
+// the whole answer, from the same engine or from the second one.
+func TestStreamIsWholeUnderFaults(t *testing.T) {
+	tests := map[string]struct {
+		faults []hitchfake.Fault
+		kinds  []FailureKind
+	}{
+		"no fault":              {nil, nil},
+		"cut at once":           {[]hitchfake.Fault{{Kind: hitchfake.FaultCut, Times: 1}}, []FailureKind{FailureCut}},
+		"cut in the midst":      {[]hitchfake.Fault{{Kind: hitchfake.FaultCut, AfterTokens: 7, Times: 1}}, []FailureKind{FailureCut}},
+		"silent at once":        {[]hitchfake.Fault{{Kind: hitchfake.FaultSilent, Times: 1}}, []FailureKind{FailureSilent}},
+		"silent in the midst":   {[]hitchfake.Fault{{Kind: hitchfake.FaultSilent, AfterTokens: 7, Times: 1}}, []FailureKind{FailureSilent}},
+		"cut, then silent":      {[]hitchfake.Fault{{Kind: hitchfake.FaultCut, AfterTokens: 5, Times: 1}, {Kind: hitchfake.FaultSilent, Path: "/v1/streams", AfterTokens: 5, Times: 1}}, []FailureKind{FailureCut, FailureSilent}},
+		"crossed":               {[]hitchfake.Fault{{Kind: hitchfake.FaultCrossed, Times: 1}}, []FailureKind{FailureCrossed}},
+		"busy":                  {[]hitchfake.Fault{{Kind: hitchfake.FaultRefuse, Times: 1}}, []FailureKind{FailureBusy}},
+		"cut again and again":   {[]hitchfake.Fault{{Kind: hitchfake.FaultCut, AfterTokens: 3}}, []FailureKind{FailureCut}},
+		"lost in the midst":     {[]hitchfake.Fault{{Kind: hitchfake.FaultCut, AfterTokens: 9, Times: 1}, {Kind: hitchfake.FaultCut, Path: "/v1/streams"}}, []FailureKind{FailureCut}},
+		"silent to every retry": {[]hitchfake.Fault{{Kind: hitchfake.FaultSilent, AfterTokens: 2}}, []FailureKind{FailureSilent}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			first := &hitchfake.Engine{}
+			first.Faults.Set(test.faults...)
+			endpoints := []hitchfleet.Endpoint{host(t, "first", first.Handler()), host(t, "second", (&hitchfake.Engine{}).Handler())}
+			client := &Client{SilenceMillis: testSilenceMillis}
+			call, want := chatCall(t, name)
+			var caller collect
+			stream := &Stream{Call: call, Deliver: caller.deliver}
+			var ev hitchoutcome.Evidence
+			err := client.Stream(context.Background(), stream, endpoints[0], &ev)
+			var failure *Failure
+			if errors.As(err, &failure) {
+				qt.Assert(t, failure.MayRetry(), qt.IsTrue, qt.Commentf("%v", err))
+				err = client.Stream(context.Background(), stream, endpoints[1], &ev)
+			}
+			qt.Assert(t, err, qt.IsNil)
+			qt.Assert(t, caller.text.String(), qt.Equals, want)
+			qt.Assert(t, caller.done, qt.IsTrue)
+			for i, id := range caller.ids {
+				qt.Assert(t, id, qt.Equals, i+1)
+			}
+			qt.Assert(t, ev.Outcome(), qt.Equals, hitchoutcome.Ran)
+			for _, kind := range test.kinds {
+				qt.Assert(t, client.Counts.Of(kind) > 0, qt.IsTrue, qt.Commentf("no failure of kind %s", kind))
+			}
+		})
+	}
+}
+
+func TestReplayThatDiffersIsNotDelivered(t *testing.T) {
+	first := &hitchfake.Engine{}
+	first.Faults.Set(hitchfake.Fault{Kind: hitchfake.FaultCut, AfterTokens: 9})
+	one := host(t, "first", first.Handler())
+	two := host(t, "second", (&hitchfake.Engine{}).Handler())
+	client := &Client{SilenceMillis: testSilenceMillis}
+	call, want := chatCall(t, "When are the rays fed?")
+	var caller collect
+	stream := &Stream{Call: call, Deliver: caller.deliver}
+	var ev hitchoutcome.Evidence
+	qt.Assert(t, client.Stream(context.Background(), stream, one, &ev), qt.IsNotNil)
+	stream.Call, _ = chatCall(t, "another question, so that the engine answers otherwise")
+	err := client.Stream(context.Background(), stream, two, &ev)
+	var failure *Failure
+	qt.Assert(t, errors.As(err, &failure), qt.IsTrue)
+	qt.Assert(t, failure.Kind, qt.Equals, FailureDiverged)
+	qt.Assert(t, strings.HasPrefix(want, caller.text.String()), qt.IsTrue)
+	qt.Assert(t, caller.done, qt.IsFalse)
+}
+
+// A call that isn't idempotent is written once, and its evidence is true.
+func TestServiceCallOutcome(t *testing.T) {
+	tests := map[string]struct {
+		fault hitchfake.Fault
+		want  hitchoutcome.Outcome
+		runs  int
+	}{
+		"no fault":          {hitchfake.Fault{Kind: hitchfake.FaultGap}, hitchoutcome.Ran, 1},
+		"cut before it ran": {hitchfake.Fault{Kind: hitchfake.FaultCut}, hitchoutcome.Unknown, 0},
+		"cut after it ran":  {hitchfake.Fault{Kind: hitchfake.FaultCut, AfterRun: true}, hitchoutcome.Unknown, 1},
+		"silent after run":  {hitchfake.Fault{Kind: hitchfake.FaultSilent, AfterRun: true}, hitchoutcome.Unknown, 1},
+		"crossed":           {hitchfake.Fault{Kind: hitchfake.FaultCrossed}, hitchoutcome.Unknown, 1},
+		"late":              {hitchfake.Fault{Kind: hitchfake.FaultLateAnswer, Millis: 10 * testSilenceMillis}, hitchoutcome.Unknown, 1},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			service := &hitchfake.Service{}
+			endpoint := host(t, "service", service.Handler())
+			client := &Client{SilenceMillis: testSilenceMillis}
+			header := http.Header{"Idempotency-Key": {"key-1"}}
+			call := Call{Method: http.MethodPost, Path: "/slots", Header: header, Body: []byte("{}")}
+			service.Faults.Set(test.fault)
+			var ev hitchoutcome.Evidence
+			answer, err := client.Do(context.Background(), call, endpoint, &ev)
+			qt.Assert(t, ev.Outcome(), qt.Equals, test.want)
+			qt.Assert(t, err == nil, qt.Equals, test.want == hitchoutcome.Ran)
+			qt.Assert(t, answer == nil, qt.Equals, test.want != hitchoutcome.Ran)
+			qt.Assert(t, service.Runs(), qt.HasLen, test.runs)
+		})
+	}
+}
+
+// net/http sends a request again by itself if a pooled connection closes under
+// it and the request has an Idempotency-Key. A booking must not meet that.
+func TestBookingIsNeverReplayedByThePool(t *testing.T) {
+	var runs atomic.Int64
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(func() { _ = listener.Close() })
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodPost {
+			runs.Add(1)
+			panic(http.ErrAbortHandler)
+		}
+		w.Header().Set(AttemptHeader, r.Header.Get(AttemptHeader))
+	})}
+	go func() { _ = server.Serve(listener) }()
+	endpoint := hitchfleet.Endpoint{ID: "service", URL: "http://" + listener.Addr().String()}
+	client := &Client{}
+	var warm, ev hitchoutcome.Evidence
+	_, err = client.Do(context.Background(), Call{Method: http.MethodGet, Path: "/", Idempotent: true}, endpoint, &warm)
+	qt.Assert(t, err, qt.IsNil)
+	_, err = client.Do(context.Background(), Call{Method: http.MethodPost, Path: "/", Header: http.Header{"Idempotency-Key": {"k"}}}, endpoint, &ev)
+	qt.Assert(t, err, qt.IsNotNil)
+	qt.Assert(t, runs.Load(), qt.Equals, int64(1))
+	qt.Assert(t, ev.Outcome(), qt.Equals, hitchoutcome.Unknown)
+}
+
+func TestRefusedConnectionIsNotRun(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	endpoint := hitchfleet.Endpoint{ID: "gone", URL: "http://" + listener.Addr().String()}
+	qt.Assert(t, listener.Close(), qt.IsNil)
+	var client Client
+	var ev hitchoutcome.Evidence
+	_, err = client.Do(context.Background(), Call{Method: http.MethodPost, Path: "/"}, endpoint, &ev)
+	var failure *Failure
+	qt.Assert(t, errors.As(err, &failure), qt.IsTrue)
+	qt.Assert(t, failure.Kind, qt.Equals, FailureUnsent)
+	qt.Assert(t, ev.Refuse(hitchoutcome.ReasonEndpointLost, time.Time{}, "gone").Outcome, qt.Equals, hitchoutcome.NotRun)
+}
+
+func FuzzEventReader(f *testing.F) {
+	f.Add("id: 1\ndata: {\"choices\":[{\"delta\":{\"content\":\"reef\"}}]}\n\ndata: [DONE]\n\n")
+	f.Add(": heartbeat\n\ndata:x\ndata: y\n\n")
+	f.Fuzz(func(t *testing.T, wire string) {
+		events := newEventReader(strings.NewReader(wire))
+		var progress Progress
+		for {
+			event, err := events.next()
+			if err != nil {
+				return
+			}
+			shown, fresh, err := progress.Take(event)
+			if err == nil && fresh && !shown.Done() && shown.ID != progress.Delivered {
+				t.Fatalf("event %d shown as %d", progress.Delivered, shown.ID)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/hitchnode/operator.go
@@ -0,0 +1,158 @@
+package hitchnode
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/oklog/ulid/v2"
+	"github.com/samber/lo"
+
+	"citronhitch.example/citronhitch/hitchapi"
+	"citronhitch.example/citronhitch/hitchclaim"
+	"citronhitch.example/citronhitch/hitchconfig"
+	"citronhitch.example/citronhitch/hitchfleet"
+	"citronhitch.example/citronhitch/hitchoutcome"
+)
+
+// operators returns what answers operators.
+func (n *Node) operators() *hitchapi.Operators {
+	return &hitchapi.Operators{
+		Authenticate: n.operator,
+		Plan:         n.plan,
+		Confirm:      n.confirm,
+		History:      n.history,
+		Status:       n.status,
+		Doubts:       n.doubts,
+		Resolve:      n.resolve,
+	}
+}
+
+// operator returns the operator that a key belongs to.
+func (n *Node) operator(key string) (hitchconfig.Operator, error) {
+	index, _ := n.config.inForce(time.Now())
+	if index == nil {
+		return hitchconfig.Operator{}, n.router.Ready()
+	}
+	operator, ok := index.OperatorByKey(key, time.Now())
+	if !ok {
+		return operator, hitchoutcome.RefuseUnsent(hitchoutcome.ReasonUnauthenticated, time.Time{}, "the operator's key isn't known")
+	}
+	return operator, nil
+}
+
+func (n *Node) confirmer() hitchconfig.Confirmer {
+	index, _ := n.config.inForce(time.Now())
+	c := hitchconfig.Confirmer{Store: configStore(n.store), Keys: n.Settings.FleetKeys, Now: time.Now}
+	if index != nil {
+		c.Floor = index.Revision()
+	}
+	return c
+}
+
+// plan works out what an intent would do, on the newest accepted revision.
+func (n *Node) plan(ctx context.Context, operator string, intent hitchconfig.Intent) (plan hitchconfig.Plan, err error) {
+	defer func() { err = configRefusal(err) }()
+	head, _, err := n.confirmer().Head(ctx)
+	if err != nil {
+		return plan, err
+	}
+	return hitchconfig.Draft{
+		ID: ulid.Make().String(), Operator: operator, Intent: intent, Base: head.Configuration,
+		Accepts: head.Accepts, Fleet: n.fleetView(), Keys: n.Settings.FleetKeys,
+	}.Plan(time.Now())
+}
+
+// fleetView returns the fleet with its loads, for the warnings of plans.
+func (n *Node) fleetView() hitchconfig.FleetView {
+	loads := n.router.Loads()
+	return hitchconfig.FleetView{Endpoints: lo.Map(n.list.endpoints(), func(e hitchfleet.Endpoint, _ int) hitchconfig.EndpointLoad {
+		report := loads[e.ID]
+		return hitchconfig.EndpointLoad{Endpoint: e, Requests: int(report.Requests), Capacity: int(report.Capacity)}
+	})}
+}
+
+// confirm accepts a plan.
+func (n *Node) confirm(ctx context.Context, operator, text string) (accepted hitchconfig.Accepted, err error) {
+	defer func() { err = configRefusal(err) }()
+	token, err := hitchconfig.DecodeToken(text, n.Settings.FleetKeys)
+	if err != nil {
+		return accepted, err
+	}
+	accepted, err = n.confirmer().Confirm(ctx, token, operator)
+	if err != nil {
+		return accepted, err
+	}
+	n.log().Info("configuration accepted", "Revision", accepted.Accept.Revision, "Operator", operator, "Plan", token.ID)
+	n.config.accepted(accepted.Head)
+	return accepted, nil
+}
+
+func (n *Node) history(ctx context.Context, count int) (accepts []hitchconfig.Accept, err error) {
+	defer func() { err = configRefusal(err) }()
+	return n.confirmer().History(ctx, count)
+}
+
+// configRefusal turns an error of planning or confirming into a refusal.
+func configRefusal(err error) error {
+	var (
+		intent    *hitchconfig.IntentError
+		check     *hitchconfig.CheckError
+		expired   *hitchconfig.ExpiredError
+		stale     *hitchconfig.StaleError
+		behind    *hitchconfig.BehindError
+		undecided *hitchconfig.UndecidedError
+	)
+	retryAt := time.Now().Add(time.Second)
+	switch {
+	case err == nil:
+		return nil
+	case errors.As(err, &intent), errors.As(err, &check), errors.Is(err, hitchconfig.ErrTokenInvalid):
+		return hitchoutcome.RefuseUnsent(hitchoutcome.ReasonBadRequest, time.Time{}, "%v", err)
+	case errors.As(err, &expired), errors.As(err, &stale), errors.As(err, &behind):
+		return hitchoutcome.RefuseUnsent(hitchoutcome.ReasonConflict, time.Time{}, "%v", err)
+	case errors.As(err, &undecided):
+		return &hitchoutcome.Refusal{
+			Reason: hitchoutcome.ReasonStoreOut, Outcome: hitchoutcome.Unknown, RetryAt: retryAt,
+			Detail: err.Error() + "; confirm the same plan again",
+		}
+	default:
+		return hitchoutcome.RefuseUnsent(hitchoutcome.ReasonStoreOut, retryAt, "%v", err)
+	}
+}
+
+// status returns what this router knows of the whole fleet. It asks the others
+// which revision they have in force.
+func (n *Node) status(ctx context.Context) (hitchapi.FleetStatus, error) {
+	index, _ := n.config.inForce(time.Now())
+	revision := n.config.current().Known()
+	live := n.peers.Live()
+	rollout := n.config.revisions(ctx)
+	progress := rollout.Progress(revision, lo.Map(live, func(i hitchfleet.Instance, _ int) hitchfleet.InstanceID { return i.ID }))
+	status := hitchapi.FleetStatus{
+		Revision: revision, InForce: progress.InForce, Refusing: progress.Refusing, Routers: progress.Live,
+		StoreOut: n.store.Out(time.Now()), ZonesOut: index.Configuration().ZonesOut,
+	}
+	for _, i := range live {
+		status.Instances = append(status.Instances, hitchapi.InstanceStatus{
+			ID: i.ID, Zone: i.Zone, Address: i.Addr, Leaving: i.Leaving, Behind: lo.Contains(progress.Missing, i.ID),
+		})
+	}
+	loads := n.router.Loads()
+	for _, e := range n.list.endpoints() {
+		load := loads[e.ID]
+		status.Endpoints = append(status.Endpoints, hitchapi.EndpointStatus{
+			ID: e.ID, Route: e.Route, Zone: e.Zone, Owner: load.Owner, InService: index.InService(e), Cold: load.Cold, Load: load.Load,
+		})
+	}
+	return status, nil
+}
+
+// doubts returns the bookings whose outcome isn't known, of all homes.
+func (n *Node) doubts(ctx context.Context) ([]hitchclaim.Doubt, error) {
+	return n.router.Doubts(ctx)
+}
+
+func (n *Node) resolve(ctx context.Context, key hitchclaim.KeyID, truth hitchclaim.Truth) error {
+	return n.router.ResolveDoubt(ctx, key, truth)
+}
--- a/hitchnode/view.go
+++ b/hitchnode/view.go
@@ -5,7 +5,6 @@
 	"sync"
 	"time"
 
-	"citronhitch.example/citronhitch/hitchfleet"
 	"citronhitch.example/citronhitch/hitchrouter"
 )
 
@@ -36,7 +35,7 @@
 	now := time.Now()
 	live := n.peers.Live()
 	n.contact.note(now, n.peers.Traffic().PacketsReceived, len(live))
-	index, stale := n.config.current(now)
+	index, stale := n.config.inForce(now)
 	n.router.SetView(&hitchrouter.View{
 		Index:     index,
 		Live:      live,
@@ -82,14 +81,3 @@
 	defer c.mu.Unlock()
 	return c.last.Add(contactLife)
 }
-
-// peerOf returns another live router that is not leaving, for a question.
-func (n *Node) others() []hitchfleet.Instance {
-	var others []hitchfleet.Instance
-	for _, i := range n.peers.Live() {
-		if i.ID != n.self.ID && !i.Leaving {
-			others = append(others, i)
-		}
-	}
-	return others
-}
--- a/hitchnode/wire.go
+++ b/hitchnode/wire.go
@@ -78,7 +78,7 @@
 
 func provideServer(i do.Injector) (*hitchapi.Server, error) {
 	n := do.MustInvoke[*Node](i)
-	api := &hitchapi.API{Router: do.MustInvoke[*hitchrouter.Router](i)}
+	api := &hitchapi.API{Router: do.MustInvoke[*hitchrouter.Router](i), Operators: n.operators()}
 	return &hitchapi.Server{
 		Addr:        n.Settings.Listen,
 		Handler:     api.Handler(),
@@ -94,7 +94,5 @@
 		n.router.LearnLoads(value.Origin, value.Body)
 	case hitchrouter.TopicHome.Name:
 		n.router.LearnHome(value.Origin, value.Body)
-	default:
-		n.config.learn(value)
 	}
 }
--- a/hitchrouter/bookingpeer.go
+++ b/hitchrouter/bookingpeer.go
@@ -126,7 +126,7 @@
 	if !step.Done {
 		return rt.unknownBooking("the key's home is gone and its journal can't be read now")
 	}
-	verdict := hitchclaim.Judge(k.Key, append(k.ledgers, step.Ledger)...)
+	verdict := hitchclaim.Judge(rt.now(), k.Key, append(k.ledgers, step.Ledger)...)
 	if verdict.Ask != (hitchclaim.HomeID{}) {
 		k.ledgers = append(k.ledgers, step.Ledger)
 		return rt.bookSuccessor(ctx, verdict.Ask, k)
--- a/hitchrouter/loads.go
+++ b/hitchrouter/loads.go
@@ -63,3 +63,25 @@
 	rt.Owners.Learn(rt.now(), *p.Digest)
 	rt.loads.learn(p.Digest.Loads)
 }
+
+// EndpointState is what the router knows of an endpoint.
+type EndpointState struct {
+	Owner hitchfleet.InstanceID
+	Load  int64
+	Cold  bool
+	// Requests and Capacity count requests, if this router is the endpoint's owner.
+	Requests int64
+	Capacity int64
+}
+
+// Loads returns the state of each endpoint by the newest digests.
+func (rt *Router) Loads() map[hitchfleet.EndpointID]EndpointState {
+	p := rt.placement()
+	loads := rt.loads.snapshot()
+	states := make(map[hitchfleet.EndpointID]EndpointState, len(p.endpoints))
+	for id := range p.endpoints {
+		load := loads[id]
+		states[id] = EndpointState{Owner: p.owners[id].ID, Load: load.Load, Cold: load.Cold}
+	}
+	return states
+}
