--- a/hitchconfig/bench_test.go
+++ b/hitchconfig/bench_test.go
@@ -30,7 +30,7 @@
 	sum, _ := next.Checksum()
 	d := Delta{From: 1, To: 2, Intents: []Intent{zoneIntent(77)}, Checksum: sum, Proof: signRevision(fleetKeys, 2, sum)}
 	for b.Loop() {
-		if _, err := d.Open(base, fleetKeys); err != nil {
+		if _, _, err := d.Open(base, fleetKeys); err != nil {
 			b.Fatal(err)
 		}
 	}
