hitchconfig: the tracker of revisions, who holds a watch, and in force on all

Cause: a router must never go back to an older revision, must not act on one for long when it is cut off, and must start while the store is out.

Ruled out: adopting the newest by time (clocks step); a start that takes the first peer's word (a peer woken from a pause offers what it had); a freshness rule on marks alone (an outage of the store would stop all); announcing revisions without the change (a sender that dies leaves all others knowing of a revision that nobody has).

Change: Tracker adopts only higher revisions with a proof of origin. The store's word counts as of the time when the read was sent, so a paused router gains nothing by it. Without store and peers for CutOffMilliseconds, or with a newer revision known and not to be had, new work is refused as NotRun. A start ends by the store's own word, by a fresh mark, or by the word of up to three serving peers. Changes travel as deltas with the announcement, the whole goes to routers that are far behind. Watchers are max(2, ceil(sqrt(n)/2)) by rendezvous hashing over zones. Rollout counts who has a revision in force.

--- /dev/null
+++ b/hitchconfig/example_test.go
@@ -0,0 +1,63 @@
+package hitchconfig_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"citronhitch.example/citronhitch/hitchconfig"
+)
+
+// Two operators plan on one revision. The first to confirm wins, and the other
+// is told by whose change its plan went stale.
+func Example() {
+	now := time.Date(2026, 3, 2, 9, 0, 0, 0, time.UTC)
+	keys := hitchconfig.Keyring{Keys: []hitchconfig.FleetKey{{ID: "2026", Secret: []byte("from the settings")}}}
+	var value hitchconfig.StoreValue
+	confirmer := hitchconfig.Confirmer{
+		Keys: keys,
+		Now:  func() time.Time { return now },
+		Store: hitchconfig.Store{
+			Get: func(context.Context, string) (hitchconfig.StoreValue, error) { return value, nil },
+			Swap: func(_ context.Context, _ string, was int64, data []byte) (hitchconfig.SwapOutcome, error) {
+				if was != value.Revision {
+					return hitchconfig.SwapConflict, nil
+				}
+				value = hitchconfig.StoreValue{Data: data, Revision: was + 1}
+				return hitchconfig.SwapDone, nil
+			},
+		},
+	}
+	plan := func(id, operator string, intent hitchconfig.Intent) hitchconfig.Token {
+		p, err := hitchconfig.Draft{ID: id, Operator: operator, Intent: intent, Keys: keys}.Plan(now)
+		if err != nil {
+			panic(err)
+		}
+		return p.Token
+	}
+	first := plan("1", "maja", hitchconfig.Intent{Kind: hitchconfig.TakeZoneOut, Zone: "se-south-b"})
+	second := plan("2", "olle", hitchconfig.Intent{Kind: hitchconfig.TakeZoneOut, Zone: "se-south-c"})
+
+	accepted, err := confirmer.Confirm(context.Background(), first, "maja")
+	fmt.Println(accepted.Accept, err)
+	_, err = confirmer.Confirm(context.Background(), second, "olle")
+	var stale *hitchconfig.StaleError
+	fmt.Println(errors.As(err, &stale), stale.Winner.Operator)
+	// Output:
+	// 1 2026-03-02T09:00:00Z maja: TakeZoneOut se-south-b <nil>
+	// true maja
+}
+
+// A router follows the store, and refuses new work once it has heard neither the
+// store nor a peer for the limit.
+func ExampleTracker() {
+	now := time.Date(2026, 3, 2, 9, 0, 0, 0, time.UTC)
+	t := hitchconfig.Tracker{Self: "router-1"}
+	t, _ = t.Update(hitchconfig.Message{Kind: hitchconfig.StoreRead, AsOf: now}, now)
+	fmt.Println(t.Standing(), t.Refusal(now.Add(time.Second)))
+	fmt.Println(t.Refusal(now.Add(4 * time.Second)))
+	// Output:
+	// Serving <nil>
+	// Stale (NotRun): the router is cut off and may hold an old configuration
+}
