Show each fault of the stand-ins, and mend what that found

Cause: the stand-ins had two tests; a stand-in that fails otherwise than it says makes the tests built on it worthless.

Found and mended: streams without an attempt ID took one from the clock and refused each other; a token was there before its step had taken its time, so that the first one came at once; a load report whose lag reaches back before the first record told of the present; an order's answer couldn't be lost; a Silent or Cut meant for the midst of a stream could be used up by a load report.

The engine's steps run on timers, so that no goroutine outlives a test's bubble.

--- a/hitchfake/engine.go
+++ b/hitchfake/engine.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -58,6 +59,8 @@
 	IgnoresFencing bool
 	Faults         Faults
 
+	unnamed atomic.Uint64 // streams without an attempt ID
+
 	mu        sync.Mutex
 	streams   map[string]*stream
 	running   []*stream
--- a/hitchfake/engine_batch.go
+++ b/hitchfake/engine_batch.go
@@ -57,31 +57,24 @@
 	}
 }
 
-// batch runs a step and, while there is something left to do, the next one after
-// the time that the step takes.
+// batch admits waiting streams and runs a step; its work is done once the time
+// that the step takes is over. It stands still when nothing runs.
 func (e *Engine) batch() {
-	if step, more := e.step(); more {
-		time.AfterFunc(step, e.batch)
-	}
-}
-
-// step admits waiting streams, gives each running one its work and returns how
-// long that takes.
-func (e *Engine) step() (step time.Duration, more bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := time.Now()
 	e.dropUnread(now)
 	e.admit()
+	e.loads.add(now, e.load(now))
 	if len(e.running) == 0 {
 		e.batching = false
-		e.loads.add(now, e.load(now))
-		return 0, false
+		return
 	}
-	step = e.stepTime()
-	e.work(step)
-	e.loads.add(now, e.load(now))
-	return step, true
+	step := e.stepTime()
+	time.AfterFunc(step, func() {
+		e.work(step)
+		e.batch()
+	})
 }
 
 // dropUnread cancels streams that lost their connection a while ago.
@@ -126,8 +119,13 @@
 // work shares a step's prefill among the running streams in turn and gives each
 // one whose prompt is done a token.
 func (e *Engine) work(step time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
 	prefill := cmp.Or(e.PrefillPerSecond, defaultPrefillPerSecond) * step.Seconds()
 	for _, s := range e.running {
+		if s.ended() {
+			continue
+		}
 		if s.prefill > 0 {
 			part := min(prefill, s.prefill)
 			prefill -= part
--- a/hitchfake/engine_cache.go
+++ b/hitchfake/engine_cache.go
@@ -145,6 +145,7 @@
 		writeProblem(w, http.StatusBadRequest, err.Error())
 		return
 	}
+	e.Faults.breakOff(r, false)
 	e.mu.Lock()
 	answer := e.cache.after(after, time.Now().Add(-millis(e.EventLagMillis, 0)))
 	e.mu.Unlock()
@@ -152,6 +153,7 @@
 }
 
 func (e *Engine) serveExport(w http.ResponseWriter, r *http.Request) {
+	e.Faults.breakOff(r, false)
 	chat := r.PathValue("chat")
 	e.mu.Lock()
 	prefix := e.chats[chat]
@@ -180,6 +182,7 @@
 		writeProblem(w, http.StatusBadRequest, err.Error())
 		return
 	}
+	e.Faults.breakOff(r, false)
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.cache.limit = cmp.Or(e.CacheTokens, defaultCacheTokens)
--- a/hitchfake/engine_chat.go
+++ b/hitchfake/engine_chat.go
@@ -98,7 +98,7 @@
 		s.chat = body.PromptCacheKey
 	}
 	if s.attempt == "" {
-		s.attempt = fmt.Sprintf("unnamed-%d", s.created.UnixNano())
+		s.attempt = fmt.Sprintf("unnamed-%d", e.unnamed.Add(1))
 	}
 	s.priority, _ = strconv.Atoi(r.Header.Get(PriorityHeader))
 	for _, m := range body.Messages {
--- a/hitchfake/engine_events.go
+++ b/hitchfake/engine_events.go
@@ -86,7 +86,7 @@
 }
 
 func (e *Engine) serveCancel(w http.ResponseWriter, r *http.Request) {
-	applyCommon(&e.Faults, r)
+	e.Faults.breakOff(r, false)
 	e.mu.Lock()
 	s, ok := e.streams[r.PathValue("attempt")]
 	if ok && !s.ended() {
--- a/hitchfake/engine_order.go
+++ b/hitchfake/engine_order.go
@@ -85,6 +85,7 @@
 		writeProblem(w, http.StatusBadRequest, err.Error())
 		return
 	}
+	e.Faults.breakOff(r, false)
 	e.mu.Lock()
 	accepted := e.orders.take(order, e.IgnoresFencing, time.Now())
 	if accepted {
@@ -95,6 +96,7 @@
 	}
 	answer := OrderAnswer{Accepted: accepted, Newest: e.orders.newest}
 	e.mu.Unlock()
+	e.Faults.breakOff(r, true)
 	status := http.StatusOK
 	if !accepted {
 		status = http.StatusConflict
--- a/hitchfake/fault.go
+++ b/hitchfake/fault.go
@@ -124,6 +124,18 @@
 	return Fault{}, false
 }
 
+// breakOff goes silent or breaks the connection if a fault says so, before or
+// after the request's work. Faults in the midst of a stream aren't meant.
+func (f *Faults) breakOff(r *http.Request, afterRun bool) {
+	due := func(fault Fault) bool { return fault.AfterRun == afterRun && fault.AfterTokens == 0 }
+	if _, ok := f.strikeIf(FaultSilent, r.URL.Path, due); ok {
+		silence(r)
+	}
+	if _, ok := f.strikeIf(FaultCut, r.URL.Path, due); ok {
+		cut()
+	}
+}
+
 func (f *Faults) drawn(share float64) bool {
 	if share <= 0 || share >= 1 {
 		return true
--- a/hitchfake/history.go
+++ b/hitchfake/history.go
@@ -30,13 +30,13 @@
 	h.values = append(h.values, dated[T]{at: at, value: value})
 }
 
-// at returns the newest value that is no younger than the time. If all are
-// younger it returns the oldest one, or the zero value of an empty history.
+// at returns the newest value that is no younger than the time, or the zero
+// value if all are younger.
 func (h *history[T]) at(at time.Time) T {
-	var none T
-	if len(h.values) == 0 {
+	i := sort.Search(len(h.values), func(i int) bool { return h.values[i].at.After(at) })
+	if i == 0 {
+		var none T
 		return none
 	}
-	i := sort.Search(len(h.values), func(i int) bool { return h.values[i].at.After(at) })
-	return h.values[max(0, i-1)].value
+	return h.values[i-1].value
 }
--- a/hitchfake/list.go
+++ b/hitchfake/list.go
@@ -51,7 +51,7 @@
 func (l *List) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /instances", func(w http.ResponseWriter, r *http.Request) {
-		applyCommon(&l.Faults, r)
+		l.Faults.breakOff(r, false)
 		if _, ok := l.Faults.strike(FaultRefuse, r.URL.Path); ok {
 			writeProblem(w, http.StatusServiceUnavailable, "refused")
 			return
--- a/hitchfake/load.go
+++ b/hitchfake/load.go
@@ -27,7 +27,6 @@
 	l := Load{
 		Running:      len(e.running),
 		Waiting:      len(e.waiting),
-		MaxRunning:   cmp.Or(e.MaxRunning, defaultMaxRunning),
 		CachedTokens: e.cache.tokens,
 		Cold:         announced,
 		AsOf:         now,
@@ -42,26 +41,13 @@
 }
 
 func (e *Engine) serveLoad(w http.ResponseWriter, r *http.Request) {
-	applyCommon(&e.Faults, r)
+	e.Faults.breakOff(r, false)
 	e.mu.Lock()
 	now := time.Now()
-	current := e.load(now)
-	e.loads.add(now, current)
-	lag := millis(e.LoadLagMillis, 0)
-	report := e.loads.at(now.Add(-lag))
-	// What is idle for longer than the lag leaves no history behind.
-	report.Cold = current.Cold
-	report.AsOf = now.Add(-lag)
+	e.loads.add(now, e.load(now))
+	at := now.Add(-millis(e.LoadLagMillis, 0))
+	report := e.loads.at(at)
 	e.mu.Unlock()
+	report.AsOf, report.MaxRunning = at, cmp.Or(e.MaxRunning, defaultMaxRunning)
 	writeJSON(w, http.StatusOK, report)
 }
-
-// applyCommon goes silent or breaks the connection if a fault at once says so.
-func applyCommon(faults *Faults, r *http.Request) {
-	if _, ok := faults.strike(FaultSilent, r.URL.Path); ok {
-		silence(r)
-	}
-	if _, ok := faults.strike(FaultCut, r.URL.Path); ok {
-		cut()
-	}
-}
--- /dev/null
+++ b/hitchfake/peek.go
@@ -0,0 +1,26 @@
+package hitchfake
+
+import "time"
+
+// CachedTokens returns how many of a request's prompt tokens the engine has
+// cached now. It is for baselines that know all; it marks nothing as used.
+func (e *Engine) CachedTokens(r ChatRequest) (tokens int) {
+	hashes := PrefixHashes(r.Model, r.Messages)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, hash := range hashes[1:] {
+		element, ok := e.cache.blocks[hash]
+		if !ok {
+			break
+		}
+		tokens += element.Value.(CacheBlock).Tokens
+	}
+	return tokens
+}
+
+// LoadNow returns the engine's load without the lag of its reports.
+func (e *Engine) LoadNow() Load {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.load(time.Now())
+}
--- a/hitchfake/service.go
+++ b/hitchfake/service.go
@@ -140,19 +140,19 @@
 		writeProblem(w, http.StatusServiceUnavailable, "refused")
 		return
 	}
-	s.breakOff(r, false)
+	s.Faults.breakOff(r, false)
 	if !s.acquire(r) {
 		cut()
 	}
 	defer s.release()
 	s.work(r)
 	if r.Method == http.MethodGet || r.Method == http.MethodHead {
-		s.breakOff(r, true)
+		s.Faults.breakOff(r, true)
 		s.answerLookup(w, r)
 		return
 	}
 	run := s.record(r, body)
-	s.breakOff(r, true)
+	s.Faults.breakOff(r, true)
 	if fault, ok := s.Faults.strike(FaultLateAnswer, r.URL.Path); ok {
 		pause(r, fault.delay())
 	}
@@ -163,17 +163,6 @@
 	writeJSON(w, http.StatusOK, run)
 }
 
-// breakOff strikes with the Silent and Cut faults of before or after the run.
-func (s *Service) breakOff(r *http.Request, afterRun bool) {
-	due := func(f Fault) bool { return f.AfterRun == afterRun }
-	if _, ok := s.Faults.strikeIf(FaultSilent, r.URL.Path, due); ok {
-		silence(r)
-	}
-	if _, ok := s.Faults.strikeIf(FaultCut, r.URL.Path, due); ok {
-		cut()
-	}
-}
-
 func (s *Service) work(r *http.Request) {
 	d := millis(s.WorkMillis, defaultWorkMillis)
 	if fault, ok := s.Faults.strike(FaultSlow, r.URL.Path); ok {
@@ -233,7 +222,7 @@
 }
 
 func (s *Service) serveOutcome(w http.ResponseWriter, r *http.Request) {
-	applyCommon(&s.Faults, r)
+	s.Faults.breakOff(r, false)
 	outcome := RunOutcome{Key: r.PathValue("key"), Runs: []Run{}}
 	for _, run := range s.Runs() {
 		if run.Key == outcome.Key {
@@ -246,14 +235,14 @@
 }
 
 func (s *Service) serveLoad(w http.ResponseWriter, r *http.Request) {
-	applyCommon(&s.Faults, r)
+	s.Faults.breakOff(r, false)
 	s.mu.Lock()
 	now := time.Now()
 	s.note(now)
 	at := now.Add(-millis(s.LoadLagMillis, 0))
 	report := s.loads.at(at)
 	s.mu.Unlock()
-	report.AsOf = at
+	report.AsOf, report.MaxRunning = at, cmp.Or(s.MaxRunning, defaultServiceRunning)
 	writeJSON(w, http.StatusOK, report)
 }
 
@@ -261,9 +250,8 @@
 func (s *Service) note(now time.Time) {
 	fault, _ := s.Faults.first(FaultCold)
 	s.loads.add(now, Load{
-		Running:    s.running,
-		Waiting:    s.waiting,
-		MaxRunning: cmp.Or(s.MaxRunning, defaultServiceRunning),
-		Cold:       fault.Announced,
+		Running: s.running,
+		Waiting: s.waiting,
+		Cold:    fault.Announced,
 	})
 }
--- a/hitchfake/store.go
+++ b/hitchfake/store.go
@@ -136,7 +136,7 @@
 			writeEtcdProblem(w, problem)
 			return
 		}
-		applyCommon(&s.Faults, r)
+		s.Faults.breakOff(r, false)
 		if fault, ok := s.Faults.strike(FaultLateWrite, r.URL.Path); ok {
 			time.AfterFunc(fault.delay(), func() { s.run(call, body) })
 			cut()
--- a/hitchfake/store_watch.go
+++ b/hitchfake/store_watch.go
@@ -42,7 +42,7 @@
 		writeEtcdProblem(w, problem)
 		return
 	}
-	applyCommon(&s.Faults, r)
+	s.Faults.breakOff(r, false)
 	s.stream(w, r, request.Create)
 }
 
--- a/hitchfake/weights.go
+++ b/hitchfake/weights.go
@@ -38,7 +38,7 @@
 func (s *Weights) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /weights/{model}", func(w http.ResponseWriter, r *http.Request) {
-		applyCommon(&s.Faults, r)
+		s.Faults.breakOff(r, false)
 		if wait := s.reserve(time.Now()); wait > 0 {
 			retryAfter(w, wait)
 			writeProblem(w, http.StatusTooManyRequests, "too many downloads")
