hitchpeer: bounded probes and rumours, driven at 390 routers

Cause: the decisions hadn't been run at the size to design for, nor under splits, loss and flapping.

--- a/hitchpeer/candidate.go
+++ b/hitchpeer/candidate.go
@@ -15,6 +15,8 @@
 	firstRetryDelay = time.Second
 	maxRetryDelay   = 30 * time.Second
 	dialsWhenAlone  = 3
+	// idleDialCheck is when to look again where there was nobody to dial.
+	idleDialCheck = time.Second
 )
 
 // candidate is a router that the platform lists and that hasn't answered yet.
@@ -82,18 +84,19 @@
 
 // dialDue dials routers that may have come, or come back.
 func (m *Members) dialDue(now time.Time, effects *Effects) {
-	dials := dialsWhenAlone
-	if !m.alone() {
-		if now.Before(m.nextDialAt) {
-			return
-		}
-		dials = 1
+	if now.Before(m.nextDialAt) {
+		return
+	}
+	dials := 1
+	if m.alone() {
+		dials = dialsWhenAlone
 	}
 	dialed := m.dialCandidates(now, dials, effects)
-	if dialed == 0 && !now.Before(m.nextDialAt) {
+	if dialed == 0 {
 		dialed = m.dialDead(now, effects)
 	}
-	if dialed > 0 {
+	m.nextDialAt = now.Add(idleDialCheck)
+	if dialed > 0 && !m.alone() {
 		m.nextDialAt = now.Add(dialSpacing/2 + m.jitter(dialSpacing))
 	}
 }
--- a/hitchpeer/members.go
+++ b/hitchpeer/members.go
@@ -38,18 +38,26 @@
 	sums       buckets
 	candidates map[hitchfleet.InstanceID]candidate
 	targets    []hitchfleet.InstanceID
+	neighbours []hitchfleet.InstanceID
+	// passing are the routers whose status ends at a deadline.
+	passing    map[hitchfleet.InstanceID]struct{}
 	probes     map[hitchfleet.InstanceID]probe
 	listeners  map[hitchfleet.InstanceID]time.Time
 	regions    map[hitchfleet.Region]regionWatch
 	relays     map[uint32]relay
 	out        outbox[hitchfleet.InstanceID]
-	budget     allowance
+	budget     allowance // of bytes
+	freshDials allowance // of dials
 	differs    divergence
 	random     *rand.Rand
 	seq        uint32
 	stale      bool
 	tickedAt   time.Time
 	nextDialAt time.Time
+	// refuted counts the suspicions of this router that proved wrong of late; while
+	// there are many, it raises no new one before accuseAt.
+	refuted  penalty
+	accuseAt time.Time
 }
 
 // Update takes a message of this package and returns what to do about it.
@@ -75,7 +83,7 @@
 		m.setSelf(next)
 	case LeaveDone:
 		m.setSelf(m.Self.WithStatus(Left))
-		m.budget.bytes = rumourBurstBytes
+		m.budget.amount = rumourBurstBytes
 		m.flush(now, &effects)
 	}
 	return effects
@@ -90,6 +98,7 @@
 	m.probes = make(map[hitchfleet.InstanceID]probe)
 	m.listeners = make(map[hitchfleet.InstanceID]time.Time)
 	m.regions = make(map[hitchfleet.Region]regionWatch)
+	m.passing = make(map[hitchfleet.InstanceID]struct{})
 	m.relays = make(map[uint32]relay)
 	m.random = rand.New(rand.NewPCG(m.Seed, uint64(m.Self.Instance().Key())))
 	m.addSum(m.Self)
@@ -116,8 +125,8 @@
 	if !paused {
 		return
 	}
-	for id, p := range m.probes {
-		m.probes[id] = probe{nextAt: now, seq: p.seq}
+	for id := range m.probes {
+		m.probes[id] = probe{nextAt: now}
 	}
 	for id, mem := range m.table {
 		mem.suspectUntil = mem.suspectUntil.Add(gap)
@@ -127,15 +136,22 @@
 
 // expire lets suspicions become deaths and forgets what is past its deadline.
 func (m *Members) expire(now time.Time, effects *Effects) {
-	for _, id := range sortedKeys(m.table) {
+	suspects := make(map[hitchfleet.InstanceID]bool)
+	for id := range m.passing {
 		mem := m.table[id]
 		switch {
+		case mem.Status == Alive:
+			delete(m.passing, id)
 		case mem.Status == Suspect && !now.Before(mem.suspectUntil) && m.judges(mem.Record):
-			m.merge(now, mem.WithStatus(Dead), "", effects)
+			suspects[id] = true
 		case mem.gone() && !now.Before(mem.forgetAt):
 			delete(m.table, id)
+			delete(m.passing, id)
 		}
 	}
+	for _, id := range sortedKeys(suspects) {
+		m.merge(now, m.table[id].WithStatus(Dead), "", effects)
+	}
 	for id, until := range m.listeners {
 		if !now.Before(until) {
 			delete(m.listeners, id)
@@ -150,12 +166,13 @@
 }
 
 // Live returns the routers that are usable, sorted by ID: the router itself, and
-// all others that are neither gone, nor in a region that can't be reached, nor
-// left out by flap damping.
+// all others that are neither gone, nor out of reach from here, nor left out by
+// flap damping.
 func (m *Members) Live(now time.Time) []hitchfleet.Instance {
 	live := []hitchfleet.Instance{m.Self.Instance()}
-	for _, mem := range m.table {
-		if mem.gone() || m.regions[mem.Region].unreachable || mem.flaps.withDecay(now).suppressed {
+	damped := m.damped(now)
+	for id, mem := range m.table {
+		if mem.gone() || mem.unanswered || m.regions[mem.Region].unreachable || damped[id] {
 			continue
 		}
 		instance := mem.Instance()
@@ -166,6 +183,35 @@
 	return live
 }
 
+// damped returns the routers that come and go too often. Where many of a region
+// do, the network is at fault and none is left out.
+func (m *Members) damped(now time.Time) map[hitchfleet.InstanceID]bool {
+	const mostOfRegion = 4 // as one in so many
+	var damped map[hitchfleet.InstanceID]bool
+	perRegion := make(map[hitchfleet.Region]int)
+	sizes := make(map[hitchfleet.Region]int)
+	for id, mem := range m.table {
+		if mem.gone() {
+			continue
+		}
+		sizes[mem.Region]++
+		if !mem.flaps.withDecay(now).suppressed {
+			continue
+		}
+		if damped == nil {
+			damped = make(map[hitchfleet.InstanceID]bool)
+		}
+		damped[id] = true
+		perRegion[mem.Region]++
+	}
+	for id := range damped {
+		if region := m.table[id].Region; perRegion[region]*mostOfRegion > sizes[region] {
+			delete(damped, id)
+		}
+	}
+	return damped
+}
+
 // Record returns what is claimed of a router. It reports false for one that is
 // unknown.
 func (m *Members) Record(id hitchfleet.InstanceID) (Record, bool) {
@@ -177,8 +223,9 @@
 }
 
 // Neighbours returns the routers that this one exchanges packets with, sorted.
+// The slice must not be changed.
 func (m *Members) Neighbours() []hitchfleet.InstanceID {
-	return sortedKeys(m.out.lanes)
+	return m.neighbours
 }
 
 func sortedKeys[K cmp.Ordered, V any](all map[K]V) []K {
--- a/hitchpeer/merge.go
+++ b/hitchpeer/merge.go
@@ -17,7 +17,7 @@
 		return
 	}
 	old, known := m.table[record.ID]
-	if !known && len(m.table) >= maxRecords {
+	if !known && (len(m.table) >= maxRecords || record.Status == Suspect && record.Region == "") {
 		return
 	}
 	if known {
@@ -31,12 +31,26 @@
 			return
 		}
 	}
+	if record.Status == Alive && record.Incarnation == old.Incarnation && old.accusations > 0 && old.Status != Alive {
+		m.refuted = m.refuted.withFlap(now)
+	}
+	record = record.withPlaceOf(old.Record)
 	m.put(now, old, known, record)
-	m.out.markAll(record.ID, from)
-	m.out.drop(from, record.ID)
+	m.spread(record, from)
 	effects.Changed = append(effects.Changed, record)
 }
 
+// spread queues a claim for the neighbours that may lack it. Suspicions concern
+// only the region that judges them.
+func (m *Members) spread(record Record, from hitchfleet.InstanceID) {
+	for id := range m.out.lanes {
+		if id != from && (record.Status != Suspect || m.table[id].Region == record.Region) {
+			m.out.mark(id, record.ID)
+		}
+	}
+	m.out.drop(from, record.ID)
+}
+
 func (m *Members) put(now time.Time, old member, known bool, record Record) {
 	next := old
 	next.Record = record
@@ -50,6 +64,9 @@
 	if record.Incarnation > old.Incarnation {
 		next.listLeaving = false
 	}
+	if record.Status != Alive {
+		m.passing[record.ID] = struct{}{}
+	}
 	if record.Status == Suspect {
 		next.suspectUntil = now.Add(suspicionTimeout)
 	}
--- a/hitchpeer/packet.go
+++ b/hitchpeer/packet.go
@@ -11,6 +11,9 @@
 const (
 	maxPacketBytes    = 1100
 	packetHeaderBytes = 40
+	// datagramOverheadBytes is what a packet of its own costs: headers of IP, UDP
+	// and QUIC, and an acknowledgement.
+	datagramOverheadBytes = 120
 )
 
 type packetKind uint8
--- a/hitchpeer/probe.go
+++ b/hitchpeer/probe.go
@@ -1,32 +1,69 @@
 package hitchpeer
 
 import (
+	"slices"
 	"time"
 
 	"citronhitch.example/citronhitch/hitchfleet"
 )
 
 // Timing of probes, after SWIM (Das, Gupta, Motivala, 2002). A silent router is
-// found within probeInterval + directTimeout + indirectTimeout +
+// found within one interval, two direct timeouts, the indirect timeout and
 // suspicionTimeout at the latest; its several probers start at different times,
 // so it is mostly a good deal earlier.
 const (
-	probeInterval       = time.Second
-	regionProbeInterval = 2 * time.Second
-	directTimeout       = 400 * time.Millisecond
-	indirectTimeout     = 600 * time.Millisecond
-	suspicionTimeout    = 1200 * time.Millisecond
-	relayTimeout        = time.Second
-	listenerTimeout     = 5 * time.Second
-	relayCount          = 2
+	suspicionTimeout = 1200 * time.Millisecond
+	relayTimeout     = time.Second
+	listenerTimeout  = 5 * time.Second
+	relayCount       = 2
+	// freshDialSpacing is the time between fresh connections to a router that
+	// doesn't answer them.
+	freshDialSpacing    = 10 * time.Second
+	freshDialsPerSecond = 0.2
+	freshDialBurst      = 8
+	// firstAccusationDelay doubles with each suspicion of a router that it refutes,
+	// up to maxAccusationDelay.
+	firstAccusationDelay = 4 * time.Second
+	maxAccusationDelay   = 5 * time.Minute
+	// toleratedRefutations is how many suspicions may prove wrong before the
+	// fault counts as this router's own, or the network's.
+	toleratedRefutations = 2
 )
 
+// probeTiming are the constants of probes that depend on the distance.
+type probeTiming struct {
+	interval, direct, indirect time.Duration
+}
+
+var (
+	nearTiming = probeTiming{
+		interval: time.Second,
+		direct:   200 * time.Millisecond,
+		indirect: 600 * time.Millisecond,
+	}
+	// farTiming allows for a round trip of 350 ms between regions.
+	farTiming = probeTiming{
+		interval: 2 * time.Second,
+		direct:   400 * time.Millisecond,
+		indirect: 1200 * time.Millisecond,
+	}
+)
+
+func (m *Members) timingOf(id hitchfleet.InstanceID) probeTiming {
+	if m.table[id].Region == m.Self.Region {
+		return nearTiming
+	}
+	return farTiming
+}
+
 type probePhase uint8
 
 const (
 	probeIdle probePhase = iota
-	// probeDirect waits for the answer on the open connection.
+	// probeDirect waits for the answer on the open connection, and probeRepeated
+	// for that to a second ping.
 	probeDirect
+	probeRepeated
 	// probeIndirect waits for a fresh connection and for relays.
 	probeIndirect
 )
@@ -37,6 +74,8 @@
 	seq      uint32
 	nextAt   time.Time
 	deadline time.Time
+	// dialAt is when a fresh connection may be tried again.
+	dialAt time.Time
 }
 
 // relay is a probe made for another router.
@@ -54,42 +93,58 @@
 		case !ok:
 		case p.phase == probeIdle && !now.Before(p.nextAt):
 			m.probeDirect(now, id, effects)
-		case p.phase == probeDirect && !now.Before(p.deadline):
+		case p.phase == probeIdle || now.Before(p.deadline):
+		case p.phase == probeDirect:
+			m.probeAgain(now, id, effects)
+		case p.phase == probeRepeated:
 			m.probeIndirect(now, id, effects)
-		case p.phase == probeIndirect && !now.Before(p.deadline):
-			m.probes[id] = probe{nextAt: now.Add(m.intervalOf(id))}
+		case p.phase == probeIndirect:
+			p.phase = probeIdle
+			m.probes[id] = p
 			m.probeFailed(now, id, effects)
 		}
 	}
 }
 
-func (m *Members) intervalOf(id hitchfleet.InstanceID) time.Duration {
-	if m.table[id].Region != m.Self.Region {
-		return regionProbeInterval
-	}
-	return probeInterval
-}
-
 func (m *Members) probeDirect(now time.Time, id hitchfleet.InstanceID, effects *Effects) {
 	m.seq++
+	timing := m.timingOf(id)
 	m.probes[id] = probe{
 		phase:    probeDirect,
 		seq:      m.seq,
-		nextAt:   now.Add(m.intervalOf(id)),
-		deadline: now.Add(directTimeout),
+		nextAt:   now.Add(timing.interval),
+		deadline: now.Add(timing.direct),
+		dialAt:   m.probes[id].dialAt,
 	}
 	m.send(now, id, Packet{Kind: packetPing, Seq: m.seq}, effects)
 }
 
+// probeAgain repeats the ping, as the first one may have been lost.
+func (m *Members) probeAgain(now time.Time, id hitchfleet.InstanceID, effects *Effects) {
+	p := m.probes[id]
+	p.phase = probeRepeated
+	p.deadline = now.Add(m.timingOf(id).direct)
+	m.probes[id] = p
+	m.send(now, id, Packet{Kind: packetPing, Seq: p.seq}, effects)
+}
+
 // probeIndirect tries a fresh connection, as the open one may have gone silent,
-// and asks neighbours to probe as well.
+// and asks neighbours to probe as well, unless a suspicion has to wait anyway.
 func (m *Members) probeIndirect(now time.Time, id hitchfleet.InstanceID, effects *Effects) {
 	p := m.probes[id]
 	p.phase = probeIndirect
-	p.deadline = now.Add(indirectTimeout)
+	p.deadline = now.Add(m.timingOf(id).indirect)
+	m.freshDials = m.freshDials.at(now, freshDialsPerSecond, freshDialBurst)
+	if !now.Before(p.dialAt) && m.freshDials.amount >= 1 {
+		m.freshDials.amount--
+		p.dialAt = now.Add(freshDialSpacing)
+		effects.Dials = append(effects.Dials, Dial{To: m.table[id].Instance(), Fresh: true})
+	}
 	m.probes[id] = p
-	effects.Dials = append(effects.Dials, Dial{To: m.table[id].Instance(), Fresh: true})
-	others := m.Neighbours()
+	if now.Before(m.table[id].accuseAt) {
+		return
+	}
+	others := slices.Clone(m.neighbours)
 	m.random.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
 	asked := 0
 	for _, other := range others {
@@ -109,14 +164,28 @@
 		return
 	}
 	if !m.judges(mem.Record) {
-		m.regionMissed(now, mem.Region)
+		m.regionMissed(now, mem)
 		return
 	}
-	if mem.Status == Alive {
+	mem.unanswered = true
+	accuse := mem.Status == Alive && !now.Before(mem.accuseAt) && !now.Before(m.accuseAt)
+	if accuse {
+		mem.accuseAt = now.Add(accusationDelay(mem.accusations))
+		mem.accusations++
+		if wrong := m.refuted.valueAt(now); wrong >= toleratedRefutations {
+			m.accuseAt = now.Add(accusationDelay(int(wrong)))
+		}
+	}
+	m.table[id] = mem
+	if accuse {
 		m.merge(now, mem.WithStatus(Suspect), "", effects)
 	}
 }
 
+func accusationDelay(doublings int) time.Duration {
+	return min(firstAccusationDelay<<min(doublings, 8), maxAccusationDelay)
+}
+
 // probeAnswered ends the probe of a router with success.
 func (m *Members) probeAnswered(now time.Time, id hitchfleet.InstanceID) {
 	p, ok := m.probes[id]
@@ -124,10 +193,19 @@
 		return
 	}
 	p.phase = probeIdle
+	p.dialAt = time.Time{}
 	if p.nextAt.Before(now) {
 		p.nextAt = now
 	}
 	m.probes[id] = p
+	m.setUnanswered(id, false)
+}
+
+func (m *Members) setUnanswered(id hitchfleet.InstanceID, unanswered bool) {
+	if mem, ok := m.table[id]; ok {
+		mem.unanswered = unanswered
+		m.table[id] = mem
+	}
 }
 
 func (m *Members) greet(now time.Time, msg Greeted, effects *Effects) {
--- a/hitchpeer/record.go
+++ b/hitchpeer/record.go
@@ -68,6 +68,24 @@
 	return r
 }
 
+// brief returns the record as it is spread. Only news of a router that is alive
+// say where it is.
+func (r Record) brief() Record {
+	if r.Status == Alive {
+		return r
+	}
+	return Record{ID: r.ID, Incarnation: r.Incarnation, Detail: r.Detail, Status: r.Status, Leaving: r.Leaving}
+}
+
+// withPlaceOf returns a copy that says where the router is as the other one does,
+// if it doesn't say so itself.
+func (r Record) withPlaceOf(other Record) Record {
+	if r.PeerAddr == "" && r.Region == "" {
+		r.Addr, r.PeerAddr, r.Region, r.Zone = other.Addr, other.PeerAddr, other.Region, other.Zone
+	}
+	return r
+}
+
 // Compare orders claims about one router; the higher one overrides the lower.
 // It looks at the incarnation first, then the detail, then the status.
 func (r Record) Compare(other Record) int {
@@ -104,5 +122,11 @@
 	forgetAt time.Time
 	// listLeaving is set while the platform lists this incarnation as leaving.
 	listLeaving bool
+	// unanswered is set while the own probes fail, though others may be answered.
+	unanswered bool
+	// accuseAt is when this router may suspect the other one again; accusations
+	// counts its suspicions so far.
+	accuseAt    time.Time
+	accusations int
 	flaps       penalty
 }
--- a/hitchpeer/region.go
+++ b/hitchpeer/region.go
@@ -6,18 +6,21 @@
 	"citronhitch.example/citronhitch/hitchfleet"
 )
 
-// A region is out of reach once this many of its routers, chosen at random, have
-// failed to answer one after the other. Nothing is spread about it: the claims
-// about its routers stay, so that the return of a region floods nothing.
+// A region is out of reach once this many of its routers, of different zones if
+// it has several, have failed to answer one after the other. Nothing is spread
+// about it: the claims about its routers stay, so that the return of a region
+// floods nothing.
 const (
-	unreachableMisses  = 3
+	unreachableMisses  = 2
 	regionRetrySpacing = 5 * time.Second
 )
 
 // regionWatch is what this router knows of its way to another region.
 type regionWatch struct {
 	// target is the router of the region that is probed from here.
-	target      hitchfleet.InstanceID
+	target hitchfleet.InstanceID
+	// avoid is the zone of the router that failed last.
+	avoid       hitchfleet.AvailabilityZone
 	rotation    uint64
 	misses      int
 	unreachable bool
@@ -46,7 +49,10 @@
 			continue
 		}
 		key := m.Self.Instance().Key() + hitchfleet.Key(m.regions[mem.Region].rotation)
-		score := hitchfleet.Score(key, hitchfleet.KeyOf(string(id)))
+		score := hitchfleet.Score(key, hitchfleet.KeyOf(string(id))) >> 1
+		if mem.Zone != m.regions[mem.Region].avoid {
+			score += 1 << 63
+		}
 		if score >= best[mem.Region] {
 			best[mem.Region], chosen[mem.Region] = score, id
 		}
@@ -65,8 +71,10 @@
 
 // regionMissed counts a router of another region that didn't answer, and turns
 // to the next one.
-func (m *Members) regionMissed(now time.Time, region hitchfleet.Region) {
+func (m *Members) regionMissed(now time.Time, missed member) {
+	region := missed.Region
 	watch := m.regions[region]
+	watch.avoid = missed.Zone
 	watch.misses++
 	watch.rotation++
 	watch.unreachable = watch.unreachable || watch.misses >= unreachableMisses
--- a/hitchpeer/ring.go
+++ b/hitchpeer/ring.go
@@ -61,6 +61,8 @@
 			neighbours = append(neighbours, id)
 		}
 	}
+	slices.Sort(neighbours)
+	m.neighbours = neighbours
 	m.out.setNeighbours(neighbours)
 }
 
@@ -79,11 +81,12 @@
 	for id := range m.probes {
 		if !wanted[id] {
 			delete(m.probes, id)
+			m.setUnanswered(id, false)
 		}
 	}
 	for _, id := range sortedKeys(wanted) {
 		if _, ok := m.probes[id]; !ok {
-			m.probes[id] = probe{nextAt: now.Add(m.jitter(probeInterval))}
+			m.probes[id] = probe{nextAt: now.Add(m.jitter(nearTiming.interval))}
 		}
 	}
 }
--- a/hitchpeer/rumour.go
+++ b/hitchpeer/rumour.go
@@ -1,6 +1,7 @@
 package hitchpeer
 
 import (
+	"slices"
 	"time"
 
 	"citronhitch.example/citronhitch/hitchfleet"
@@ -8,8 +9,8 @@
 
 // Budget of bytes for spreading records.
 const (
-	rumourBytesPerSecond = 1000
-	rumourBurstBytes     = 12000
+	rumourBytesPerSecond = 1500
+	rumourBurstBytes     = 20000
 )
 
 // send completes a packet with the records that its receiver lacks.
@@ -18,7 +19,7 @@
 	room := maxPacketBytes - packetHeaderBytes
 	if mem := m.table[to]; mem.Status != Alive {
 		// The receiver refutes what we wrongly believe of it.
-		p.Records = append(p.Records, mem.Record)
+		p.Records = append(p.Records, mem.brief())
 		room -= mem.wireBytes()
 	}
 	p.Records = append(p.Records, m.takeRecords(now, to, room)...)
@@ -33,12 +34,13 @@
 		if !ok {
 			return true
 		}
+		record = record.brief()
 		size := record.wireBytes()
-		if size > room || float64(size) > m.budget.bytes {
+		if size > room || float64(size) > m.budget.amount {
 			return false
 		}
 		room -= size
-		m.budget.bytes -= float64(size)
+		m.budget.amount -= float64(size)
 		records = append(records, record)
 		return true
 	})
@@ -47,11 +49,12 @@
 
 // flush sends the records that wait for each neighbour, as far as the budget goes.
 func (m *Members) flush(now time.Time, effects *Effects) {
-	ids := m.Neighbours()
+	ids := slices.Clone(m.neighbours)
 	m.random.Shuffle(len(ids), func(i, j int) { ids[i], ids[j] = ids[j], ids[i] })
 	for _, id := range ids {
 		records := m.takeRecords(now, id, maxPacketBytes-packetHeaderBytes)
 		if len(records) > 0 {
+			m.budget.amount -= datagramOverheadBytes
 			packet := Packet{Kind: packetRumour, Records: records}
 			effects.Sends = append(effects.Sends, Send{To: id, Packet: packet})
 		}
--- a/hitchpeer/spread.go
+++ b/hitchpeer/spread.go
@@ -23,8 +23,9 @@
 	ids := sortedKeys(g.regions)
 	g.random.Shuffle(len(ids), func(i, j int) { ids[i], ids[j] = ids[j], ids[i] })
 	for _, id := range ids {
-		entries := g.takeEntries(now, id, maxPacketBytes-packetHeaderBytes)
+		entries := g.takeEntries(now, id, maxPacketBytes-packetHeaderBytes, &g.durable)
 		if len(entries) > 0 {
+			g.budget.amount -= datagramOverheadBytes
 			packet := Packet{Kind: packetRumour, Entries: entries}
 			effects.Sends = append(effects.Sends, Send{To: id, Packet: packet})
 		}
@@ -45,7 +46,8 @@
 }
 
 // Attach completes a packet of Members with the checksum of the shared values
-// and with as many of them as fit.
+// and with as many of them as fit. Volatile values go in no other way, as
+// packets of their own would cost more than they carry.
 func (g *Gossip) Attach(now time.Time, send Send) Send {
 	g.init()
 	if !send.Packet.carriesSums() {
@@ -56,13 +58,15 @@
 	for _, record := range send.Packet.Records {
 		room -= record.wireBytes()
 	}
-	send.Packet.Entries = g.takeEntries(now, send.To, room)
+	send.Packet.Entries = g.takeEntries(now, send.To, room, &g.durable, &g.volatile)
 	return send
 }
 
-// takeEntries removes what waits for a neighbour, durable values first, within
-// the room of the packet and the budget.
-func (g *Gossip) takeEntries(now time.Time, to hitchfleet.InstanceID, room int) []Entry {
+// takeEntries removes what waits for a neighbour, within the room of the packet
+// and the budget.
+func (g *Gossip) takeEntries(
+	now time.Time, to hitchfleet.InstanceID, room int, boxes ...*outbox[shareKey],
+) []Entry {
 	g.budget = g.budget.at(now, shareBytesPerSecond, shareBurstBytes)
 	var entries []Entry
 	take := func(key shareKey) bool {
@@ -71,16 +75,17 @@
 			return true
 		}
 		size := h.wireBytes()
-		if size > room || float64(size) > g.budget.bytes {
+		if size > room || float64(size) > g.budget.amount {
 			return false
 		}
 		room -= size
-		g.budget.bytes -= float64(size)
+		g.budget.amount -= float64(size)
 		entries = append(entries, h.forWire())
 		return true
 	}
-	g.durable.take(to, take)
-	g.volatile.take(to, take)
+	for _, box := range boxes {
+		box.take(to, take)
+	}
 	return entries
 }
 
--- a/hitchpeer/step.go
+++ b/hitchpeer/step.go
@@ -41,14 +41,15 @@
 // newNeighbours returns the neighbours if they changed since the last call.
 func (n *Node) newNeighbours() []Neighbour {
 	ids := n.members.Neighbours()
+	same := func(id hitchfleet.InstanceID, known Neighbour) bool { return id == known.ID }
+	if slices.EqualFunc(ids, n.neighbours, same) {
+		return nil
+	}
 	neighbours := make([]Neighbour, len(ids))
 	for i, id := range ids {
 		record, _ := n.members.Record(id)
 		neighbours[i] = Neighbour{ID: id, Region: record.Region}
 	}
-	if slices.Equal(neighbours, n.neighbours) {
-		return nil
-	}
 	n.neighbours = neighbours
 	return neighbours
 }
