Show that a write refused by the rate or the connection is told as not done

Change: the test of refused connections writes once before, so that it is the write itself that meets them; a new test meets the store's own rate.

--- a/hitchstore/swap_test.go
+++ b/hitchstore/swap_test.go
@@ -160,7 +160,9 @@
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			withRig(t, func(t *testing.T, r *rig) {
+				mustSwap(t, r.client, "warm", 0, "up")
 				test.disrupt(r)
+				r.network.Client().CloseIdleConnections()
 				_, err := r.client.Swap(t.Context(), "k", 0, []byte(test.value), 0)
 				qt.Assert(t, kindOf(err), qt.Equals, test.want)
 				qt.Assert(t, r.client.Out(time.Now()), qt.Equals, test.want == "unavailable")
@@ -169,6 +171,19 @@
 	}
 }
 
+// The store refuses calls above its rates before it does anything.
+func TestSwapAboveTheStoresRate(t *testing.T) {
+	withRig(t, func(t *testing.T, r *rig) {
+		r.store.WritesPerSecond = 3
+		mustSwap(t, r.client, "k", 0, "one")
+		_, err := r.client.Swap(t.Context(), "l", 0, []byte("two"), 0)
+		qt.Assert(t, kindOf(err), qt.Equals, "unavailable")
+		qt.Assert(t, r.client.Out(time.Now()), qt.IsFalse)
+		time.Sleep(time.Second)
+		mustSwap(t, r.client, "l", 0, "two")
+	})
+}
+
 func TestSwapEndsWithItsContext(t *testing.T) {
 	withRig(t, func(t *testing.T, r *rig) {
 		mustSwap(t, r.client, "warm", 0, "up")
