Bound the writes of an outage, and let outages reach waiting watches

Cause: the first write of a process in a silent outage repeated its calls in two loops, one within the other, and could take some 25 s without a deadline of its caller. In the stand-in, watches waited on through an outage, and its events grew without bound.

Change: only the outer loop of a write repeats, so that its calls are five. An outage or silence of the store that is switched on strikes watches that wait. The store keeps 16384 events at most and compacts itself above. The relay has an admin handler. After a compaction, a watch tells of deleted keys in order.

--- a/hitchfake/fault.go
+++ b/hitchfake/fault.go
@@ -80,9 +80,10 @@
 	// Seed fixes which requests a Share strikes.
 	Seed uint64
 
-	mu     sync.Mutex
-	active []Fault
-	random *rand.Rand
+	mu      sync.Mutex
+	active  []Fault
+	random  *rand.Rand
+	changed chan struct{}
 }
 
 // Set replaces the faults that are switched on.
@@ -90,6 +91,20 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.active = slices.Clone(faults)
+	if f.changed != nil {
+		close(f.changed)
+		f.changed = nil
+	}
+}
+
+// changes returns a channel that is closed at the next Set.
+func (f *Faults) changes() <-chan struct{} {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.changed == nil {
+		f.changed = make(chan struct{})
+	}
+	return f.changed
 }
 
 // Active returns the faults that are switched on. A fault that has struck its
--- a/hitchfake/relay.go
+++ b/hitchfake/relay.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"net/http"
 	"sync"
 )
 
@@ -80,6 +81,18 @@
 	}
 }
 
+// Admin serves POST /silence, /pause and /resume.
+func (r *Relay) Admin() http.Handler {
+	mux := http.NewServeMux()
+	for path, do := range map[string]func(){"/silence": r.Silence, "/pause": r.Pause, "/resume": r.Resume} {
+		mux.HandleFunc("POST "+path, func(w http.ResponseWriter, _ *http.Request) {
+			do()
+			w.WriteHeader(http.StatusNoContent)
+		})
+	}
+	return mux
+}
+
 // Close ends the relay and all its connections.
 func (r *Relay) Close() error {
 	r.Resume()
--- a/hitchfake/store.go
+++ b/hitchfake/store.go
@@ -120,8 +120,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.kv.prepare()
-	s.kv.events = nil
-	s.kv.compacted = s.kv.revision
+	s.kv.compact(s.kv.revision)
 }
 
 // serve runs a call with the faults that strike it.
@@ -194,6 +193,7 @@
 	s.kv.expire(time.Now())
 	answer, problem = call(body)
 	if s.kv.revision != before {
+		s.kv.trim()
 		s.wake()
 	}
 	return answer, problem
--- a/hitchfake/store_kv.go
+++ b/hitchfake/store_kv.go
@@ -7,7 +7,11 @@
 	"time"
 )
 
-const firstRevision = 1
+const (
+	firstRevision = 1
+	// maxStoreEvents bounds the events that watches can start from.
+	maxStoreEvents = 1 << 14
+)
 
 // keyValues is the state of the key-value service. The store's lock guards it.
 type keyValues struct {
@@ -34,6 +38,27 @@
 
 func (kv *keyValues) header() *etcdHeader { return &etcdHeader{Revision: kv.revision} }
 
+// trim compacts the older half of the events when there are too many.
+func (kv *keyValues) trim() {
+	if len(kv.events) > maxStoreEvents {
+		kv.compact(kv.events[len(kv.events)/2].KV.ModRevision)
+	}
+}
+
+// compact forgets the events up to a revision.
+func (kv *keyValues) compact(revision int64) {
+	kv.compacted = revision
+	kv.events = slices.Clone(kv.eventsFrom(revision + 1))
+}
+
+// eventsFrom returns the events from a revision on.
+func (kv *keyValues) eventsFrom(revision int64) []etcdEvent {
+	i, _ := slices.BinarySearchFunc(kv.events, revision, func(event etcdEvent, revision int64) int {
+		return cmp.Compare(event.KV.ModRevision, revision)
+	})
+	return kv.events[i:]
+}
+
 // inRange says whether a key is asked for: end is empty for one key, and a zero
 // byte for all from start on.
 func inRange(key, start, end string) bool {
--- a/hitchfake/store_test.go
+++ b/hitchfake/store_test.go
@@ -149,3 +149,17 @@
 		})
 	}
 }
+
+// The store forgets old events by itself, whole revisions at a time.
+func TestStoreTrimsItsEvents(t *testing.T) {
+	var kv keyValues
+	kv.prepare()
+	for range maxStoreEvents {
+		kv.apply([]etcdRequestOp{{Put: &etcdPutRequest{Key: []byte("a")}}, {Put: &etcdPutRequest{Key: []byte("b")}}})
+		kv.trim()
+	}
+	qt.Assert(t, len(kv.events) <= maxStoreEvents, qt.IsTrue)
+	qt.Assert(t, kv.events[0].KV.ModRevision, qt.Equals, kv.compacted+1)
+	qt.Assert(t, string(kv.events[0].KV.Key), qt.Equals, "a")
+	qt.Assert(t, kv.eventsFrom(kv.revision), qt.HasLen, 2)
+}
--- a/hitchfake/store_watch.go
+++ b/hitchfake/store_watch.go
@@ -25,6 +25,7 @@
 	result  etcdWatchResult
 	changed <-chan struct{}
 	broken  <-chan struct{}
+	faults  <-chan struct{}
 	expiry  time.Time
 }
 
@@ -42,7 +43,6 @@
 		writeEtcdProblem(w, problem)
 		return
 	}
-	s.Faults.breakOff(r, false)
 	s.stream(w, r, request.Create)
 }
 
@@ -54,6 +54,11 @@
 	next, first := create.StartRevision, true
 	for {
 		v := s.viewWatch(create, next)
+		v.faults = s.Faults.changes()
+		if _, ok := s.Faults.strike(FaultOut, r.URL.Path); ok {
+			cut()
+		}
+		s.Faults.breakOff(r, false)
 		if first && next == 0 {
 			// Without a start, a watch tells of what comes after it.
 			v.result.Events = nil
@@ -92,8 +97,8 @@
 		v.result.Canceled, v.result.CompactRevision = true, s.kv.compacted
 		return v
 	}
-	for _, event := range s.kv.events {
-		if event.KV.ModRevision >= from && inRange(string(event.KV.Key), string(create.Key), string(create.RangeEnd)) {
+	for _, event := range s.kv.eventsFrom(from) {
+		if inRange(string(event.KV.Key), string(create.Key), string(create.RangeEnd)) {
 			v.result.Events = append(v.result.Events, event)
 		}
 	}
@@ -111,6 +116,8 @@
 	select {
 	case <-v.changed:
 		return true
+	case <-v.faults:
+		return true
 	case <-timer.C:
 		return true
 	case <-v.broken:
--- a/hitchstore/lease.go
+++ b/hitchstore/lease.go
@@ -21,13 +21,16 @@
 func (c *Client) GrantLease(ctx context.Context, deadline time.Time) (lease Lease, err error) {
 	defer c.annotate("lease", &err)
 	seconds := max(1, int64((deadline.Sub(c.now())+time.Second-1)/time.Second))
-	return c.grant(ctx, seconds)
+	return c.grant(ctx, seconds, c.retry)
 }
 
-func (c *Client) grant(ctx context.Context, seconds int64) (Lease, error) {
+// caller does a call; it is the call or the retry method of a client.
+type caller func(ctx context.Context, path string, request, answer any) error
+
+func (c *Client) grant(ctx context.Context, seconds int64, call caller) (Lease, error) {
 	var answer wireLease
 	before := c.now()
-	if err := c.retry(ctx, pathGrant, wireLease{TTL: seconds}, &answer); err != nil {
+	if err := call(ctx, pathGrant, wireLease{TTL: seconds}, &answer); err != nil {
 		return Lease{}, err
 	}
 	return Lease{ID: LeaseID(answer.ID), Deadline: before.Add(time.Duration(answer.TTL) * time.Second)}, nil
@@ -37,13 +40,13 @@
 // *LeaseLapsedError or *UnavailableError.
 func (c *Client) KeepAlive(ctx context.Context, id LeaseID) (lease Lease, err error) {
 	defer c.annotate("lease", &err)
-	return c.renew(ctx, id)
+	return c.renew(ctx, id, c.retry)
 }
 
-func (c *Client) renew(ctx context.Context, id LeaseID) (Lease, error) {
+func (c *Client) renew(ctx context.Context, id LeaseID, call caller) (Lease, error) {
 	var answer wireKeepAliveAnswer
 	before := c.now()
-	if err := c.retry(ctx, pathKeepAlive, wireLease{ID: int64(id)}, &answer); err != nil {
+	if err := call(ctx, pathKeepAlive, wireLease{ID: int64(id)}, &answer); err != nil {
 		return Lease{}, err
 	}
 	if answer.Result.TTL <= 0 {
--- a/hitchstore/receipt.go
+++ b/hitchstore/receipt.go
@@ -113,7 +113,7 @@
 		Failure: []wireOp{opRange(l.key)},
 	}
 	var answer wireTxnAnswer
-	err = c.retry(ctx, pathTxn, open, &answer)
+	err = c.call(ctx, pathTxn, open, &answer)
 	if isLeaseNotFound(err) {
 		c.dropReceiptLease(lease)
 		return &callError{Err: err}
@@ -142,7 +142,7 @@
 		return lease.ID, nil
 	}
 	if lease.ID != 0 {
-		renewed, err := c.renew(ctx, lease.ID)
+		renewed, err := c.renew(ctx, lease.ID, c.call)
 		var lapsed *LeaseLapsedError
 		if !errors.As(err, &lapsed) {
 			if err == nil {
@@ -151,7 +151,7 @@
 			return lease.ID, err
 		}
 	}
-	granted, err := c.grant(ctx, receiptSeconds)
+	granted, err := c.grant(ctx, receiptSeconds, c.call)
 	if err != nil {
 		return 0, err
 	}
--- a/hitchstore/swap.go
+++ b/hitchstore/swap.go
@@ -77,8 +77,9 @@
 	return Entry{}, &UnavailableError{Key: w.key, MayHaveTakenEffect: w.lost, Err: err}
 }
 
-// attempt sends the transaction of a write. The error of a call is a *callError;
-// any other result is the truth about the write.
+// attempt sends the transaction of a write. The error of a call is a *callError,
+// after which the attempt may be repeated; any other result is the truth about
+// the write.
 func (c *Client) attempt(ctx context.Context, l *lane, w *write) (entry Entry, err error) {
 	for {
 		if !w.lost {
@@ -160,7 +161,7 @@
 		Failure: []wireOp{opRange(l.key)},
 	}
 	var answer wireTxnAnswer
-	if err := c.retry(ctx, pathTxn, fence, &answer); err != nil {
+	if err := c.call(ctx, pathTxn, fence, &answer); err != nil {
 		return Entry{}, err
 	}
 	if answer.Succeeded {
@@ -178,7 +179,7 @@
 // one that the write hangs on.
 func (c *Client) leaseNotFound(ctx context.Context, l *lane, w *write) (Entry, error) {
 	var answer wireRangeAnswer
-	if err := c.retry(ctx, pathRange, Key(l.key).wire(), &answer); err != nil {
+	if err := c.call(ctx, pathRange, Key(l.key).wire(), &answer); err != nil {
 		return Entry{}, err
 	}
 	if len(answer.KVs) > 0 {
--- a/hitchstore/watch.go
+++ b/hitchstore/watch.go
@@ -5,7 +5,9 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"time"
 )
 
@@ -126,7 +128,7 @@
 			return &stopError{err: err}
 		}
 	}
-	for key := range gone {
+	for _, key := range slices.Sorted(maps.Keys(gone)) {
 		if err := w.fn(Entry{Key: key, Revision: at}); err != nil {
 			return &stopError{err: err}
 		}
--- a/hitchstore/watch_test.go
+++ b/hitchstore/watch_test.go
@@ -41,23 +41,23 @@
 }
 
 func TestWatch(t *testing.T) {
-	tests := map[string]struct {
-		disrupt func(r *rig)
-		want    []string
-	}{
-		"undisturbed":       {func(*rig) {}, []string{"one", "two", "three", "-c/gone", "four"}},
-		"connection broken": {func(r *rig) { r.store.BreakWatches() }, []string{"one", "two", "three", "-c/gone", "four"}},
-		"connection silent": {func(r *rig) { r.network.Silence("store-1:80") }, []string{"one", "two", "three", "-c/gone", "four"}},
-		"out": {func(r *rig) {
+	want := []string{"one", "two", "three", "-c/gone", "four"}
+	tests := map[string]func(r *rig){
+		"undisturbed":       func(*rig) {},
+		"connection broken": func(r *rig) { r.store.BreakWatches() },
+		"connection silent": func(r *rig) { r.network.Silence("store-1:80") },
+		"out": func(r *rig) {
 			r.store.Faults.Set(hitchfake.Fault{Kind: hitchfake.FaultOut, Path: pathWatch, Times: 3})
-			r.store.BreakWatches()
-		}, []string{"one", "two", "three", "-c/gone", "four"}},
-		"refused": {func(r *rig) {
+		},
+		"watch silent": func(r *rig) {
+			r.store.Faults.Set(hitchfake.Fault{Kind: hitchfake.FaultSilent, Path: pathWatch, Times: 1})
+		},
+		"refused": func(r *rig) {
 			r.network.Refuse("store-1:80", true)
 			r.store.BreakWatches()
-		}, []string{"one", "two", "three", "-c/gone", "four"}},
+		},
 	}
-	for name, test := range tests {
+	for name, disrupt := range tests {
 		t.Run(name, func(t *testing.T) {
 			withRig(t, func(t *testing.T, r *rig) {
 				ctx, cancel := context.WithCancel(t.Context())
@@ -69,13 +69,13 @@
 				b := mustSwap(t, writer, "c/gone", 0, "two")
 				mustSwap(t, writer, "d/other", 0, "unwatched")
 				time.Sleep(time.Second)
-				test.disrupt(r)
+				disrupt(r)
 				a = mustSwap(t, writer, "c/a", a.Revision, "three")
 				qt.Assert(t, writer.Delete(t.Context(), "c/gone", b.Revision), qt.IsNil)
 				time.Sleep(30 * time.Second)
 				mustSwap(t, writer, "c/a", a.Revision, "four")
 				synctest.Wait()
-				qt.Assert(t, seen.values(), qt.DeepEquals, test.want)
+				qt.Assert(t, seen.values(), qt.DeepEquals, want)
 				cancel()
 				qt.Assert(t, kindOf(<-ended), qt.Equals, "cancelled")
 			})
