--- /dev/null
+++ b/hitchclaim/home_test.go
@@ -0,0 +1,210 @@
+package hitchclaim
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"citronhitch.example/citronhitch/hitchoutcome"
+)
+
+// callOf returns a call with a new key of homeA.
+func callOf(t testing.TB, nonce byte, policy JournalPolicy) Call {
+	minter := testMinter().WithPolicy(policy)
+	minter.Entropy = &entropy{next: nonce}
+	_, key, err := minter.Mint(start, homeA, "aquarium", "booking")
+	qt.Assert(t, err, qt.IsNil)
+	return Call{Key: key, Organisation: "aquarium", Route: "booking", Body: DigestOf([]byte("two adults"))}
+}
+
+// dispatched starts a call up to its dispatch.
+func dispatched(t testing.TB, h *Home, call Call) Run {
+	d := h.Begin(start, call)
+	qt.Assert(t, d.Action, qt.Equals, ActionJournal)
+	d = h.Journaled(start, d.Run, true)
+	qt.Assert(t, d.Action, qt.Equals, ActionDispatch)
+	return d.Run
+}
+
+func ticket() Result {
+	return Result{Status: 201, Header: []HeaderField{{"Content-Type", "text/plain"}}, Body: []byte("ticket 17")}
+}
+
+// lost is a refusal of a call that was dispatched, or proved unsent.
+func lost(unsent bool, retryAt time.Time) Result {
+	var ev hitchoutcome.Evidence
+	_ = ev.Dispatching()
+	if unsent {
+		ev.Unsent()
+	}
+	return Result{Refusal: ev.Refuse(hitchoutcome.ReasonEndpointLost, retryAt, "lost")}
+}
+
+func TestRepeat(t *testing.T) {
+	tests := map[string]struct {
+		before  func(h *Home, run Run)
+		change  func(c *Call)
+		at      time.Time
+		action  Action
+		outcome hitchoutcome.Outcome
+	}{
+		"while the first runs":          {action: ActionWait},
+		"after the answer":              {before: func(h *Home, run Run) { h.Finish(start, run, ticket()) }, action: ActionReplay},
+		"after a lost endpoint":         {before: func(h *Home, run Run) { h.Finish(start, run, lost(false, start)) }, outcome: hitchoutcome.Unknown},
+		"after an answer that is late":  {before: finishLate, action: ActionReplay},
+		"after proof, to be repeated":   {before: func(h *Home, run Run) { h.Finish(start, run, lost(true, start)) }, action: ActionJournal},
+		"after proof, for good":         {before: func(h *Home, run Run) { h.Finish(start, run, lost(true, time.Time{})) }, outcome: hitchoutcome.NotRun},
+		"with another body":             {change: func(c *Call) { c.Body = DigestOf() }, outcome: hitchoutcome.NotRun},
+		"by another organisation":       {change: func(c *Call) { c.Organisation = "school" }, outcome: hitchoutcome.NotRun},
+		"at another home":               {change: func(c *Call) { c.Key.Home.Incarnation++ }, action: ActionForward},
+		"of a finished key at deadline": {before: func(h *Home, run Run) { h.Finish(start, run, ticket()) }, at: start.Add(KeyLife), action: ActionReplay},
+		"of a swept key":                {before: finishAndSweep, at: start.Add(KeyLife + Retention), outcome: hitchoutcome.Unknown},
+		"of a swept key, clock back":    {before: finishAndSweep, outcome: hitchoutcome.Unknown},
+		"of a key swept too early":      {before: sweepEarly, at: start.Add(KeyLife), action: ActionReplay},
+		"of an answer too large":        {before: finishLarge, outcome: hitchoutcome.Ran},
+		"of a fenced home":              {before: func(h *Home, run Run) { h.Fence(); h.Finish(start, run, ticket()) }, action: ActionReplay},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			h := &Home{Self: homeA}
+			call := callOf(t, 0, JournalRequired)
+			run := dispatched(t, h, call)
+			if test.before != nil {
+				test.before(h, run)
+			}
+			if test.change != nil {
+				test.change(&call)
+			}
+			now := start
+			if !test.at.IsZero() {
+				now = test.at
+			}
+			d := h.Begin(now, call)
+			qt.Assert(t, d.Action, qt.Equals, test.action)
+			switch d.Action {
+			case ActionReplay:
+				qt.Assert(t, d.Result, qt.DeepEquals, ticket())
+			case ActionRefuse:
+				qt.Assert(t, d.Refusal.Outcome, qt.Equals, test.outcome)
+			}
+		})
+	}
+}
+
+func finishLate(h *Home, run Run) {
+	h.Finish(start, run, lost(false, start))
+	h.Finish(start, run, ticket())
+}
+
+func finishAndSweep(h *Home, run Run) {
+	h.Finish(start, run, ticket())
+	h.Sweep(start.Add(KeyLife + Retention))
+}
+
+func sweepEarly(h *Home, run Run) {
+	h.Finish(start, run, ticket())
+	h.Sweep(start.Add(KeyLife))
+}
+
+func finishLarge(h *Home, run Run) {
+	h.Finish(start, run, Result{Status: 201, Body: make([]byte, MaxReplayBody+1)})
+}
+
+func TestNotDispatched(t *testing.T) {
+	tests := map[string]struct {
+		before    func(h *Home)
+		at        time.Time
+		policy    JournalPolicy
+		committed bool
+		action    Action
+		isFinal   bool
+	}{
+		"journal failed":                 {isFinal: false},
+		"journal failed, best effort":    {policy: JournalBestEffort, action: ActionDispatch},
+		"paused past the key's deadline": {at: start.Add(KeyLife), committed: true, isFinal: true},
+		"home fenced while paused":       {before: (*Home).Fence, committed: true, isFinal: true},
+		"home fenced, best effort":       {before: (*Home).Fence, policy: JournalBestEffort, isFinal: true},
+		"home closed for a handover":     {before: (*Home).Close, committed: true},
+		"home moved":                     {before: func(h *Home) { h.MoveTo(HomeID{Instance: "router-b"}) }, committed: true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			h := &Home{Self: homeA}
+			d := h.Begin(start, callOf(t, 0, test.policy))
+			if test.before != nil {
+				test.before(h)
+			}
+			d = h.Journaled(later(start, test.at), d.Run, test.committed)
+			qt.Assert(t, d.Action, qt.Equals, test.action)
+			if d.Action == ActionRefuse {
+				qt.Assert(t, d.Refusal.Outcome, qt.Equals, hitchoutcome.NotRun)
+				qt.Assert(t, d.Refusal.RetryAt.IsZero(), qt.Equals, test.isFinal)
+			}
+		})
+	}
+}
+
+func TestFullHomeRefusesNewKeysAndForgetsNone(t *testing.T) {
+	h := &Home{Self: homeA, Capacity: 2}
+	first := callOf(t, 0, JournalRequired)
+	run := dispatched(t, h, first)
+	dispatched(t, h, callOf(t, 50, JournalRequired))
+	d := h.Begin(start, callOf(t, 100, JournalRequired))
+	qt.Assert(t, d.Refusal.Reason, qt.Equals, hitchoutcome.ReasonOverloaded)
+	qt.Assert(t, d.Refusal.Outcome, qt.Equals, hitchoutcome.NotRun)
+	h.Finish(start, run, ticket())
+	qt.Assert(t, h.Sweep(start.Add(KeyLife+Retention)), qt.Equals, 1)
+	qt.Assert(t, h.Running(), qt.Equals, 1)
+}
+
+func TestWaitersOfAFreedKeyShareOneRun(t *testing.T) {
+	h := &Home{Self: homeA}
+	call := callOf(t, 0, JournalRequired)
+	run := dispatched(t, h, call)
+	wait := h.Begin(start, call)
+	h.Finish(start, run, lost(true, start))
+	<-wait.Done
+	qt.Assert(t, h.Begin(start, call).Action, qt.Equals, ActionJournal)
+	qt.Assert(t, h.Begin(start, call).Action, qt.Equals, ActionWait)
+	late := h.Finish(start, run, ticket())
+	qt.Assert(t, late.Refusal.Outcome, qt.Equals, hitchoutcome.Unknown)
+}
+
+func TestFencedHomeRefusesForGood(t *testing.T) {
+	h := &Home{Self: homeA}
+	h.Fence()
+	h.MoveTo(HomeID{Instance: "router-b"})
+	d := h.Begin(start, callOf(t, 0, JournalBestEffort))
+	qt.Assert(t, d.Action, qt.Equals, ActionRefuse)
+	qt.Assert(t, d.Refusal.Outcome, qt.Equals, hitchoutcome.NotRun)
+	qt.Assert(t, d.Refusal.RetryAt.IsZero(), qt.IsTrue)
+}
+
+func TestResolve(t *testing.T) {
+	tests := map[string]struct {
+		truth  hitchoutcome.Outcome
+		at     time.Time
+		want   string
+		repeat hitchoutcome.Outcome
+	}{
+		"ran":               {hitchoutcome.Ran, start, "", hitchoutcome.Ran},
+		"not run, too soon": {hitchoutcome.NotRun, start.Add(KeyLife), "booking .* may still run until .*", hitchoutcome.Unknown},
+		"not run, settled":  {hitchoutcome.NotRun, start.Add(KeyLife + settleMargin), "", hitchoutcome.NotRun},
+		"no truth":          {hitchoutcome.Unknown, start, ".*must be Ran or NotRun", hitchoutcome.Unknown},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			h := &Home{Self: homeA}
+			call := callOf(t, 0, JournalRequired)
+			run := dispatched(t, h, call)
+			h.Finish(start, run, lost(false, start))
+			qt.Assert(t, h.Doubts(), qt.HasLen, 1)
+			_, err := h.Resolve(test.at, run.Key, Truth{Outcome: test.truth})
+			if test.want != "" {
+				qt.Assert(t, err, qt.ErrorMatches, test.want)
+			}
+			qt.Assert(t, h.Begin(start, call).Refusal.Outcome, qt.Equals, test.repeat)
+		})
+	}
+}
--- a/hitchclaim/journal.go
+++ b/hitchclaim/journal.go
@@ -118,7 +118,10 @@
 type sealedSegment struct {
 	number, revision uint64
 	keepUntil        time.Time
-	deadline         time.Time
+	// deadline is the latest of its records.
+	deadline time.Time
+	// pending are the runs that weren't over when the segment was sealed.
+	pending []Run
 }
 
 // SetHomes sets the number of homes in the fleet, which gives the least time
@@ -303,14 +306,9 @@
 	})
 }
 
-// hasUnsettled tells whether a sealed segment may hold a run that isn't over.
+// hasUnsettled tells whether a sealed segment holds a run that isn't over.
 func (j *Journal) hasUnsettled(s sealedSegment) bool {
-	for _, record := range j.unsettled {
-		if !record.Deadline.After(s.deadline) {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(s.pending, func(run Run) bool { return j.unsettled[run.Key].Run == run })
 }
 
 func (j *Journal) read(now time.Time) StoreCommand {
--- a/hitchclaim/journalstored.go
+++ b/hitchclaim/journalstored.go
@@ -75,6 +75,9 @@
 	sealed := sealedSegment{number: j.head.Number, revision: j.revision, keepUntil: j.head.KeepUntil()}
 	for _, record := range j.head.Records {
 		sealed.deadline = later(sealed.deadline, record.Deadline)
+		if j.unsettled[record.Run.Key].Run == record.Run {
+			sealed.pending = append(sealed.pending, record.Run)
+		}
 	}
 	j.sealed = append(j.sealed, sealed)
 	j.head.Number++
