Measure reuse and skew; the load bound no longer throttles a starting load

The bound was 1.25 of the mean, of which a settled owner may use 0.8: about the mean itself, which is known a second late, so a load could hardly grow.

Change: the default bound is 2 (1.6 for a settled owner); the floor below which the mean doesn't bind is 64 Ki tokens of granted work, half the batch of an engine, in place of 16 Ki; a returning chat's cached prefix isn't counted as work at the engine that has it.

Conclusion: the bound's floor decides at small loads; the skew measure does not load the engines enough to test the bound itself, which admission's own tests do.

--- a/cmd/citronhitch/main.go
+++ b/cmd/citronhitch/main.go
@@ -72,6 +72,7 @@
 	p.commands = []command{
 		p.serveCommand(),
 		p.devCommand(),
+		p.measureCommand(),
 		p.planCommand(),
 		p.confirmCommand(),
 		p.statusCommand(),
--- a/hitchconfig/limits.go
+++ b/hitchconfig/limits.go
@@ -29,7 +29,7 @@
 
 // WithDefaults returns a copy in which each field that is 0 has its default.
 func (l Limits) WithDefaults() Limits {
-	l.LoadBoundPercent = cmp.Or(l.LoadBoundPercent, 125)
+	l.LoadBoundPercent = cmp.Or(l.LoadBoundPercent, 200)
 	l.ColdRequests = cmp.Or(l.ColdRequests, 2)
 	l.QueueLength = cmp.Or(l.QueueLength, 64)
 	l.BodyBytes = cmp.Or(l.BodyBytes, 4<<20)
--- a/hitchdev/deployment.go
+++ b/hitchdev/deployment.go
@@ -30,8 +30,13 @@
 	Organisations int
 	// TokensPerSecond is the rate of an engine's stream that runs alone.
 	TokensPerSecond float64
+	// PrefillPerSecond is the rate of prompt tokens of an engine; 0 means the
+	// stand-in's own.
+	PrefillPerSecond float64
 	// CacheTokens is the size of an engine's prefix cache.
 	CacheTokens int
+	// ColdLimit is how many requests an engine in cold start bears.
+	ColdLimit int
 	// LagMillis is the age of load reports and of the instance list.
 	LagMillis int
 }
@@ -67,6 +72,15 @@
 	})
 }
 
+// WithZones returns a copy with a number of availability zones.
+func (d Deployment) WithZones(n int) Deployment {
+	d.Zones = nil
+	for i := range n {
+		d.Zones = append(d.Zones, hitchfleet.AvailabilityZone(fmt.Sprintf("%s-%c", d.Region, 'a'+rune(i))))
+	}
+	return d
+}
+
 // Zone returns the availability zone of the nth router, engine or service: they
 // are spread over the zones in turn.
 func (d Deployment) Zone(n int) hitchfleet.AvailabilityZone { return d.Zones[n%len(d.Zones)] }
--- a/hitchdev/fleet.go
+++ b/hitchdev/fleet.go
@@ -98,16 +98,7 @@
 	n := f.engines
 	f.engines++
 	f.mu.Unlock()
-	d := f.Deployment
-	return f.platform.addEngine(hitchfleet.Endpoint{
-		ID:     hitchfleet.EndpointID(fmt.Sprintf("%s-%d", d.EngineRoute, n)),
-		Region: d.Region,
-		Zone:   d.Zone(n),
-		Route:  d.EngineRoute,
-	}, &hitchfake.Engine{
-		TokensPerSecond: d.TokensPerSecond, CacheTokens: d.CacheTokens,
-		LoadLagMillis: d.LagMillis, EventLagMillis: d.LagMillis,
-	})
+	return f.platform.addEngine(f.Deployment.engineEndpoint(n), f.Deployment.newEngine())
 }
 
 // KillEngine ends an engine at once.
--- a/hitchrouter/request.go
+++ b/hitchrouter/request.go
@@ -57,6 +57,7 @@
 	zone         hitchfleet.AvailabilityZone
 	batch        bool
 	cost         int64
+	answerCost   int64
 	deadline     time.Time
 	idempotent   bool
 	// entry is what the chat's home knows, once located is set.
@@ -80,6 +81,7 @@
 		zone:         c.Zone,
 		batch:        c.Batch,
 		cost:         c.PromptBytes/bytesPerToken + answer,
+		answerCost:   answer,
 		deadline:     c.Call.Deadline,
 		idempotent:   true,
 	}
@@ -94,6 +96,7 @@
 		key:          hitchfleet.KeyOf(string(c.Organisation.ID), c.Call.Path),
 		zone:         c.Zone,
 		cost:         serviceCost,
+		answerCost:   serviceCost,
 		deadline:     c.Call.Deadline,
 		idempotent:   c.Call.Idempotent,
 	}
--- a/hitchrouter/router.go
+++ b/hitchrouter/router.go
@@ -56,16 +56,33 @@
 	bindings  hitchclaim.BindingBudget
 }
 
-// SetView replaces what the router knows of the fleet.
+// SetView replaces what the router knows of the fleet. It is called by one
+// goroutine at a time.
 func (rt *Router) SetView(v *View) {
 	rt.view.Store(v)
 	rt.rebuild()
 	if v.Index == nil {
 		return
 	}
+	rt.Owners.Limits = admitLimits(v.Index.Limits())
 	rt.notify(rt.Owners.SetMembers(rt.now(), rt.members(v), nil))
 }
 
+// engineFloor is the granted work, in tokens, below which the mean load doesn't
+// bind an engine: about half of the batch of one that runs 64 requests at once.
+const engineFloor = 64 << 10
+
+// admitLimits returns the configuration's limits as admission reads them.
+func admitLimits(l hitchconfig.Limits) hitchadmit.Limits {
+	const percent = 100
+	return hitchadmit.Limits{
+		BoundFactor: float64(l.LoadBoundPercent) / percent,
+		EngineFloor: engineFloor,
+		ColdLimit:   int64(l.ColdRequests),
+		QueueLimit:  l.QueueLength,
+	}
+}
+
 // members returns a view as admission needs it.
 func (rt *Router) members(v *View) hitchadmit.Members {
 	m := hitchadmit.Members{
--- a/hitchrouter/slot.go
+++ b/hitchrouter/slot.go
@@ -118,7 +118,7 @@
 		Organisation: j.organisation,
 		Asker:        rt.Self.ID,
 		Priority:     j.priority(),
-		Cost:         j.cost,
+		Cost:         j.costAt(e.ID),
 		SentAt:       now,
 		Deadline:     j.queueDeadline(now),
 		Foreign:      rt.holder.Foreign(e.ID, owner),
@@ -201,6 +201,15 @@
 	rt.tellAdmit(owner, p)
 }
 
+// costAt returns the work of a request at an endpoint. The prefix that the chat's
+// home knows to be cached there needs no prefill.
+func (j *job) costAt(id hitchfleet.EndpointID) int64 {
+	if id != j.entry.Endpoint {
+		return j.cost
+	}
+	return max(j.cost-j.entry.Tokens, j.answerCost)
+}
+
 // queueShare is the part of a request's time that it may spend in a queue.
 const queueShare = 2
 
