hitchorder: one holder of a lease gives orders, with a fencing number

Cause: engines load versions and adapters and change roles by order. A holder that was paused may wake after its lease, and only some engines refuse an old fencing number.

Ruled out: the lease alone (a pause between check and sending passes it); the store's revision as fencing number (another key's write would raise it under a holder that is alive); a fixed version for each engine (a random history of weights left two engines, each with the last copy of what the other should serve, blocking each other for good); reading 'ready' from observations alone (an unload on its way isn't seen yet).

Change: Holder is a value that takes messages and the time: look, lease, claim, read the fence, write the next number, hold. It stops 3 s before its lease ends, after a backward step of the clock, and when an engine knows a higher number. MayOrder is asked right before each order. Nothing is ordered before the orders of the holder before have arrived or are lost (5 s after the claim), nor on the word of an older observation. Engines that check numbers are told the new one at once. Reconciler gives at most one order for each engine, verifies it by a later observation and repeats it. A version's last ready copy stays until each wanted version is ready, half of the engines stay ready, one engine at a time tries an unproved version, and loads keep to the weight store's rate and Retry-After. Settle lets engines keep what they hold. The configuration's endpoint rules have a Role.

--- a/hitchconfig/check.go
+++ b/hitchconfig/check.go
@@ -105,7 +105,8 @@
 		k.organisation(c, o, fmt.Sprintf("Organisations[%s]", o.ID))
 	}
 	for _, e := range c.Endpoints {
-		k.want(e.Drained || e.ChecksFencing, fmt.Sprintf("Endpoints[%s]", e.ID), "says nothing")
+		k.want(!e.isEmpty(), fmt.Sprintf("Endpoints[%s]", e.ID), "says nothing")
+		k.want(e.Role == "" || isName(e.Role), fmt.Sprintf("Endpoints[%s].Role", e.ID), "is no name")
 	}
 	k.keys(c)
 	k.limits(c.Limits)
--- a/hitchconfig/configuration.go
+++ b/hitchconfig/configuration.go
@@ -45,6 +45,9 @@
 	ChecksFencing bool
 	// Drained endpoints get no new work.
 	Drained bool
+	// Role is what an engine shall do, such as Prefill or Decode, in the engine's
+	// own words. Empty leaves the engine as it is.
+	Role string
 }
 
 // Operator may plan and confirm changes.
@@ -110,7 +113,7 @@
 // WithEndpoint returns a copy in which the endpoint's rule is added or replaced.
 // A rule that says nothing is removed.
 func (c Configuration) WithEndpoint(e EndpointRule) Configuration {
-	if !e.ChecksFencing && !e.Drained {
+	if e.isEmpty() {
 		c.Endpoints = drop(c.Endpoints, string(e.ID), EndpointRule.name)
 		return c
 	}
@@ -160,6 +163,9 @@
 	return !e.Leaving && !c.IsZoneOut(e.Zone) && !c.Endpoint(e.ID).Drained
 }
 
+// isEmpty tells whether the rule says nothing.
+func (e EndpointRule) isEmpty() bool { return e == EndpointRule{ID: e.ID} }
+
 func (e EndpointRule) name() string { return string(e.ID) }
 
 func (o Operator) name() string { return o.Name }
--- a/hitchconfig/intent.go
+++ b/hitchconfig/intent.go
@@ -30,6 +30,7 @@
 	DrainEndpoint      IntentKind = "DrainEndpoint"      // Endpoint
 	ReturnEndpoint     IntentKind = "ReturnEndpoint"     // Endpoint
 	SetEndpointFencing IntentKind = "SetEndpointFencing" // Endpoint, ChecksFencing
+	SetEndpointRole    IntentKind = "SetEndpointRole"    // Endpoint, Role
 	SetLimits          IntentKind = "SetLimits"          // NewLimits
 	Undo               IntentKind = "Undo"               // Revision
 )
@@ -52,6 +53,7 @@
 	Operator        string
 	Endpoint        hitchfleet.EndpointID
 	ChecksFencing   bool
+	Role            string
 	Versions        []ModelVersion
 	Rotation        Rotation
 	NewRoute        *Route
@@ -98,7 +100,7 @@
 		next, err = i.applyOrganisation(c)
 	case SetOperator, RemoveOperator:
 		next, err = i.applyOperator(c)
-	case DrainEndpoint, ReturnEndpoint, SetEndpointFencing:
+	case DrainEndpoint, ReturnEndpoint, SetEndpointFencing, SetEndpointRole:
 		next, err = i.applyEndpoint(c)
 	case SetLimits:
 		next, err = i.applyLimits(c)
@@ -220,6 +222,8 @@
 		rule.Drained = true
 	case ReturnEndpoint:
 		rule.Drained = false
+	case SetEndpointRole:
+		rule.Role = i.Role
 	default:
 		rule.ChecksFencing = i.ChecksFencing
 	}
--- a/hitchconfig/inverse.go
+++ b/hitchconfig/inverse.go
@@ -26,6 +26,8 @@
 		return Intent{Kind: DrainEndpoint, Endpoint: i.Endpoint}, nil
 	case SetEndpointFencing:
 		return Intent{Kind: SetEndpointFencing, Endpoint: i.Endpoint, ChecksFencing: !i.ChecksFencing}, nil
+	case SetEndpointRole:
+		return Intent{Kind: SetEndpointRole, Endpoint: i.Endpoint, Role: base.Endpoint(i.Endpoint).Role}, nil
 	case SetLimits:
 		return Intent{Kind: SetLimits, NewLimits: &base.Limits}, nil
 	default:
--- a/hitchconfig/plan_test.go
+++ b/hitchconfig/plan_test.go
@@ -114,6 +114,7 @@
 		{Kind: SetOperator, NewOperator: &operator}, {Kind: RemoveOperator, Operator: operator.Name},
 		{Kind: DrainEndpoint, Endpoint: endpoint}, {Kind: ReturnEndpoint, Endpoint: endpoint},
 		{Kind: SetEndpointFencing, Endpoint: endpoint, ChecksFencing: rapid.Bool().Draw(t, "fencing")},
+		{Kind: SetEndpointRole, Endpoint: endpoint, Role: rapid.SampledFrom([]string{"", "Prefill"}).Draw(t, "role")},
 		{Kind: SetLimits, NewLimits: &Limits{QueueLength: rapid.IntRange(0, 9).Draw(t, "queue")}},
 	}
 	return rapid.SampledFrom(all).Draw(t, "intent")
--- /dev/null
+++ b/hitchorder/order_test.go
@@ -0,0 +1,213 @@
+package hitchorder
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/samber/lo"
+	"pgregory.net/rapid"
+
+	"citronhitch.example/citronhitch/hitchconfig"
+	"citronhitch.example/citronhitch/hitchfleet"
+)
+
+// settled returns what the engines shall serve, and serve.
+func (m *model) settled() ([]Desired, []Observed) {
+	endpoints := lo.Map(m.engines, func(e *modelEngine, _ int) hitchfleet.Endpoint { return e.endpoint })
+	observed := lo.Map(m.engines, func(e *modelEngine, _ int) Observed { return e.seen })
+	return Settle(DesiredOf(m.cfg, endpoints), observed), observed
+}
+
+// converged tells whether all engines serve what they shall, and each version
+// has as many as its weight gives it.
+func (m *model) converged() bool {
+	desired, observed := m.settled()
+	byID := lo.KeyBy(observed, func(o Observed) hitchfleet.EndpointID { return o.Endpoint })
+	return lo.EveryBy(desired, func(d Desired) bool { return d.Matches(byID[d.Endpoint.ID]) })
+}
+
+// state tells what each engine serves, and shall serve.
+func (m *model) state() string {
+	desired, observed := m.settled()
+	return fmt.Sprintf("desired %v, observed %v", desired, observed)
+}
+
+func (m *model) setWeights(v1, v2 int) {
+	m.cfg = m.cfg.WithRoute(m.route(hitchconfig.ModelVersion{Name: "v1", Weight: v1}, hitchconfig.ModelVersion{Name: "v2", Weight: v2}))
+}
+
+func TestRollOutKeepsTheRouteInService(t *testing.T) {
+	m := newModel(t, 2, 8)
+	m.pass(20)
+	m.setWeights(95, 5)
+	m.pass(60)
+	qt.Assert(t, m.converged(), qt.IsTrue)
+	m.setWeights(0, 1)
+	m.pass(300)
+	qt.Assert(t, m.converged(), qt.IsTrue)
+	qt.Assert(t, m.loads, qt.HasLen, 8)
+	for i := range m.loads[1:] {
+		qt.Assert(t, m.loads[i+1].Sub(m.loads[i]) >= 10*time.Second, qt.IsTrue)
+	}
+	m.setWeights(1, 0)
+	m.pass(300)
+	qt.Assert(t, m.converged(), qt.IsTrue)
+	qt.Assert(t, m.taken, qt.DeepEquals, []uint64{1})
+}
+
+func TestLastGoodVersionStays(t *testing.T) {
+	m := newModel(t, 1, 4)
+	m.pass(20)
+	m.busyTill = m.now.Add(15 * time.Minute) // v2 can't be loaded
+	m.setWeights(0, 1)
+	m.pass(600)
+	serving := 0
+	for _, e := range m.engines {
+		if _, ready := e.seen.has("v1"); ready {
+			serving++
+		}
+	}
+	qt.Assert(t, serving, qt.Equals, 3)
+	m.setWeights(1, 0)
+	m.pass(240)
+	qt.Assert(t, m.loads, qt.HasLen, 0, qt.Commentf("the weight store said when to come back"))
+	m.pass(120)
+	qt.Assert(t, m.converged(), qt.IsTrue)
+}
+
+func TestLapsedLeaseOfAPausedHolder(t *testing.T) {
+	m := newModel(t, 2, 4)
+	m.pass(20)
+	old := m.routers[0]
+	if old.holder.Phase() != Holding {
+		old = m.routers[1]
+	}
+	number := old.holder.Grant(m.now).Number
+	order := Order{Number: number, Endpoint: "engine-0", Kind: UnloadVersion, Name: "v1", ChecksFencing: true, Deadline: m.now.Add(time.Hour)}
+	qt.Assert(t, old.holder.MayOrder(order, m.now), qt.IsTrue)
+	old.paused = true
+	m.pass(40)
+	qt.Assert(t, old.holder.MayOrder(order, m.now), qt.IsFalse)
+	qt.Assert(t, m.fence.Number, qt.Equals, number+1)
+	qt.Assert(t, m.deliver(order).Kind, qt.Equals, OrderFenced)
+	stray := order
+	stray.Endpoint = "engine-1" // it doesn't check numbers
+	qt.Assert(t, m.deliver(stray).Kind, qt.Equals, OrderTaken)
+	qt.Assert(t, m.converged(), qt.IsFalse)
+	old.paused = false
+	m.pass(60)
+	qt.Assert(t, m.converged(), qt.IsTrue)
+	qt.Assert(t, old.holder.Phase() == Holding, qt.IsFalse)
+}
+
+func TestSuccessorWaitsForOrdersOnTheirWay(t *testing.T) {
+	m := newModel(t, 1, 2)
+	r := m.routers[0]
+	for r.holder.Phase() != Holding {
+		m.pass(1)
+	}
+	claimed := m.now
+	o := Order{Number: 1, Deadline: m.now.Add(time.Hour)}
+	qt.Assert(t, r.holder.MayOrder(o, claimed.Add(OrderFlight-1)), qt.IsFalse)
+	o.ChecksFencing = true
+	qt.Assert(t, r.holder.MayOrder(o, claimed), qt.IsTrue)
+	qt.Assert(t, r.holder.MayOrder(o, claimed.Add(-1)), qt.IsFalse, qt.Commentf("the clock was stepped back"))
+	qt.Assert(t, r.holder.Grant(claimed).ClearAt, qt.Equals, claimed.Add(OrderFlight))
+}
+
+func TestHolderStopsInTime(t *testing.T) {
+	tests := map[string]struct {
+		run  func(m *model)
+		want Phase
+	}{
+		"store out briefly":     {func(m *model) { m.storeOut = true; m.pass(6); m.storeOut = false; m.pass(3) }, Holding},
+		"store out":             {func(m *model) { m.storeOut = true; m.pass(30) }, Looking},
+		"clock stepped back":    {func(m *model) { m.now = m.now.Add(-time.Minute); m.tick(m.routers[0]) }, Idle},
+		"clock stepped forward": {func(m *model) { m.now = m.now.Add(time.Minute); m.tick(m.routers[0]) }, Idle},
+		"engine knows better":   {func(m *model) { m.update(m.routers[0], Message{Kind: Fenced, Number: 9}) }, Idle},
+		"engine knows the same": {func(m *model) { m.update(m.routers[0], Message{Kind: Fenced, Number: 1}) }, Holding},
+		"no longer a candidate": {func(m *model) { m.update(m.routers[0], Message{Kind: CandidateChanged}) }, Idle},
+		"lease lapsed":          {func(m *model) { m.update(m.routers[0], Message{Kind: LeaseLapsed}) }, Idle},
+		"late answer of renewal": {func(m *model) {
+			m.now = m.now.Add(14 * time.Second)
+			m.update(m.routers[0], Message{Kind: LeaseRenewed, Deadline: m.now.Add(leaseFor)})
+		}, Idle},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			m := newModel(t, 1, 2)
+			m.pass(5)
+			qt.Assert(t, m.routers[0].holder.Phase(), qt.Equals, Holding)
+			test.run(m)
+			got := m.routers[0].holder.Phase()
+			qt.Assert(t, got == test.want || (test.want == Looking && got == Idle), qt.IsTrue, qt.Commentf("%d", got))
+		})
+	}
+}
+
+// TestOrdersRandom pauses holders, also between the check and the sending of an
+// order, lets leases lapse and the store go out, and changes weights. In the end
+// all engines of both kinds must serve what they shall.
+func TestOrdersRandom(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newModel(t, 3, rapid.IntRange(2, 8).Draw(t, "engines"))
+		for range rapid.IntRange(1, 30).Draw(t, "steps") {
+			m.random(t)
+		}
+		m.storeOut = false
+		for _, r := range m.routers {
+			m.wake(r)
+		}
+		m.pass(600)
+		m.must(m.converged(), "not converged: %s", m.state())
+	})
+}
+
+func (m *model) random(t *rapid.T) {
+	r := m.routers[rapid.IntRange(0, 2).Draw(t, "router")]
+	switch rapid.IntRange(0, 5).Draw(t, "event") {
+	case 0, 1:
+		m.pass(rapid.IntRange(1, 40).Draw(t, "seconds"))
+	case 2:
+		m.setWeights(rapid.IntRange(0, 3).Draw(t, "v1"), rapid.IntRange(1, 3).Draw(t, "v2"))
+	case 3:
+		m.storeOut = !m.storeOut
+	case 4:
+		if r.paused {
+			m.wake(r)
+			return
+		}
+		r.paused = true
+		if rapid.Bool().Draw(t, "mid-order") {
+			m.tick(r) // what it orders goes out when the pause ends
+		}
+	case 5:
+		m.busyTill = m.now.Add(time.Duration(rapid.IntRange(0, 60).Draw(t, "busy")) * time.Second)
+	}
+}
+
+// wake ends a pause: the orders that were checked before it go out.
+func (m *model) wake(r *modelRouter) {
+	r.paused = false
+	m.flush(r)
+}
+
+func Example() {
+	now := time.Date(2026, 3, 2, 9, 0, 0, 0, time.UTC)
+	cfg := hitchconfig.Configuration{}.WithRoute(hitchconfig.Route{
+		ID: "guide-llm", Kind: hitchconfig.EngineRoute, Versions: []hitchconfig.ModelVersion{{Name: "v2", Weight: 1}},
+	})
+	desired := DesiredOf(cfg, []hitchfleet.Endpoint{{ID: "engine-1", Route: "guide-llm"}})
+	observed := []Observed{{Endpoint: "engine-1", AsOf: now}}
+	grant := Grant{Number: 7, Until: now.Add(time.Minute)}
+	r, orders := Reconciler{}.Reconcile(grant, desired, observed, now)
+	fmt.Println(orders, Cold(desired, observed))
+	observed[0].AsOf = now.Add(10 * time.Second)
+	_, orders = r.Reconcile(grant, desired, observed, now.Add(10*time.Second))
+	fmt.Println(orders)
+	// Output:
+	// [] [engine-1]
+	// [LoadVersion v2 on engine-1 (number 7)]
+}
