Annotate the errors of store calls in one place

Cause: each failure of a call named its path by itself, and a write that failed could return an entry beside its error.

Change: post annotates its errors in a deferred function and leaves sending to a function of its own; a failed write returns no entry.

--- a/hitchstore/call.go
+++ b/hitchstore/call.go
@@ -16,7 +16,7 @@
 
 var errNoEndpoints = errors.New("the client has no endpoints")
 
-// call does one call within its timeout. Any error is a *callError.
+// call does one call within its timeout. Any error has a *callError in it.
 func (c *Client) call(ctx context.Context, path string, request, answer any) (err error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
@@ -34,45 +34,58 @@
 }
 
 // post sends a request and returns a response whose status is 200, with its body
-// unread.
+// unread. Any error has a *callError in it.
 func (c *Client) post(ctx context.Context, path string, request any) (r *http.Response, endpoint int, err error) {
+	defer func() {
+		if err != nil {
+			err = fmt.Errorf("%s: %w", path, err)
+		}
+	}()
 	if err := c.limiter(path).Wait(ctx); err != nil {
-		return nil, 0, &callError{Err: fmt.Errorf("%s: local rate limit: %w", path, err)}
-	}
-	address, endpoint := c.address()
-	if address == "" {
-		return nil, 0, &callError{Final: true, Err: errNoEndpoints}
+		return nil, 0, &callError{Err: fmt.Errorf("local rate limit: %w", err)}
 	}
 	body, err := json.Marshal(request)
 	if err != nil {
-		return nil, 0, &callError{Final: true, Err: fmt.Errorf("%s: %w", path, err)}
+		return nil, 0, &callError{Final: true, Err: err}
 	}
-	var connected atomic.Bool
-	trace := httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
-	url := strings.TrimSuffix(address, "/") + path
-	q, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, &trace), http.MethodPost, url, bytes.NewReader(body))
-	if err != nil {
-		return nil, 0, &callError{Final: true, Err: fmt.Errorf("%s: %w", path, err)}
+	address, endpoint := c.address()
+	if address == "" {
+		return nil, 0, &callError{Final: true, Err: errNoEndpoints}
 	}
-	q.Header.Set("Content-Type", "application/json")
 	c.count(path)
-	response, err := c.http().Do(q)
+	response, err := c.send(ctx, strings.TrimSuffix(address, "/")+path, body)
 	if err != nil {
 		c.noteFailure(endpoint)
-		// Without a connection nothing can have been sent.
-		return nil, 0, &callError{Ambiguous: connected.Load(), Err: fmt.Errorf("%s: %w", path, err)}
+		return nil, 0, err
 	}
 	if response.StatusCode != http.StatusOK {
 		defer response.Body.Close()
-		return nil, 0, c.refused(path, endpoint, response)
+		return nil, 0, c.refused(endpoint, response)
 	}
 	return response, endpoint, nil
 }
 
+// send posts a body. Its error is a *callError, which is ambiguous if there was a
+// connection, as without one nothing can have been sent.
+func (c *Client) send(ctx context.Context, url string, body []byte) (*http.Response, error) {
+	var connected atomic.Bool
+	trace := httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	request, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, &trace), http.MethodPost, url, bytes.NewReader(body))
+	if err != nil {
+		return nil, &callError{Final: true, Err: err}
+	}
+	request.Header.Set("Content-Type", "application/json")
+	response, err := c.http().Do(request)
+	if err != nil {
+		return nil, &callError{Ambiguous: connected.Load(), Err: err}
+	}
+	return response, nil
+}
+
 // refused turns an answer that reports an error into a callError. A status below
 // 500 says that the call wasn't carried out; one above leaves it open, as etcd
 // answers so also when a proposal was sent and its result is unknown.
-func (c *Client) refused(path string, endpoint int, response *http.Response) *callError {
+func (c *Client) refused(endpoint int, response *http.Response) *callError {
 	var problem wireProblem
 	text, err := io.ReadAll(io.LimitReader(response.Body, MaxValueBytes))
 	if err == nil {
@@ -81,17 +94,14 @@
 	if err != nil {
 		problem.Message = response.Status
 	}
-	failed := &callError{Code: problem.Code, Err: fmt.Errorf("%s: status %d: %s", path, response.StatusCode, problem.Message)}
-	switch {
-	case response.StatusCode >= http.StatusInternalServerError:
+	failed := &callError{Code: problem.Code, Err: fmt.Errorf("status %d: %s", response.StatusCode, problem.Message)}
+	if response.StatusCode >= http.StatusInternalServerError {
 		failed.Ambiguous = true
 		c.noteFailure(endpoint)
-	case response.StatusCode == http.StatusTooManyRequests:
-		c.noteAnswer()
-	default:
-		failed.Final = true
-		c.noteAnswer()
+		return failed
 	}
+	failed.Final = response.StatusCode != http.StatusTooManyRequests
+	c.noteAnswer()
 	return failed
 }
 
--- a/hitchstore/receipt.go
+++ b/hitchstore/receipt.go
@@ -94,7 +94,7 @@
 	return fmt.Sprintf("%s-%d", r.session, r.writes)
 }
 
-// openLane creates the key of a lane that has none. Its errors are of type
+// openLane creates the key of a lane that has none. Its errors have a
 // *callError, and none leaves the write of the caller in doubt.
 func (c *Client) openLane(ctx context.Context, l *lane) (err error) {
 	defer func() {
--- a/hitchstore/swap.go
+++ b/hitchstore/swap.go
@@ -66,8 +66,11 @@
 	for range maxAttempts {
 		entry, err = c.attempt(ctx, l, w)
 		var failed *callError
+		if err == nil {
+			return entry, nil
+		}
 		if !errors.As(err, &failed) {
-			return entry, err
+			return Entry{}, err
 		}
 		w.lost = w.lost || failed.Ambiguous
 		if failed.Final || !sleep(ctx, pauses.NextBackOff()) {
@@ -77,7 +80,7 @@
 	return Entry{}, &UnavailableError{Key: w.key, MayHaveTakenEffect: w.lost, Err: err}
 }
 
-// attempt sends the transaction of a write. The error of a call is a *callError,
+// attempt sends the transaction of a write. The error of a call has a *callError,
 // after which the attempt may be repeated; any other result is the truth about
 // the write.
 func (c *Client) attempt(ctx context.Context, l *lane, w *write) (entry Entry, err error) {
@@ -189,6 +192,8 @@
 				return w.entry(l.revision), err
 			}
 		}
+		// A lane is always written with the lease that attempts carry, so its lease
+		// lasts.
 		return Entry{}, &LeaseLapsedError{Lease: w.lease}
 	}
 	l.revision = 0
--- a/hitchstore/swap_test.go
+++ b/hitchstore/swap_test.go
@@ -184,6 +184,19 @@
 	})
 }
 
+// The first write of a process needs calls before its own. None of them leaves
+// the write in doubt, and they aren't repeated beyond the attempts of a write.
+func TestFirstSwapInAnOutage(t *testing.T) {
+	withRig(t, func(t *testing.T, r *rig) {
+		r.store.Faults.Set(hitchfake.Fault{Kind: hitchfake.FaultSilent})
+		start := time.Now()
+		_, err := r.client.Swap(t.Context(), "k", 0, []byte("v"), 0)
+		qt.Assert(t, kindOf(err), qt.Equals, "unavailable")
+		qt.Assert(t, r.client.Calls(), qt.Equals, Calls{LeaseGrant: maxAttempts})
+		qt.Assert(t, time.Since(start) < maxAttempts*(callTimeout+maxBackoff), qt.IsTrue)
+	})
+}
+
 func TestSwapEndsWithItsContext(t *testing.T) {
 	withRig(t, func(t *testing.T, r *rig) {
 		mustSwap(t, r.client, "warm", 0, "up")
