Let the engine's undelayed views share the code of the reported ones

Change: both walks are one function, the load always has MaxRunning, and the engine's tests cover both views.

--- a/hitchfake/engine_api_test.go
+++ b/hitchfake/engine_api_test.go
@@ -93,6 +93,7 @@
 		var load Load
 		r.read(r.do("GET", "/v1/load", nil), &load)
 		qt.Check(t, load.Running, qt.Equals, 0, qt.Commentf("the report lags"))
+		qt.Check(t, []int{engine.LoadNow().Running, engine.LoadNow().MaxRunning}, qt.DeepEquals, []int{1, 2})
 		time.Sleep(200 * time.Millisecond)
 		r.read(r.do("GET", "/v1/load", nil), &load)
 		qt.Check(t, []int{load.Running, load.Waiting}, qt.DeepEquals, []int{2, 2})
@@ -170,6 +171,7 @@
 		}
 		text := strings.Repeat("fish", 50)
 		qt.Assert(t, ask(text), qt.Equals, 0)
+		qt.Assert(t, engine.CachedTokens(question(text)), qt.Equals, 50)
 		qt.Assert(t, ask(text), qt.Equals, 50)
 		var events CacheEvents
 		r.read(r.do("GET", "/v1/cache/events?after=0", nil), &events)
--- a/hitchfake/engine_cache.go
+++ b/hitchfake/engine_cache.go
@@ -65,17 +65,22 @@
 	number uint64
 }
 
-// lookup returns the tokens of the longest cached prefix and marks it as used.
-// The first hash, that of the model alone, has no block.
-func (c *prefixCache) lookup(hashes []uint64) (tokens int) {
-	n := 1
-	for ; n < len(hashes); n++ {
+// match returns how many of the hashes the longest cached prefix has, and its
+// tokens. The first hash, that of the model alone, has no block.
+func (c *prefixCache) match(hashes []uint64) (n, tokens int) {
+	for n = 1; n < len(hashes); n++ {
 		element, ok := c.blocks[hashes[n]]
 		if !ok {
 			break
 		}
 		tokens += element.Value.(CacheBlock).Tokens
 	}
+	return n, tokens
+}
+
+// lookup returns the tokens of the longest cached prefix and marks it as used.
+func (c *prefixCache) lookup(hashes []uint64) (tokens int) {
+	n, tokens := c.match(hashes)
 	// Deep blocks first, so that a chat loses its newest messages first.
 	for i := n - 1; i > 0; i-- {
 		c.recent.MoveToFront(c.blocks[hashes[i]])
--- a/hitchfake/load.go
+++ b/hitchfake/load.go
@@ -26,6 +26,7 @@
 	_, announced := e.coldState()
 	l := Load{
 		Running:      len(e.running),
+		MaxRunning:   cmp.Or(e.MaxRunning, defaultMaxRunning),
 		Waiting:      len(e.waiting),
 		CachedTokens: e.cache.tokens,
 		Cold:         announced,
--- a/hitchfake/peek.go
+++ b/hitchfake/peek.go
@@ -5,16 +5,9 @@
 // CachedTokens returns how many of a request's prompt tokens the engine has
 // cached now. It is for baselines that know all; it marks nothing as used.
 func (e *Engine) CachedTokens(r ChatRequest) (tokens int) {
-	hashes := PrefixHashes(r.Model, r.Messages)
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	for _, hash := range hashes[1:] {
-		element, ok := e.cache.blocks[hash]
-		if !ok {
-			break
-		}
-		tokens += element.Value.(CacheBlock).Tokens
-	}
+	_, tokens = e.cache.match(PrefixHashes(r.Model, r.Messages))
 	return tokens
 }
 
