Measure at-most-once, config, zone-exit and rolling-restart

Change: measure at-most-once makes bookings while routers are killed and stopped, the key-value service is out, slow, late or loses answers, and services cut, cross or go silent, up to two at a time, and checks each answer against the services' own records; config times changes, also with the store out right after the accept and with two operators on one revision; zone-exit and rolling-restart run under load.

--- a/hitchclient/book.go
+++ b/hitchclient/book.go
@@ -39,6 +39,10 @@
 		var p *Problem
 		isNotRun := errors.As(err, &p) && p.Outcome == hitchoutcome.NotRun
 		at, again := mayComeBack(err)
+		isAbandoned := isNotRun && (needsKey(p) || !again || try+1 == c.tries())
+		if isNotRun && c.OnNotRun != nil {
+			c.OnNotRun(b.Key, isAbandoned)
+		}
 		if isNotRun && needsKey(p) {
 			b.Key, again = p.BookingKey, true
 		}
--- a/hitchclient/client.go
+++ b/hitchclient/client.go
@@ -41,6 +41,9 @@
 	Zone string
 	// Tries bounds how often a request is sent.
 	Tries int
+	// OnNotRun is called for each answer that says that a booking didn't run. The
+	// key is abandoned if the client goes on with another one, or not at all.
+	OnNotRun func(key string, isAbandoned bool)
 	// HTTP sends requests; nil means a client of its own.
 	HTTP *http.Client
 
--- a/hitchmeasure/measure.go
+++ b/hitchmeasure/measure.go
@@ -120,6 +120,10 @@
 	return []Measurement{
 		{"reuse", "Cache reuse through churn, against an all-knowing directory.", Reuse},
 		{"skew", "Load of the engines over their mean.", Skew},
+		{"at-most-once", "Bookings under kills, silence and store faults, against the services' records.", AtMostOnce},
+		{"config", "Time from the accept of a change to its force on all routers.", Config},
+		{"zone-exit", "New work in a zone after it is taken out, and service meanwhile.", ZoneExit},
+		{"rolling-restart", "Turns cut while every router is replaced in turn.", RollingRestart},
 	}
 }
 
--- a/hitchmeasure/tally.go
+++ b/hitchmeasure/tally.go
@@ -34,7 +34,6 @@
 	refused    int
 	failed     int
 	crossed    int
-	falseWords int
 	tries      int
 	firstToken *hdrhistogram.Histogram
 	tokenGap   *hdrhistogram.Histogram
--- a/hitchnode/operator.go
+++ b/hitchnode/operator.go
@@ -15,8 +15,8 @@
 	"citronhitch.example/citronhitch/hitchoutcome"
 )
 
-// operators returns what answers operators.
-func (n *Node) operators() *hitchapi.Operators {
+// Operators returns what answers operators.
+func (n *Node) Operators() *hitchapi.Operators {
 	return &hitchapi.Operators{
 		Authenticate: n.operator,
 		Plan:         n.plan,
@@ -156,3 +156,10 @@
 func (n *Node) resolve(ctx context.Context, key hitchclaim.KeyID, truth hitchclaim.Truth) error {
 	return n.router.ResolveDoubt(ctx, key, truth)
 }
+
+// Revision returns the revision of the configuration that is in force here, and
+// whether the router serves by it.
+func (n *Node) Revision() (revision uint64, isServing bool) {
+	index, stale := n.config.inForce(time.Now())
+	return index.Revision(), !stale
+}
--- a/hitchnode/wire.go
+++ b/hitchnode/wire.go
@@ -78,7 +78,7 @@
 
 func provideServer(i do.Injector) (*hitchapi.Server, error) {
 	n := do.MustInvoke[*Node](i)
-	api := &hitchapi.API{Router: do.MustInvoke[*hitchrouter.Router](i), Operators: n.operators()}
+	api := &hitchapi.API{Router: do.MustInvoke[*hitchrouter.Router](i), Operators: n.Operators()}
 	return &hitchapi.Server{
 		Addr:        n.Settings.Listen,
 		Handler:     api.Handler(),
