hitchorder: a version's last ready copy may go once nobody wants it

Cause: the last ready copy of a version stayed until every wanted version was ready. A canary that was replaced by another canary on the same engine blocked itself: v2 had to stay until v3 was ready, and v3 could be loaded only where v2 was.

Ruled out: no rule on last copies, as the half that stays ready may all serve another version.

Change: the last ready copy of a version stays while an engine shall serve it, or while nothing else is ready. Random histories now draw three versions, and a table has the orders of a first round.

--- a/hitchorder/order_test.go
+++ b/hitchorder/order_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -34,8 +35,12 @@
 	return fmt.Sprintf("desired %v, observed %v", desired, observed)
 }
 
-func (m *model) setWeights(v1, v2 int) {
-	m.cfg = m.cfg.WithRoute(m.route(hitchconfig.ModelVersion{Name: "v1", Weight: v1}, hitchconfig.ModelVersion{Name: "v2", Weight: v2}))
+func (m *model) setWeights(v1, v2 int, v3 ...int) {
+	r := m.route(hitchconfig.ModelVersion{Name: "v1", Weight: v1}, hitchconfig.ModelVersion{Name: "v2", Weight: v2})
+	for _, weight := range v3 {
+		r = r.WithVersion(hitchconfig.ModelVersion{Name: "v3", Weight: weight})
+	}
+	m.cfg = m.cfg.WithRoute(r)
 }
 
 func TestRollOutKeepsTheRouteInService(t *testing.T) {
@@ -77,6 +82,66 @@
 	qt.Assert(t, m.converged(), qt.IsTrue)
 }
 
+func TestNextOrder(t *testing.T) {
+	tests := map[string]struct {
+		holds, wants []string // by engine; ~ is still being loaded, "" is silent
+		want         string   // the orders of the first round
+	}{
+		"nothing to do":                         {[]string{"v1", "v1"}, []string{"v1", "v1"}, ""},
+		"canary":                                {[]string{"v1", "v1", "v1"}, []string{"v1", "v1", "v2"}, "UnloadVersion v1 on engine-2"},
+		"second canary in place of the first":   {[]string{"v1", "v1", "v2"}, []string{"v1", "v1", "v3"}, "UnloadVersion v2 on engine-2"},
+		"one engine while v2 is unproved":       {[]string{"v1", "v1", "v1", "v1", "v1", "v1", "v1", "v1"}, []string{"v2", "v2", "v2", "v2", "v2", "v2", "v2", "v2"}, "UnloadVersion v1 on engine-0"},
+		"two of eight once it is proved":        {[]string{"v2", "v1", "v1", "v1", "v1", "v1", "v1", "v1"}, []string{"v2", "v2", "v2", "v2", "v2", "v2", "v2", "v2"}, "UnloadVersion v1 on engine-1, UnloadVersion v1 on engine-2"},
+		"last good version, nothing else ready": {[]string{"v1"}, []string{"v2"}, ""},
+		"last copies, none of them wanted":      {[]string{"v1", "v2"}, []string{"v3", "v3"}, "UnloadVersion v1 on engine-0"},
+		"last copy of a wanted version":         {[]string{"v1", "~v1", "v2", "v2", "v2", "v2", "v2", "v2"}, []string{"v2", "v1", "v2", "v2", "v2", "v2", "v2", "v2"}, ""},
+		"half of the engines stay ready":        {[]string{"v2", "v1", "", ""}, []string{"v2", "v2", "v2", "v2"}, ""},
+		"keep what they hold":                   {[]string{"v2", "v1"}, []string{"v1", "v2"}, ""},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			var desired []Desired
+			var observed []Observed
+			for i, version := range test.wants {
+				id := hitchfleet.EndpointID(fmt.Sprint("engine-", i))
+				desired = append(desired, Desired{Endpoint: hitchfleet.Endpoint{ID: id}, Version: version, InService: true})
+				if test.holds[i] != "" {
+					observed = append(observed, Observed{Endpoint: id, Versions: []Loaded{loaded(test.holds[i])}, AsOf: start})
+				}
+			}
+			_, orders := Reconciler{}.Reconcile(Grant{Number: 1, Until: start.Add(time.Minute)}, desired, observed, start)
+			got := lo.Map(orders, func(o Order, _ int) string { return fmt.Sprintf("%s %s on %s", o.Kind, o.Name, o.Endpoint) })
+			qt.Assert(t, strings.Join(got, ", "), qt.Equals, test.want)
+		})
+	}
+}
+
+func loaded(s string) Loaded {
+	name, loading := strings.CutPrefix(s, "~")
+	return Loaded{Name: name, Ready: !loading}
+}
+
+func TestOrderOnItsWayIsExpectedToWork(t *testing.T) {
+	var desired []Desired
+	var observed []Observed
+	for i, version := range []string{"v2", "v1", "v1", "v1"} {
+		id := hitchfleet.EndpointID(fmt.Sprint("engine-", i))
+		desired = append(desired, Desired{Endpoint: hitchfleet.Endpoint{ID: id}, Version: "v2", InService: true})
+		observed = append(observed, Observed{Endpoint: id, Versions: []Loaded{{version, true}}, AsOf: start})
+	}
+	g := Grant{Number: 1, Until: start.Add(time.Minute)}
+	r, orders := Reconciler{}.Reconcile(g, desired, observed, start)
+	qt.Assert(t, orders, qt.HasLen, 1)
+	for i := range observed {
+		observed[i].AsOf = start.Add(time.Second)
+	}
+	r, orders = r.Reconcile(g, desired, observed, start.Add(time.Second))
+	qt.Assert(t, orders, qt.HasLen, 0)
+	observed[1].AsOf = start.Add(repeatEvery)
+	_, orders = r.Reconcile(g, desired, observed, start.Add(repeatEvery))
+	qt.Assert(t, orders, qt.HasLen, 1, qt.Commentf("an order without effect is repeated"))
+}
+
 func TestLapsedLeaseOfAPausedHolder(t *testing.T) {
 	m := newModel(t, 2, 4)
 	m.pass(20)
@@ -171,7 +236,8 @@
 	case 0, 1:
 		m.pass(rapid.IntRange(1, 40).Draw(t, "seconds"))
 	case 2:
-		m.setWeights(rapid.IntRange(0, 3).Draw(t, "v1"), rapid.IntRange(1, 3).Draw(t, "v2"))
+		v1, v2 := rapid.IntRange(0, 3).Draw(t, "v1"), rapid.IntRange(0, 3).Draw(t, "v2")
+		m.setWeights(v1, v2, rapid.IntRange(lo.Ternary(v1+v2 == 0, 1, 0), 1).Draw(t, "v3"))
 	case 3:
 		m.storeOut = !m.storeOut
 	case 4:
--- a/hitchorder/route.go
+++ b/hitchorder/route.go
@@ -59,14 +59,14 @@
 	return Order{}, false
 }
 
-// mayUnload keeps the route in service. A version's last ready copy stays until
-// every version that is wanted is ready somewhere, and half of the engines stay
-// ready. An engine that stays ready without the version takes nothing away.
+// mayUnload keeps the route in service: half of its engines stay ready, and the
+// last ready copy of a version goes only by mayLose. An engine that stays ready
+// without the version takes nothing away.
 func (v route) mayUnload(e engine, loaded Loaded) bool {
 	if !loaded.Ready {
 		return true
 	}
-	if !v.isReadyElsewhere(e, loaded.Name) && !v.isWantedReady(e) {
+	if !v.isReadyElsewhere(e, loaded.Name) && !v.mayLose(e, loaded.Name) {
 		return false
 	}
 	if _, ready := e.seen.has(e.Version); ready || !e.InService {
@@ -79,6 +79,20 @@
 	return others >= max(1, inService/2)
 }
 
+// mayLose tells whether a route may lose the last ready copy of a version: no
+// engine shall serve it any more, and another version stays ready.
+func (v route) mayLose(e engine, version string) bool {
+	if slices.ContainsFunc(v.engines, func(o engine) bool { return o.Version == version }) {
+		return false
+	}
+	if _, ready := e.seen.has(e.Version); ready {
+		return true
+	}
+	return slices.ContainsFunc(v.engines, func(o engine) bool {
+		return o.Endpoint.ID != e.Endpoint.ID && o.InService && o.expected.isReady()
+	})
+}
+
 // isReadyElsewhere tells whether another engine in service serves a version.
 func (v route) isReadyElsewhere(e engine, version string) bool {
 	return slices.ContainsFunc(v.engines, func(o engine) bool {
@@ -87,18 +101,6 @@
 	})
 }
 
-// isWantedReady tells whether each version that engines shall serve is ready on
-// one in service, other than the version that only this engine would lose.
-func (v route) isWantedReady(e engine) bool {
-	for _, o := range v.engines {
-		_, here := e.seen.has(o.Version)
-		if !v.isReadyElsewhere(engine{}, o.Version) || (here && o.Version != e.Version && !v.isReadyElsewhere(e, o.Version)) {
-			return false
-		}
-	}
-	return true
-}
-
 // mayChange bounds how many engines of the route are changed at once: one while
 // the engine's version hasn't yet proved itself anywhere, and a quarter after
 // that. An engine that serves nothing may always be changed, and orders that
