--- a/hitchclaim/homes.go
+++ b/hitchclaim/homes.go
@@ -16,6 +16,9 @@
 	minHomes = 3
 	// JournalWritesPerSecond bounds the journal writes of the whole fleet.
 	JournalWritesPerSecond = 200
+	// minCommitInterval bounds the journal's bytes of one home: 10 writes a second of
+	// about half of DefaultSegmentBytes.
+	minCommitInterval = 100 * time.Millisecond
 )
 
 // Homes returns the routers that keys are minted for: in each region
@@ -73,8 +76,9 @@
 }
 
 // CommitInterval returns the least time between two journal writes of one home:
-// homes / JournalWritesPerSecond. With every home writing at its fastest, the
-// fleet makes JournalWritesPerSecond writes.
+// max(100 ms, homes / JournalWritesPerSecond). With every home writing at its
+// fastest, the fleet makes at most JournalWritesPerSecond writes. A booking that
+// comes later than that after the last write is committed at once.
 func CommitInterval(homes int) time.Duration {
-	return time.Duration(max(homes, 1)) * time.Second / JournalWritesPerSecond
+	return max(minCommitInterval, time.Duration(homes)*time.Second/JournalWritesPerSecond)
 }
--- a/hitchclaim/journal.go
+++ b/hitchclaim/journal.go
@@ -11,12 +11,12 @@
 const (
 	// DefaultSegmentBytes is the size at which a segment is sealed. One commit
 	// writes a whole segment, so it bounds the bytes of a commit.
-	DefaultSegmentBytes = 4 << 10
+	DefaultSegmentBytes = 2 << 10
 	// maxBatch bounds the records of one commit. With bodies of maxRecordBody a
 	// segment stays under 256 KiB.
 	maxBatch = 512
 	// maxSegments bounds the sealed segments of a home that are kept.
-	maxSegments = 1024
+	maxSegments = 2048
 	// storeWait bounds one call of the key-value service.
 	storeWait = 500 * time.Millisecond
 	// settleWait is how long an outcome waits for a booking to share its commit.
