--- a/hitchclaim/journal.go
+++ b/hitchclaim/journal.go
@@ -59,7 +59,9 @@
 }
 
 // Journal keeps the bookings of one home in the key-value service, many in one
-// write. The zero value with Self set is ready; its first event opens it. Its
+// write. The zero value with Self set is ready; its first event opens it. Call Tick
+// when the process starts, so that a fence mark finds the journal open. Each record
+// of a Decision must be put, as a run without an outcome keeps its segment. Its
 // methods are safe for several goroutines.
 //
 //	step := journal.Put(now, decision.Record)
