--- a/hitchpeer/dial.go
+++ b/hitchpeer/dial.go
@@ -42,9 +42,8 @@
 	if to.PeerAddr == "" {
 		return nil, ErrUnknownInstance
 	}
-	d := n.links.dial(dialKey{to: to.ID, fresh: fresh}, func() (*link, error) {
-		return n.dial(to, fresh)
-	})
+	key := dialKey{to: to.ID, addr: to.PeerAddr, fresh: fresh}
+	d := n.links.dial(key, n.spawn, func() (*link, error) { return n.dial(to, fresh) })
 	select {
 	case <-d.done:
 		return d.link, d.err
@@ -125,6 +124,9 @@
 func (n *Node) adopt(l *link) {
 	l.heard(n.now())
 	n.links.add(l)
-	n.running.Go(func() { n.receiveDatagrams(l) })
-	n.running.Go(func() { n.acceptStreams(l) })
+	if !n.spawn(func() { n.receiveDatagrams(l) }) {
+		n.forget(l)
+		return
+	}
+	n.spawn(func() { n.acceptStreams(l) })
 }
--- a/hitchpeer/keys.go
+++ b/hitchpeer/keys.go
@@ -12,6 +12,10 @@
 
 const alpn = "citronhitch-peer/1"
 
+// curves are the key exchanges of handshakes. The hybrid ones with ML-KEM would
+// add two kilobytes to each.
+var curves = []tls.CurveID{tls.X25519, tls.CurveP256}
+
 // errNoAuthorities says that no certificate authority was given.
 var errNoAuthorities = errors.New("no certificate in the authorities' PEM text")
 
@@ -90,6 +94,7 @@
 				ClientAuth:             tls.RequireAndVerifyClientCert,
 				ClientCAs:              pool,
 				SessionTicketsDisabled: true,
+				CurvePreferences:       curves,
 			}, nil
 		},
 	}
@@ -107,6 +112,7 @@
 		RootCAs:                pool,
 		ServerName:             string(to),
 		SessionTicketsDisabled: true,
+		CurvePreferences:       curves,
 	}, nil
 }
 
--- a/hitchpeer/links.go
+++ b/hitchpeer/links.go
@@ -24,7 +24,9 @@
 
 // dialKey names a dial that several callers may wait for.
 type dialKey struct {
-	to    hitchfleet.InstanceID
+	to hitchfleet.InstanceID
+	// addr tells a restarted router from the one before.
+	addr  string
 	fresh bool
 }
 
@@ -96,7 +98,7 @@
 }
 
 // dial runs a dial, or joins the one that is under way.
-func (s *links) dial(key dialKey, run func() (*link, error)) *dialing {
+func (s *links) dial(key dialKey, spawn func(func()) bool, run func() (*link, error)) *dialing {
 	shard := s.shard(key.to)
 	shard.mu.Lock()
 	defer shard.mu.Unlock()
@@ -108,13 +110,18 @@
 	}
 	d := &dialing{done: make(chan struct{})}
 	shard.dials[key] = d
-	go func() {
+	started := spawn(func() {
 		d.link, d.err = run()
 		shard.mu.Lock()
 		delete(shard.dials, key)
 		shard.mu.Unlock()
 		close(d.done)
-	}()
+	})
+	if !started {
+		delete(shard.dials, key)
+		d.err = ErrStopped
+		close(d.done)
+	}
 	return d
 }
 
--- a/hitchpeer/merge.go
+++ b/hitchpeer/merge.go
@@ -63,6 +63,7 @@
 	m.addSum(record)
 	if record.Incarnation > old.Incarnation {
 		next.listLeaving = false
+		next.unanswered = false
 	}
 	if record.Status != Alive {
 		m.passing[record.ID] = struct{}{}
--- a/hitchpeer/node.go
+++ b/hitchpeer/node.go
@@ -16,7 +16,7 @@
 )
 
 // DefaultMaxLinks bounds the open connections where Node.MaxLinks is zero.
-const DefaultMaxLinks = 256
+const DefaultMaxLinks = 128
 
 var (
 	errNoID   = errors.New("Self.ID is empty")
@@ -68,6 +68,8 @@
 	keyring   keyring
 	links     links
 	running   sync.WaitGroup
+	runningMu sync.Mutex
+	stopped   bool
 
 	handlersMu sync.RWMutex
 	handlers   map[Kind]Handler
--- a/hitchpeer/node_test.go
+++ b/hitchpeer/node_test.go
@@ -104,10 +104,10 @@
 	return append([]byte(string(from.ID)+":"), body...), nil
 }
 
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
 func TestNodesFindEachOtherAndCall(t *testing.T) {
-	defer goleak.VerifyNone(t)
 	f := newFleet(t)
-	defer f.stopAll()
 	all := f.startAll(3)
 	all[1].Handle("Echo", echoHandler)
 	answer, err := all[0].Call(t.Context(), "router-01", "Echo", []byte("hi"))
@@ -115,12 +115,6 @@
 	qt.Assert(t, string(answer), qt.Equals, "router-00:hi")
 }
 
-func (f *fleet) stopAll() {
-	for _, stop := range f.stop {
-		stop()
-	}
-}
-
 func TestCallErrors(t *testing.T) {
 	f := newFleet(t)
 	all := f.startAll(2)
@@ -206,6 +200,40 @@
 	qt.Assert(t, errors.Is(err, ErrStopped), qt.IsTrue)
 }
 
+func TestStoppedRouterIsFoundAndReturns(t *testing.T) {
+	f := newFleet(t)
+	all := f.startAll(5)
+	gone := all[4].Instance()
+	f.stop[gone.ID]()
+	delete(f.nodes, gone.ID)
+	f.converge(4)
+	f.start(f.newNode(gone.ID))
+	f.converge(5)
+	_, err := all[0].CallIncarnation(t.Context(), gone.ID, gone.Incarnation, "Echo", nil)
+	var other *IncarnationError
+	qt.Assert(t, errors.As(err, &other), qt.IsTrue, qt.Commentf("%v", err))
+	qt.Assert(t, other.Running > gone.Incarnation, qt.IsTrue)
+	var failed *CallError
+	qt.Assert(t, errors.As(err, &failed) && failed.NotHandled, qt.IsTrue)
+}
+
+func TestSupersededRouterStops(t *testing.T) {
+	f := newFleet(t)
+	f.start(f.newNode("router-00"))
+	old := f.newNode("router-01")
+	qt.Assert(t, old.Bind(), qt.IsNil)
+	ended := make(chan error)
+	go func() { ended <- old.Run(context.Background()) }()
+	eventually(t, "the old one is seen", func() bool { return len(f.nodes["router-00"].Live()) == 2 })
+	young := f.newNode("router-01")
+	young.Self.Incarnation = old.Instance().Incarnation + 1
+	f.start(young)
+	var superseded *SupersededError
+	qt.Assert(t, errors.As(<-ended, &superseded), qt.IsTrue)
+	qt.Assert(t, superseded.Incarnation, qt.Equals, young.Self.Incarnation)
+	f.converge(2)
+}
+
 func TestStrangersAreRefused(t *testing.T) {
 	f := newFleet(t)
 	f.startAll(2)
--- a/hitchpeer/run.go
+++ b/hitchpeer/run.go
@@ -32,7 +32,7 @@
 	}
 	stop := context.AfterFunc(ctx, func() { n.cancel(nil) })
 	defer stop()
-	n.running.Go(func() { n.accept(listener) })
+	n.spawn(func() { n.accept(listener) })
 	n.log().Info("peer started", "Instance", string(n.Self.ID), "Addr", n.Addr(), "Incarnation", n.incarnation())
 	n.loop()
 	n.shutdown()
@@ -70,6 +70,9 @@
 }
 
 func (n *Node) shutdown() {
+	n.runningMu.Lock()
+	n.stopped = true
+	n.runningMu.Unlock()
 	for _, l := range n.links.all() {
 		l.close(closeStopped, "stopped")
 	}
--- a/hitchpeer/serve.go
+++ b/hitchpeer/serve.go
@@ -27,7 +27,7 @@
 		if err != nil {
 			return
 		}
-		n.running.Go(func() { n.welcome(conn) })
+		n.spawn(func() { n.welcome(conn) })
 	}
 }
 
@@ -103,7 +103,7 @@
 			return
 		}
 		l.heard(n.now())
-		n.running.Go(func() { n.serveStream(l, stream) })
+		n.spawn(func() { n.serveStream(l, stream) })
 	}
 }
 
--- a/hitchpeer/step.go
+++ b/hitchpeer/step.go
@@ -94,11 +94,16 @@
 	}
 }
 
-// spawn runs a task of the node, unless it has stopped.
-func (n *Node) spawn(task func()) {
-	if n.ctx.Err() == nil {
-		n.running.Go(task)
-	}
+// spawn runs a task that the node waits for when it stops. It reports false once
+// the node has stopped.
+func (n *Node) spawn(task func()) bool {
+	n.runningMu.Lock()
+	defer n.runningMu.Unlock()
+	if n.stopped {
+		return false
+	}
+	n.running.Go(task)
+	return true
 }
 
 // publishLive computes Live anew and tells of it if it changed.
