--- a/hitchplace/address.go
+++ b/hitchplace/address.go
@@ -1,6 +1,7 @@
 package hitchplace
 
 import (
+	"slices"
 	"time"
 
 	"citronhitch.example/citronhitch/hitchfleet"
@@ -28,12 +29,13 @@
 // Routers is the routers that callers may connect to. It is immutable; NewRouters
 // makes another when the fleet changes.
 type Routers struct {
-	all []router
+	all  []hitchfleet.Instance
+	keys []hitchfleet.Key
 }
 
-type router struct {
-	instance hitchfleet.Instance
-	key      hitchfleet.Key
+func (r *Routers) add(i hitchfleet.Instance) {
+	r.all = append(r.all, i)
+	r.keys = append(r.keys, i.Key())
 }
 
 // NewRouters returns the live routers that neither leave nor are in a zone out.
@@ -43,10 +45,10 @@
 	for _, i := range live {
 		switch {
 		case i.Leaving:
-		case contains(zonesOut, i.Zone):
-			out.all = append(out.all, router{instance: i, key: i.Key()})
+		case slices.Contains(zonesOut, i.Zone):
+			out.add(i)
 		default:
-			r.all = append(r.all, router{instance: i, key: i.Key()})
+			r.add(i)
 		}
 	}
 	if len(r.all) == 0 {
@@ -55,20 +57,11 @@
 	return r
 }
 
-func contains[T comparable](list []T, v T) bool {
-	for i := range list {
-		if list[i] == v {
-			return true
-		}
-	}
-	return false
-}
-
 // regionOf returns the region of a zone, or "" if no router is in it.
 func (r Routers) regionOf(zone hitchfleet.AvailabilityZone) hitchfleet.Region {
 	for i := range r.all {
-		if r.all[i].instance.Zone == zone {
-			return r.all[i].instance.Region
+		if r.all[i].Zone == zone {
+			return r.all[i].Region
 		}
 	}
 	return ""
@@ -84,22 +77,15 @@
 	if near == "" {
 		near = r.regionOf(zone)
 	}
-	if !r.has(near) {
-		near = ""
-	}
 	start := len(dst)
-	for range maxAddresses {
-		i := r.best(chat, near, dst[start:], true)
-		if i < 0 {
-			i = r.best(chat, near, dst[start:], false)
-		}
-		if i < 0 {
-			i = r.best(chat, "", dst[start:], false)
+	best := r.rank(chat, near)
+	for _, otherZone := range []bool{true, false} {
+		for _, item := range best.items[:best.n] {
+			next := &r.all[item.index]
+			if len(dst)-start < maxAddresses && !isTaken(dst[start:], next, otherZone) {
+				dst = append(dst, *next)
+			}
 		}
-		if i < 0 {
-			break
-		}
-		dst = append(dst, r.all[i].instance)
 	}
 	return Answer{Routers: dst[start:], Deadline: now.Add(AnswerLife)}
 }
@@ -107,40 +93,32 @@
 // Home returns the chat's home, or false without routers. region is where the
 // chat's callers are.
 func (r Routers) Home(chat hitchfleet.Key, region hitchfleet.Region) (hitchfleet.Instance, bool) {
-	if !r.has(region) {
-		region = ""
-	}
-	i := r.best(chat, region, nil, false)
-	if i < 0 {
+	best := r.rank(chat, region)
+	if best.n == 0 {
 		return hitchfleet.Instance{}, false
 	}
-	return r.all[i].instance, true
+	return r.all[best.items[0].index], true
 }
 
-func (r Routers) has(region hitchfleet.Region) bool {
-	for i := range r.all {
-		if r.all[i].instance.Region == region {
-			return true
-		}
+// rank returns the first routers of the region by rendezvous hashing, or of all
+// regions if the region has none.
+func (r Routers) rank(chat hitchfleet.Key, region hitchfleet.Region) ranked {
+	best := r.rankWhere(chat, func(i int) bool { return r.all[i].Region == region })
+	if best.n > 0 {
+		return best
 	}
-	return false
+	return r.rankWhere(chat, func(int) bool { return true })
 }
 
-// best returns the index of the first router by rendezvous hashing that isn't
-// taken, nor in a zone of the taken ones if otherZone is set; or -1.
-func (r Routers) best(chat hitchfleet.Key, region hitchfleet.Region, taken []hitchfleet.Instance, otherZone bool) int {
-	found := -1
-	var best uint64
-	for i := range r.all {
-		c := &r.all[i]
-		if region != "" && c.instance.Region != region || isTaken(taken, &c.instance, otherZone) {
-			continue
-		}
-		if score := hitchfleet.Score(chat, c.key); found < 0 || score > best {
-			found, best = i, score
+func (r Routers) rankWhere(chat hitchfleet.Key, isIn func(i int) bool) (best ranked) {
+	var least uint64
+	for i, key := range r.keys {
+		if score := hitchfleet.Score(chat, key); score > least && isIn(i) {
+			best.add(maxRanked, score, i)
+			least = best.least(maxRanked)
 		}
 	}
-	return found
+	return best
 }
 
 func isTaken(taken []hitchfleet.Instance, i *hitchfleet.Instance, zoneToo bool) bool {
--- /dev/null
+++ b/hitchplace/bench_test.go
@@ -0,0 +1,87 @@
+package hitchplace
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+
+	"citronhitch.example/citronhitch/hitchfleet"
+)
+
+// benchRequests are the chats of 210 organisations.
+func benchRequests(n int) []Request {
+	all := make([]Request, n)
+	for i := range all {
+		all[i] = chat(fmt.Sprint("org-", i%210), i)
+	}
+	return all
+}
+
+func BenchmarkPlaceByDirectory(b *testing.B) { benchPlace(b, true) }
+
+func BenchmarkPlaceByRank(b *testing.B) { benchPlace(b, false) }
+
+// benchPlace places chats at pools of n endpoints: 760 replicas of six models in
+// three regions are 42 in each pool.
+func benchPlace(b *testing.B, entries bool) {
+	for _, n := range []int{42, 127, 760} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			pool := NewPool(targets(n), []VersionWeight{{"v1", 9}, {"v2", 1}}, nil)
+			requests := benchRequests(DefaultChats * 9 / 10) // shards fill unevenly
+			var d Directory
+			for i := range requests {
+				d.Put(start, requests[i].Chat, engineID(i%n), 1000)
+			}
+			var r Residence
+			for i := range n {
+				r.Observe(CacheEvent{Endpoint: engineID(i), At: start, Kind: CacheStored, Tokens: 100})
+			}
+			dst := make([]Candidate, 0, 8)
+			b.ReportAllocs()
+			b.ResetTimer()
+			for i := range b.N {
+				q := requests[i%len(requests)]
+				q.Residence = &r
+				if entries {
+					q.Entry, _ = d.Get(start, q.Chat)
+				}
+				dst = pool.Choose(dst[:0], q, start)
+				d.Put(start, q.Chat, dst[0].Endpoint, 1000)
+			}
+		})
+	}
+}
+
+func BenchmarkAnswer(b *testing.B) {
+	for _, n := range []int{8, 130, 390} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			r := NewRouters(routers(n), nil)
+			dst := make([]hitchfleet.Instance, 0, 4)
+			b.ReportAllocs()
+			for i := range b.N {
+				r.Answer(dst, hitchfleet.Key(i), "se-south", "", start)
+			}
+		})
+	}
+}
+
+// BenchmarkDirectoryMemory prints what an entry takes.
+func BenchmarkDirectoryMemory(b *testing.B) {
+	for _, n := range []int{5_000, 20_000, 80_000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			requests := benchRequests(n)
+			var before, after runtime.MemStats
+			runtime.GC()
+			runtime.ReadMemStats(&before)
+			d := Directory{Chats: n}
+			for i := range requests {
+				d.Put(start, requests[i].Chat, "guide-llm-1", 1000)
+			}
+			runtime.GC()
+			runtime.ReadMemStats(&after)
+			b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/float64(n), "B/chat")
+			runtime.KeepAlive(&d)
+			runtime.KeepAlive(requests)
+		})
+	}
+}
--- a/hitchplace/choose.go
+++ b/hitchplace/choose.go
@@ -49,81 +49,36 @@
 	Why      Why
 }
 
-// The most endpoints that one choice ranks.
+// The bounds of one choice.
 const (
-	maxRanked     = 16
 	loadSamples   = 4
 	maxCandidates = 4
 )
 
-// ranked is the best endpoints by rendezvous hashing, best first.
-type ranked struct {
-	n     int
-	items [maxRanked]struct {
-		score uint64
-		index int32
-	}
-}
-
-// add keeps the endpoint if it is among the best limit.
-func (r *ranked) add(limit int, score uint64, index int) {
-	if r.n == limit && score <= r.items[r.n-1].score {
-		return
-	}
-	if r.n < limit {
-		r.n++
-	}
-	i := r.n - 1
-	for i > 0 && r.items[i-1].score < score {
-		r.items[i] = r.items[i-1]
-		i--
-	}
-	r.items[i].score, r.items[i].index = score, int32(index)
-}
-
 // Choose appends to dst the endpoints to try for a request, best first, and
-// returns it: the one that has the chat's prefix cached; those of the
-// organisation's subset in the chat's rendezvous order while they are not above
-// the load limit; the following ones in the organisation's order; and the least
-// loaded of a few. With capacity in dst it doesn't allocate.
+// returns it. If the chat's prefix is cached at an endpoint that serves, that one
+// comes first, then the least loaded of a few. If the prefix was evicted there, the
+// least loaded of a few comes first. Then come the members of the organisation's
+// subset in the chat's rendezvous order while they are not above the load limit;
+// the following ones in the organisation's order; and the least loaded of a few.
+// With capacity in dst it doesn't allocate.
 //
 //	candidates = pool.Choose(candidates[:0], request, now)
-func (p Pool) Choose(dst []Candidate, r Request, now time.Time) []Candidate {
+func (p *Pool) Choose(dst []Candidate, r Request, now time.Time) []Candidate {
 	start := len(dst)
-	c := choice{pool: p, request: &r, version: r.Version, adapter: r.Adapter}
-	if c.version == "" {
-		c.version = p.version(r.Chat)
-	}
-	c.relax()
-	if r.Entry.Endpoint != "" && isCached(r.Residence, now, &r.Entry) {
-		if i := p.find(r.Entry.Endpoint); i >= 0 && c.fits(&p.targets[i]) && !p.targets[i].Cold {
-			dst = append(dst, Candidate{Endpoint: r.Entry.Endpoint, Why: ByDirectory})
-		}
-	}
-	if p.cold && len(dst) == start && r.Entry.Endpoint == "" {
+	c := p.choice(&r)
+	i, known := p.index[r.Entry.Endpoint]
+	switch {
+	case known && !c.isUsable(i):
+	case known && isCached(r.Residence, now, &r.Entry):
+		dst = append(dst, Candidate{Endpoint: r.Entry.Endpoint, Why: ByDirectory})
+		return c.leastLoaded(dst, start)
+	case known:
+		return c.rank(c.leastLoaded(dst, start), start)
+	case p.cold && r.Entry.Endpoint == "":
 		dst = c.tryCold(dst)
 	}
-	dst = c.rank(dst, start)
-	dst = c.leastLoaded(dst, start)
-	if len(dst) == start {
-		dst = c.allCold(dst)
-	}
-	return dst
-}
-
-// allCold appends endpoints in cold start in the chat's order. It is for a route
-// that has no other: admission keeps the work there to what they bear.
-func (c *choice) allCold(dst []Candidate) []Candidate {
-	var cold ranked
-	for i := range c.pool.targets {
-		if t := &c.pool.targets[i]; t.Cold && c.fits(t) {
-			cold.add(maxCandidates, hitchfleet.Score(c.request.Chat, t.key), i)
-		}
-	}
-	for _, item := range cold.items[:cold.n] {
-		dst = append(dst, Candidate{Endpoint: c.pool.targets[item.index].Endpoint.ID, Why: ByColdTrial})
-	}
-	return dst
+	return c.leastLoaded(c.rank(dst, start), start)
 }
 
 // coldTrialEvery is how many new chats there are for each that tries an endpoint
@@ -139,40 +94,41 @@
 		return dst
 	}
 	var cold ranked
-	for i := range c.pool.targets {
-		if t := &c.pool.targets[i]; t.Cold && c.fits(t) {
-			cold.add(1, hitchfleet.Score(c.request.Chat, t.key), i)
+	for i := range c.pool.fast {
+		if c.pool.fast[i].cold && c.fits(i) {
+			cold.add(1, hitchfleet.Score(c.request.Chat, c.pool.keys[i]), i)
 		}
 	}
 	if cold.n == 0 {
 		return dst
 	}
-	id := c.pool.targets[cold.items[0].index].Endpoint.ID
-	return append(dst, Candidate{Endpoint: id, Why: ByColdTrial})
+	return append(dst, Candidate{Endpoint: c.pool.id(cold.items[0].index), Why: ByColdTrial})
 }
 
 // choice is the state of one Choose.
 type choice struct {
-	pool    Pool
+	pool    *Pool
 	request *Request
-	version string
+	version int32
 	adapter string
 }
 
-// relax drops what no serving endpoint fulfils: the adapter first, then the
-// version unless it was asked for.
-func (c *choice) relax() {
+// choice starts a choice. It drops what no serving endpoint fulfils: the adapter
+// first, then the version unless it was asked for.
+func (p *Pool) choice(r *Request) choice {
+	c := choice{pool: p, request: r, version: p.versionOf(r), adapter: r.Adapter}
 	if c.adapter != "" && !c.any() {
 		c.adapter = ""
 	}
-	if c.version != "" && c.request.Version == "" && !c.any() {
-		c.version = ""
+	if c.version != anyVersion && r.Version == "" && !c.any() {
+		c.version = anyVersion
 	}
+	return c
 }
 
 func (c *choice) any() bool {
-	for i := range c.pool.targets {
-		if t := &c.pool.targets[i]; t.serving && c.fits(t) {
+	for i := range c.pool.fast {
+		if c.pool.fast[i].serving && c.fits(i) {
 			return true
 		}
 	}
@@ -180,9 +136,14 @@
 }
 
 // fits tells whether an endpoint serves the version and the adapter.
-func (c *choice) fits(t *target) bool {
-	return (c.version == "" || t.Version == c.version) &&
-		(c.adapter == "" || slices.Contains(t.Adapters, c.adapter))
+func (c *choice) fits(i int) bool {
+	return (c.version == anyVersion || c.pool.fast[i].version == c.version) &&
+		(c.adapter == "" || slices.Contains(c.pool.targets[i].Adapters, c.adapter))
+}
+
+// isUsable tells whether the entry's endpoint can go on with the chat.
+func (c *choice) isUsable(i int32) bool {
+	return !c.pool.fast[i].cold && c.fits(int(i))
 }
 
 // rank appends the endpoints by the organisation's order: first its subset in the
@@ -190,70 +151,71 @@
 func (c *choice) rank(dst []Candidate, start int) []Candidate {
 	org := hitchfleet.Key(orgHash(c.request.Organisation))
 	subset := min(max(c.request.Subset, 1), maxRanked-maxCandidates)
+	limit := subset + maxCandidates
 	var byOrg ranked
-	for i := range c.pool.targets {
-		t := &c.pool.targets[i]
-		if t.serving && c.fits(t) {
-			byOrg.add(subset+maxCandidates, hitchfleet.Score(org, t.key), i)
+	var least uint64
+	for i, key := range c.pool.keys {
+		score := hitchfleet.Score(org, key)
+		if score > least && c.pool.fast[i].serving && c.fits(i) {
+			byOrg.add(limit, score, i)
+			least = byOrg.least(limit)
 		}
 	}
 	var byChat ranked
 	for _, item := range byOrg.items[:min(subset, byOrg.n)] {
-		byChat.add(subset, hitchfleet.Score(c.request.Chat, c.pool.targets[item.index].key), int(item.index))
+		byChat.add(subset, hitchfleet.Score(c.request.Chat, c.pool.keys[item.index]), int(item.index))
 	}
-	dst = c.take(dst, start, &byChat, 0, BySubset)
-	return c.take(dst, start, &byOrg, min(subset, byOrg.n), ByOverflow)
+	dst = c.take(dst, start, byChat.items[:byChat.n], BySubset)
+	return c.take(dst, start, byOrg.items[min(subset, byOrg.n):byOrg.n], ByOverflow)
 }
 
-// take appends the ranked endpoints from an index on that are below the limit.
-func (c *choice) take(dst []Candidate, start int, r *ranked, from int, why Why) []Candidate {
-	for _, item := range r.items[from:r.n] {
-		t := &c.pool.targets[item.index]
+// take appends the ranked endpoints that are below the load limit.
+func (c *choice) take(dst []Candidate, start int, items []rankedItem, why Why) []Candidate {
+	for _, item := range items {
 		if len(dst)-start >= maxCandidates-1 {
 			break
 		}
-		if t.Load <= c.pool.limit && !has(dst[start:], t.Endpoint.ID) {
-			dst = append(dst, Candidate{Endpoint: t.Endpoint.ID, Why: why})
+		id := c.pool.id(item.index)
+		if c.pool.fast[item.index].load <= c.pool.limit && !has(dst[start:], id) {
+			dst = append(dst, Candidate{Endpoint: id, Why: why})
 		}
 	}
 	return dst
 }
 
 // leastLoaded appends the least loaded of a few endpoints drawn by the chat's
-// hash. Where loads are alike the router's own zone is preferred.
+// hash, or the first that serves if none of those does.
 func (c *choice) leastLoaded(dst []Candidate, start int) []Candidate {
-	targets := c.pool.targets
-	best := -1
-	for k := 0; k < len(targets) && (k < loadSamples || best < 0); k++ {
-		at := hitchfleet.Score(c.request.Chat, loadKey) % uint64(len(targets))
+	n := uint64(len(c.pool.fast))
+	best := int32(-1)
+	for k := uint64(0); k < n && (k < loadSamples || best < 0); k++ {
+		at := int32((hitchfleet.Score(c.request.Chat, loadKey) + k) % n)
 		if k < loadSamples {
-			at = hitchfleet.Score(c.request.Chat, loadKey+hitchfleet.Key(k)) % uint64(len(targets))
-		} else {
-			at = (at + uint64(k)) % uint64(len(targets))
+			at = int32(hitchfleet.Score(c.request.Chat, loadKey+hitchfleet.Key(k)) % n)
 		}
-		t := &targets[at]
-		if !t.serving || !c.fits(t) || has(dst[start:], t.Endpoint.ID) {
+		if !c.pool.fast[at].serving || !c.fits(int(at)) || has(dst[start:], c.pool.id(at)) {
 			continue
 		}
-		if best < 0 || c.cost(t) < c.cost(&targets[best]) {
-			best = int(at)
+		if best < 0 || c.cost(at) < c.cost(best) {
+			best = at
 		}
 	}
 	if best < 0 {
 		return dst
 	}
-	return append(dst, Candidate{Endpoint: targets[best].Endpoint.ID, Why: ByLoad})
+	return append(dst, Candidate{Endpoint: c.pool.id(best), Why: ByLoad})
 }
 
 // loadKey tells the draw of the least loaded from the other uses of a chat's hash.
 const loadKey hitchfleet.Key = 0x6c6f6164
 
 // cost is a load with an eighth off in the router's own zone.
-func (c *choice) cost(t *target) int64 {
-	if t.Endpoint.Zone == c.request.Zone {
-		return t.Load - t.Load/8
+func (c *choice) cost(i int32) int64 {
+	load := c.pool.fast[i].load
+	if c.pool.targets[i].Endpoint.Zone == c.request.Zone {
+		return load - load/8
 	}
-	return t.Load
+	return load
 }
 
 func has(list []Candidate, id hitchfleet.EndpointID) bool {
