--- a/hitchconfig/confirm.go
+++ b/hitchconfig/confirm.go
@@ -99,7 +99,8 @@
 		e.Store, e.Router)
 }
 
-// ExpiredError says that a plan was confirmed after its deadline.
+// ExpiredError says that a plan was confirmed after its deadline. It was not
+// accepted, and no earlier confirm of it can still take effect.
 type ExpiredError struct {
 	Deadline time.Time
 }
@@ -135,6 +136,7 @@
 	if !t.verify(f.Keys) {
 		return Accepted{}, ErrTokenInvalid
 	}
+	late := f.Now().After(t.Deadline)
 	var unknown error
 	for range maxConfirmAttempts {
 		head, was, err := f.Head(ctx)
@@ -147,7 +149,7 @@
 		if head.Configuration.Revision != t.Base {
 			return f.settled(ctx, t, head, unknown != nil)
 		}
-		outcome, next, err := f.attempt(ctx, t, operator, head, was, unknown != nil)
+		outcome, next, err := f.attempt(ctx, t, operator, head, was, late)
 		switch outcome {
 		case SwapDone:
 			accept := next.Accepts[len(next.Accepts)-1]
@@ -180,18 +182,16 @@
 	return h, value.Revision, err
 }
 
-// attempt writes the next head once. The deadline doesn't stop a repeat after a
-// lost answer, as the first write was in time.
-func (f Confirmer) attempt(ctx context.Context, t Token, operator string, h Head, was int64, repeat bool) (SwapOutcome, Head, error) {
-	now := f.Now()
-	if !repeat && now.After(t.Deadline) {
-		return SwapNotDone, Head{}, &ExpiredError{Deadline: t.Deadline}
+// attempt writes the next head once, or ends a plan that was confirmed late.
+func (f Confirmer) attempt(ctx context.Context, t Token, operator string, h Head, was int64, late bool) (SwapOutcome, Head, error) {
+	if late {
+		return f.expire(ctx, t, h, was)
 	}
 	h, err := f.archive(ctx, h)
 	if err != nil {
 		return SwapNotDone, Head{}, err
 	}
-	next, err := h.with(t, operator, now, f.Keys)
+	next, err := h.with(t, operator, f.Now(), f.Keys)
 	if err != nil {
 		return SwapNotDone, Head{}, err
 	}
@@ -203,6 +203,25 @@
 	return outcome, next, err
 }
 
+// expire writes the head again as it is. A write of the same plan that is still
+// under way then has no effect, so that ExpiredError is final.
+func (f Confirmer) expire(ctx context.Context, t Token, h Head, was int64) (SwapOutcome, Head, error) {
+	sum, err := h.Configuration.Checksum()
+	if err != nil {
+		return SwapNotDone, Head{}, err
+	}
+	h.Proof = signRevision(f.Keys, h.Configuration.Revision, sum)
+	data, err := h.Encode()
+	if err != nil {
+		return SwapNotDone, Head{}, err
+	}
+	outcome, err := f.Store.Swap(ctx, HeadKey, was, data)
+	if outcome == SwapDone {
+		return SwapNotDone, Head{}, &ExpiredError{Deadline: t.Deadline}
+	}
+	return outcome, Head{}, err
+}
+
 // settled answers for a plan whose base is no longer the head's revision.
 func (f Confirmer) settled(ctx context.Context, t Token, h Head, repeat bool) (Accepted, error) {
 	next := t.Base + 1
