--- a/hitchadmit/cold.go
+++ b/hitchadmit/cold.go
@@ -23,8 +23,8 @@
 	serviceSlowFirstByte = time.Second
 	// warmFastCount fast first tokens prove that an endpoint is warm again.
 	warmFastCount = 2
-	// restartDrop is by how many times the requests in hand fall at a restart, and
-	// restartMinRequests how many there must have been.
+	// restartDrop is by how many times the work in hand falls at a restart, and
+	// restartMinRequests how many requests there must have been.
 	restartDrop        = 10
 	restartMinRequests = 8
 	// firstTokenGain is the weight of a new sample in the usual first-token time.
@@ -84,14 +84,15 @@
 	w.slow, w.fast = 0, 0
 }
 
-// report takes a load report. expected is how many requests the owner believes
-// the endpoint had in hand at the report's time.
-func (w *warmth) report(now time.Time, r LoadReport, expected int64) {
+// report takes a load report. expected is what the owner believes the endpoint had
+// in hand at the report's time.
+func (w *warmth) report(now time.Time, r LoadReport, expected Holding) {
 	restarted := !w.startedAt.IsZero() && r.StartedAt.After(w.startedAt)
 	if r.StartedAt.After(w.startedAt) {
 		w.startedAt = r.StartedAt
 	}
-	dropped := expected >= restartMinRequests && r.Requests*restartDrop <= expected
+	dropped := expected.Requests >= restartMinRequests &&
+		r.Requests*restartDrop <= expected.Requests && r.Load*restartDrop <= expected.Cost
 	switch {
 	case r.Cold:
 		w.chill()
--- a/hitchadmit/endpoint.go
+++ b/hitchadmit/endpoint.go
@@ -232,5 +232,5 @@
 		},
 		deadline: now.Add(ReportLife),
 	}
-	e.warmth.report(now, r, then.Requests)
+	e.warmth.report(now, r, then)
 }
