hitchconfig: a test of its own for plans that have ended, and versions among those that are ready

And chats of a canary that is still being loaded had no version to go to.

Ruled out: more random histories in each run (seconds for a fault that one example shows).

Change: a test makes the late write by hand. Route.VersionAmong is VersionFor among ready versions.

The new test fails without the fix at once.

Conclusion: tests, race detector and linters pass.

--- a/hitchconfig/configuration_test.go
+++ b/hitchconfig/configuration_test.go
@@ -201,6 +201,8 @@
 		if was == "v2" {
 			canary++
 			qt.Assert(t, is, qt.Equals, "v2")
+			still, _ := after.VersionAmong(key, func(v string) bool { return v == "v1" })
+			qt.Assert(t, still, qt.Equals, "v1")
 		}
 		if was != is {
 			moved++
--- a/hitchconfig/confirm_test.go
+++ b/hitchconfig/confirm_test.go
@@ -170,6 +170,22 @@
 	}
 }
 
+func TestExpiredPlanStaysEnded(t *testing.T) {
+	s := &fakeStore{lose: []string{"late", "late", "late", "late"}}
+	f := s.confirmer()
+	token := planOn(t, Head{}, "plan-1", "maja", zoneIntent(1))
+	_, err := f.Confirm(t.Context(), token, "maja")
+	var undecided *UndecidedError
+	qt.Assert(t, errors.As(err, &undecided), qt.IsTrue)
+	f.Now = func() time.Time { return token.Deadline.Add(1) }
+	_, err = f.Confirm(t.Context(), token, "maja")
+	var expired *ExpiredError
+	qt.Assert(t, errors.As(err, &expired), qt.IsTrue)
+	s.land()
+	qt.Assert(t, s.head(t).Accepts, qt.HasLen, 0)
+	qt.Assert(t, s.head(t).Configuration.Revision, qt.Equals, uint64(0))
+}
+
 func TestConfirmOfStalePlanNamesTheWinner(t *testing.T) {
 	s := &fakeStore{}
 	mine := planOn(t, Head{}, "plan-1", "maja", zoneIntent(1))
--- a/hitchconfig/route.go
+++ b/hitchconfig/route.go
@@ -97,9 +97,15 @@
 // Tables, 2005). A change of weights moves only the chats that it must move.
 // It returns false for a route without a weighted version.
 func (r Route) VersionFor(chat hitchfleet.Key) (version string, ok bool) {
+	return r.VersionAmong(chat, func(string) bool { return true })
+}
+
+// VersionAmong is VersionFor among the versions that are ready. The chats of a
+// version that is still being loaded go to the others, and come once it is ready.
+func (r Route) VersionAmong(chat hitchfleet.Key, isReady func(version string) bool) (version string, ok bool) {
 	best := math.Inf(-1)
 	for _, v := range r.Versions {
-		if v.Weight <= 0 {
+		if v.Weight <= 0 || !isReady(v.Name) {
 			continue
 		}
 		hash := hitchfleet.Score(chat, hitchfleet.KeyOf(string(r.ID), v.Name))
