--- a/hitchadmit/bench_test.go
+++ b/hitchadmit/bench_test.go
@@ -98,3 +98,31 @@
 		})
 	}
 }
+
+// BenchmarkSetMembers is one change of the members of a region with 130 routers.
+func BenchmarkSetMembers(b *testing.B) {
+	for _, n := range []int{190, 380, 760} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			m := alone(n)
+			m.Live, m.Listed = routers(130), 130
+			o := &Owners{}
+			for range b.N {
+				o.SetMembers(start, m, nil)
+			}
+		})
+	}
+}
+
+// BenchmarkTick is one look at the two endpoints of a router among 760.
+func BenchmarkTick(b *testing.B) {
+	o := benchOwners(2)
+	m := alone(760)
+	m.Live, m.Listed = routers(390), 390
+	o.SetMembers(at(21), m, nil)
+	b.ResetTimer()
+	now := at(21)
+	for range b.N {
+		now = now.Add(100 * time.Millisecond)
+		o.Tick(now, nil)
+	}
+}
--- a/hitchadmit/limits.go
+++ b/hitchadmit/limits.go
@@ -10,7 +10,7 @@
 // The defaults of Limits.
 const (
 	DefaultBoundFactor     = 2.0
-	DefaultEngineFloor     = 16 << 10  // tokens
+	DefaultEngineFloor     = 64 << 10  // tokens
 	DefaultEngineCapacity  = 512 << 10 // tokens
 	DefaultServiceFloor    = 16        // requests
 	DefaultServiceCapacity = 256       // requests
--- a/hitchadmit/owners_test.go
+++ b/hitchadmit/owners_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"sync"
 	"testing"
 	"time"
 
@@ -181,3 +182,34 @@
 	o.Report(at(3.5), LoadReport{Endpoint: engineID(0), AsOf: at(2), Load: 900, Requests: 2}, nil)
 	qt.Assert(t, o.Digest(at(3.5)).Loads[0].Load, qt.Equals, int64(500+300+400))
 }
+
+func TestOwnersFromSeveralGoroutines(t *testing.T) {
+	const workers, rounds = 8, 500
+	o := warmOwners(6, Limits{})
+	var wg sync.WaitGroup
+	for w := range workers {
+		wg.Go(func() {
+			var due []Notice
+			for i := range rounds {
+				id := GrantID(w*rounds + i + 1)
+				_, due = o.Ask(at(1), askFor(id, i%6, 100).waitUntil(1, 30), due[:0])
+				due = o.Release(at(1), Release{ID: id, Endpoint: engineID(i % 6)}, due[:0])
+				switch i % 50 {
+				case 7:
+					due = o.Tick(at(1), due[:0])
+				case 17:
+					due = o.SetMembers(at(1), alone(6), due[:0])
+				case 27:
+					o.Learn(at(1), Digest{From: "router-9", Loads: o.Digest(at(1)).Loads})
+				}
+			}
+		})
+	}
+	wg.Wait()
+	for _, l := range o.Digest(at(1)).Loads {
+		qt.Assert(t, l.Granted, qt.Equals, int64(0))
+	}
+	for key, p := range o.pools {
+		qt.Assert(t, p.open.Load(), qt.Equals, int64(6), qt.Commentf("%v", key))
+	}
+}
--- a/hitchadmit/surge_test.go
+++ b/hitchadmit/surge_test.go
@@ -194,7 +194,10 @@
 		"handover":  {Packet{Handover: &Handover{From: a.Asker, Endpoint: a.Endpoint, Granted: Holding{Cost: 5, Requests: 1}}}, 50},
 		"report":    {Packet{LoadReport: &LoadReport{Endpoint: a.Endpoint, AsOf: at(1), Load: 1 << 20}}, 60},
 		"digest":    {Packet{Digest: &Digest{From: a.Asker, Loads: []EndpointLoad{{Endpoint: a.Endpoint, Load: 1 << 20}}}}, 60},
-		"first":     {Packet{FirstToken: &FirstToken{Endpoint: a.Endpoint, DispatchedAt: at(1), At: at(2)}}, 60},
+		"digest of two": {Packet{Digest: &Digest{From: a.Asker, Loads: []EndpointLoad{
+			{Endpoint: a.Endpoint, Load: 1 << 20, Granted: 1 << 20}, {Endpoint: a.Endpoint, Load: 1 << 20, Granted: 1 << 20},
+		}}}, 80},
+		"first": {Packet{FirstToken: &FirstToken{Endpoint: a.Endpoint, DispatchedAt: at(1), At: at(2)}}, 60},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
