--- a/hitchconfig/confirm.go
+++ b/hitchconfig/confirm.go
@@ -10,8 +10,8 @@
 // HeadKey is where the head stands in the key-value service.
 const HeadKey = "citronhitch/configuration"
 
-// maxConfirmAttempts bounds the store calls of one Confirm: two for each
-// attempt, and two for a page of history.
+// maxConfirmAttempts bounds the store calls of one Confirm: two for the head and
+// two for the beacon in each attempt, and two for a page of history.
 const maxConfirmAttempts = 4
 
 // StoreValue is a value of the key-value service. Revision 0 means that there
@@ -199,6 +199,9 @@
 	if err != nil {
 		return SwapNotDone, Head{}, err
 	}
+	if err := f.raiseBeacon(ctx, next.Configuration.Revision); err != nil {
+		return SwapNotDone, Head{}, err
+	}
 	outcome, err := f.Store.Swap(ctx, HeadKey, was, data)
 	return outcome, next, err
 }
--- a/hitchconfig/repair.go
+++ b/hitchconfig/repair.go
@@ -24,6 +24,9 @@
 	if err != nil {
 		return err
 	}
+	if err := f.raiseBeacon(ctx, cfg.Revision); err != nil {
+		return err
+	}
 	outcome, err := f.Store.Swap(ctx, HeadKey, was, data)
 	if outcome == SwapDone {
 		return nil
--- a/hitchorder/order.go
+++ b/hitchorder/order.go
@@ -18,8 +18,8 @@
 	UnloadAdapter OrderKind = "UnloadAdapter"
 	ChangeRole    OrderKind = "ChangeRole"
 	// HoldNumber tells an engine that checks numbers the new number, and changes
-	// nothing. For engines without such an order, the adapter repeats LoadVersion
-	// of a version that they hold.
+	// nothing. For engines without such an order, the adapter sends ChangeRole with
+	// the role that they have.
 	HoldNumber OrderKind = "HoldNumber"
 )
 
