Admission: digests that come seldom count longer

Cause: a digest counted for 5 s. Gossip at 130 routers of a region spreads loads each 20 s for about 1 KB/s; the mean would then have been taken over loads of 0.

Ruled out: a longer constant, which would keep the loads of a lost owner for long also in small fleets; scaling the mean up by the part that is known, which could pass the bound.

Change: a digest counts for three times as long as the last one took to come, at least 5 s and at most a minute.

The effect at that size isn't measured.

--- a/hitchadmit/digest.go
+++ b/hitchadmit/digest.go
@@ -61,7 +61,8 @@
 		e.publish()
 		return
 	}
-	e.remote = holder{holding: Holding{Cost: max(l.Load, 0)}, deadline: deadline}
+	e.remote = holder{holding: Holding{Cost: max(l.Load, 0)}, deadline: e.digestDeadline(steady)}
+	e.learned = steady
 	switch {
 	case l.Cold:
 		e.warmth.chill()
@@ -71,6 +72,18 @@
 	e.publish()
 }
 
+// digestDeadline is how long a digest counts that arrives now: DigestLife, or three
+// times as long as the last one has taken if they come less often, as gossip of a
+// large fleet spreads loads slowly.
+func (e *endpoint) digestDeadline(now time.Time) time.Time {
+	const missed = 3
+	life := DigestLife
+	if !e.learned.IsZero() {
+		life = min(max(life, missed*now.Sub(e.learned)), MaxDigestLife)
+	}
+	return now.Add(life)
+}
+
 // Leave returns what the router's successors need to go on at once, and stops
 // granting. Call it when the router starts to leave, and send each Handover to
 // the endpoint's owner among the others.
--- a/hitchadmit/endpoint.go
+++ b/hitchadmit/endpoint.go
@@ -45,7 +45,9 @@
 	// reported is the time of the last load report.
 	reported time.Time
 	// remote is the load by the digest of the endpoint's owner.
-	remote      holder
+	remote holder
+	// learned is when the last digest came.
+	learned     time.Time
 	history     history
 	warmth      warmth
 	tenants     tenants
--- a/hitchadmit/faults_test.go
+++ b/hitchadmit/faults_test.go
@@ -191,3 +191,32 @@
 	qt.Assert(t, due, qt.HasLen, 1)
 	qt.Assert(t, due[0].Decision.Verdict, qt.Equals, Refused)
 }
+
+func TestDigestsThatComeSeldomCountLonger(t *testing.T) {
+	tests := map[string]struct {
+		every, lastsFor float64
+	}{
+		"each second":     {1, 5},
+		"each 10 seconds": {10, 30},
+		"each minute":     {60, 60},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			var o Owners
+			m := successor(1)
+			m.Self = "router-0"
+			o.SetMembers(at(0), m, nil)
+			d := Digest{From: "router-1", Loads: []EndpointLoad{{Endpoint: engineID(0), Load: 700}}}
+			o.Learn(at(0), d)
+			tickUntil(&o, 1, test.every)
+			o.Learn(at(test.every), d)
+			pool := o.shard(engineID(0)).endpoints[engineID(0)].pool
+			for s := 1.0; s <= test.lastsFor; s++ {
+				o.Tick(at(test.every+s), nil)
+				qt.Assert(t, pool.total.Load(), qt.Equals, int64(700))
+			}
+			o.Tick(at(test.every+test.lastsFor+1), nil)
+			qt.Assert(t, pool.total.Load(), qt.Equals, int64(0))
+		})
+	}
+}
--- a/hitchadmit/limits.go
+++ b/hitchadmit/limits.go
@@ -34,8 +34,10 @@
 	// StaleBeforeTakeover is by how much Members.Until comes before the time at
 	// which the others replace a router that they can't reach.
 	StaleBeforeTakeover = time.Second
-	// DigestLife is how long the loads of a digest count.
-	DigestLife = 5 * time.Second
+	// DigestLife is how long the loads of a digest count at least, and MaxDigestLife
+	// at most where digests come seldom.
+	DigestLife    = 5 * time.Second
+	MaxDigestLife = time.Minute
 	// ReportLife is how long a load report counts.
 	ReportLife = 5 * time.Second
 )
