hitchconfig: the example's store keeps its keys apart

Ruled out: nothing else; the fault was in the example alone.

Change: the example's store has a value for each key.

--- a/hitchconfig/example_test.go
+++ b/hitchconfig/example_test.go
@@ -14,17 +14,17 @@
 func Example() {
 	now := time.Date(2026, 3, 2, 9, 0, 0, 0, time.UTC)
 	keys := hitchconfig.Keyring{Keys: []hitchconfig.FleetKey{{ID: "2026", Secret: []byte("from the settings")}}}
-	var value hitchconfig.StoreValue
+	values := make(map[string]hitchconfig.StoreValue)
 	confirmer := hitchconfig.Confirmer{
 		Keys: keys,
 		Now:  func() time.Time { return now },
 		Store: hitchconfig.Store{
-			Get: func(context.Context, string) (hitchconfig.StoreValue, error) { return value, nil },
-			Swap: func(_ context.Context, _ string, was int64, data []byte) (hitchconfig.SwapOutcome, error) {
-				if was != value.Revision {
+			Get: func(_ context.Context, key string) (hitchconfig.StoreValue, error) { return values[key], nil },
+			Swap: func(_ context.Context, key string, was int64, data []byte) (hitchconfig.SwapOutcome, error) {
+				if was != values[key].Revision {
 					return hitchconfig.SwapConflict, nil
 				}
-				value = hitchconfig.StoreValue{Data: data, Revision: was + 1}
+				values[key] = hitchconfig.StoreValue{Data: data, Revision: was + 1}
 				return hitchconfig.SwapDone, nil
 			},
 		},
