Admission: SetMembers without a change does no more than Renew

Cause: routers build their view anew twice a second, and each SetMembers chose all owners again: 1.34 ms at 760 endpoints and 130 routers, a quarter of the processor time that a router may spend on control.

Ruled out: leaving it to callers to call Renew, as they would each have to compare the views.

Change: SetMembers compares with the last members and limits first.

Figures at 190, 380 and 760 endpoints: unchanged 10, 16 and 27 us; changed 0.39, 0.92 and 1.34 ms.

--- a/hitchadmit/bench_test.go
+++ b/hitchadmit/bench_test.go
@@ -99,17 +99,22 @@
 	}
 }
 
-// BenchmarkSetMembers is one change of the members of a region with 130 routers.
+// BenchmarkSetMembers is one change of the members of a region with 130 routers,
+// and one call without a change.
 func BenchmarkSetMembers(b *testing.B) {
 	for _, n := range []int{190, 380, 760} {
-		b.Run(fmt.Sprint(n), func(b *testing.B) {
-			m := alone(n)
-			m.Live, m.Listed = routers(130), 130
-			o := &Owners{}
-			for range b.N {
+		for name, change := range map[string]int{"changed": 1, "same": 0} {
+			b.Run(fmt.Sprint(name, "-", n), func(b *testing.B) {
+				m := alone(n)
+				m.Live, m.Listed = routers(130), 130
+				o := &Owners{}
 				o.SetMembers(start, m, nil)
-			}
-		})
+				for range b.N {
+					m.Listed += change
+					o.SetMembers(start, m, nil)
+				}
+			})
+		}
 	}
 }
 
--- a/hitchadmit/members.go
+++ b/hitchadmit/members.go
@@ -11,11 +11,16 @@
 // that Members.Until doesn't pass. Queued asks at endpoints that this router no
 // longer owns are refused as Stale: the asker turns to the new owner. If the last
 // view had lapsed, the others may have replaced this router in the meantime: it
-// takes its endpoints over anew.
+// takes its endpoints over anew. The slices of m must not change afterwards. If
+// nothing but Until has changed, it does no more than Renew.
 func (o *Owners) SetMembers(now time.Time, m Members, due []Notice) []Notice {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	v := newView(now, m, o.Limits.withDefaults())
+	limits := o.Limits.withDefaults()
+	if v := o.view.Load(); v != nil && v.isSame(&m, &limits) && o.renew(now, m.Until) {
+		return due
+	}
+	v := newView(now, m, limits)
 	steady := o.age.advanceAtMost(now, longestWait)
 	v.until = steady.Add(m.Until.Sub(now))
 	v.lapsed = !o.view.Load().fresh(now, steady)
@@ -70,6 +75,10 @@
 func (o *Owners) Renew(now, until time.Time) bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	return o.renew(now, until)
+}
+
+func (o *Owners) renew(now, until time.Time) bool {
 	v := o.view.Load()
 	steady := o.age.advanceAtMost(now, longestWait)
 	if !v.fresh(now, steady) {
--- a/hitchadmit/view.go
+++ b/hitchadmit/view.go
@@ -39,6 +39,14 @@
 	return v
 }
 
+// isSame tells whether members and limits are those of the view, but for Until.
+func (v *view) isSame(m *Members, l *Limits) bool {
+	was := &v.members
+	return was.Self == m.Self && was.Listed == m.Listed && v.limits == *l &&
+		slices.Equal(was.Live, m.Live) && slices.Equal(was.Endpoints, m.Endpoints) &&
+		slices.Equal(was.ZonesOut, m.ZonesOut) && slices.Equal(was.Weights, m.Weights)
+}
+
 func (v *view) liveInRegion() int {
 	self := slices.IndexFunc(v.members.Live, func(i hitchfleet.Instance) bool { return i.ID == v.members.Self })
 	if self < 0 {
