hitchpeer: hold back packets to addresses that don't answer

Cause: a packet to a router without an open connection dials. A bound on connections below the number of neighbours closed and opened connections of probes in turn.

Change: an address that didn't answer isn't dialled for packets within 10 s; calls still dial it. The least used connections are closed only 5 s after their last use. A failed call resets its stream in both directions; MarkLeaving before Bind does nothing.

--- a/hitchpeer/call.go
+++ b/hitchpeer/call.go
@@ -88,7 +88,13 @@
 		return response{}, err
 	}
 	l.countCalls(n.now(), 1)
-	defer func() { l.countCalls(n.now(), -1) }()
+	defer func() {
+		l.countCalls(n.now(), -1)
+		if err != nil {
+			stream.CancelWrite(0)
+			stream.CancelRead(0)
+		}
+	}()
 	stop := context.AfterFunc(ctx, func() {
 		stream.CancelWrite(0)
 		stream.CancelRead(0)
@@ -105,7 +111,6 @@
 	}
 	answer, err := readMessage(stream)
 	if err != nil {
-		stream.CancelRead(0)
 		return response{}, explain(ctx, err)
 	}
 	l.heard(n.now())
--- a/hitchpeer/dial.go
+++ b/hitchpeer/dial.go
@@ -13,6 +13,7 @@
 // Settings of connections.
 const (
 	dialTimeout      = 2 * time.Second
+	dialRetrySpacing = 10 * time.Second
 	quicIdleTimeout  = 5 * time.Minute
 	streamWindow     = 64 << 10
 	connectionWindow = 128 << 10
--- a/hitchpeer/links.go
+++ b/hitchpeer/links.go
@@ -11,6 +11,10 @@
 
 const linkShards = 16
 
+// keptAfterUse is how long a connection is kept after its last use, even if there
+// are too many.
+const keptAfterUse = 5 * time.Second
+
 // links are the open connections, in shards by the other router's ID.
 type links struct {
 	shards [linkShards]linkShard
@@ -20,6 +24,8 @@
 	mu     sync.Mutex
 	byPeer map[hitchfleet.InstanceID][]*link
 	dials  map[dialKey]*dialing
+	// retryAt is when packets may dial an address again that didn't answer.
+	retryAt map[dialKey]time.Time
 }
 
 // dialKey names a dial that several callers may wait for.
@@ -125,9 +131,35 @@
 	return d
 }
 
+// dialFailed lets no packet dial an address again before a time. Calls still may.
+func (s *links) dialFailed(key dialKey, retryAt time.Time) {
+	shard := s.shard(key.to)
+	shard.mu.Lock()
+	defer shard.mu.Unlock()
+	if shard.retryAt == nil {
+		shard.retryAt = make(map[dialKey]time.Time)
+	}
+	shard.retryAt[key] = retryAt
+}
+
+// mayDial reports whether a packet may dial an address.
+func (s *links) mayDial(key dialKey, now time.Time) bool {
+	shard := s.shard(key.to)
+	shard.mu.Lock()
+	defer shard.mu.Unlock()
+	for other, retryAt := range shard.retryAt {
+		if !now.Before(retryAt) {
+			delete(shard.retryAt, other)
+		}
+	}
+	_, waits := shard.retryAt[key]
+	return !waits
+}
+
 // leastUsed returns the connections beyond a number, those first that were used
-// longest ago. Connections with calls in flight stay.
-func (s *links) leastUsed(most int) []*link {
+// longest ago. Connections with calls in flight stay, and so do those that were
+// used lately, as probes do all the time.
+func (s *links) leastUsed(most int, now time.Time) []*link {
 	all := s.all()
 	if len(all) <= most {
 		return nil
@@ -138,7 +170,7 @@
 	}
 	var quiet []aged
 	for _, l := range all {
-		if at, busy := l.usedAt(); !busy {
+		if at, busy := l.usedAt(); !busy && now.Sub(at) >= keptAfterUse {
 			quiet = append(quiet, aged{l, at})
 		}
 	}
--- a/hitchpeer/run.go
+++ b/hitchpeer/run.go
@@ -100,7 +100,7 @@
 	if most == 0 {
 		most = DefaultMaxLinks
 	}
-	for _, l := range n.links.leastUsed(most) {
+	for _, l := range n.links.leastUsed(most, now) {
 		l.close(closeIdle, "too many connections")
 	}
 }
@@ -108,6 +108,11 @@
 // MarkLeaving tells the fleet that this router is shutting down. It goes on to
 // answer until Leave.
 func (n *Node) MarkLeaving() {
+	select {
+	case <-n.bound():
+	default:
+		return
+	}
 	n.step(LeaveStarted{})
 	n.publishLive()
 }
--- a/hitchpeer/step.go
+++ b/hitchpeer/step.go
@@ -110,7 +110,7 @@
 func (n *Node) publishLive() {
 	n.membersMu.Lock()
 	live := n.members.Live(n.now())
-	same := slices.Equal(live, *n.live.Load())
+	same := slices.Equal(live, n.Live())
 	if !same {
 		n.live.Store(&live)
 	}
@@ -126,10 +126,18 @@
 		n.sendOn(l, send.Packet)
 		return
 	}
+	to := n.lookup(send.To)
+	key := dialKey{to: to.ID, addr: to.PeerAddr}
+	if !n.links.mayDial(key, n.now()) {
+		return
+	}
 	n.spawn(func() {
-		if l, err := n.link(n.ctx, n.lookup(send.To), false); err == nil {
-			n.sendOn(l, send.Packet)
+		l, err := n.link(n.ctx, to, false)
+		if err != nil {
+			n.links.dialFailed(key, n.now().Add(dialRetrySpacing))
+			return
 		}
+		n.sendOn(l, send.Packet)
 	})
 }
 
