hitchconfig: an announcement proves that its revision exists

Cause: a router that knows of a newer revision and can't get it refuses new work. The number in an announcement had no proof, so one wrong number, once heard, would have stopped every router for good.

Ruled out: forgetting an announced revision after a while, as a real one that can't be had must go on to count.

Change: an announcement carries the checksum and the proof of its revision. A higher number without a valid proof is ignored.

A router that heard a wrong number 20 times goes on; without the check it is cut off.

--- a/hitchconfig/message.go
+++ b/hitchconfig/message.go
@@ -110,7 +110,10 @@
 
 // Announcement returns what the router says in a gossip round.
 func (t Tracker) Announcement() Announcement {
-	return Announcement{Revision: t.Revision(), Ready: t.standing == Serving, Started: t.standing != Starting, Mark: t.mark}
+	return Announcement{
+		Revision: t.Revision(), Checksum: t.sum, Proof: t.offer.Proof,
+		Ready: t.standing == Serving, Started: t.standing != Starting, Mark: t.mark,
+	}
 }
 
 // storeRead takes the store's own word: it ends a start, and makes marks.
@@ -243,6 +246,9 @@
 
 // announced compares revisions with a peer, and takes its mark and its word.
 func (t Tracker) announced(from hitchfleet.InstanceID, a Announcement, now time.Time) (Tracker, []Action) {
+	if a.Revision > t.Known() && !a.verify(t.Keys) {
+		return t, nil
+	}
 	t = t.heardOf(a.Revision, now)
 	t = t.heardMark(a.Mark, now)
 	if a.Started && t.standing != Starting && t.known <= t.Revision() {
--- a/hitchconfig/offer.go
+++ b/hitchconfig/offer.go
@@ -100,6 +100,10 @@
 // Announcement is what a router says of its configuration in each gossip round.
 type Announcement struct {
 	Revision uint64
+	// Checksum and Proof show that the revision exists. Without them a wrong
+	// number would make every router wait for a revision that nobody has.
+	Checksum Checksum
+	Proof    Proof
 	// Ready says that the sender serves, so that it vouches for its revision as
 	// one that isn't older than the bound on the spread.
 	Ready bool
@@ -109,6 +113,11 @@
 	Mark Mark
 }
 
+// verify tells whether the announced revision exists. Revision 0 always does.
+func (a Announcement) verify(keys Keyring) bool {
+	return a.Revision == 0 || verifyRevision(keys, a.Proof, a.Revision, a.Checksum)
+}
+
 func signRevision(keys Keyring, revision uint64, sum Checksum) Proof {
 	return keys.Sign(purposeRevision, uint64Bytes(revision), []byte(sum))
 }
--- a/hitchconfig/packet.go
+++ b/hitchconfig/packet.go
@@ -1,6 +1,7 @@
 package hitchconfig
 
 import (
+	"encoding/hex"
 	"encoding/json"
 	"fmt"
 	"time"
@@ -12,7 +13,7 @@
 
 // packet is a peer's message as it goes between routers, in CBOR. An array
 // without field names keeps an announcement, which each router sends every
-// second, at about a hundred bytes.
+// second, at less than two hundred bytes.
 type packet struct {
 	_        struct{} `cbor:",toarray"`
 	Kind     MessageKind
@@ -20,6 +21,9 @@
 	Ready    bool
 	Started  bool
 	Whole    bool
+	Sum      []byte
+	KeyID    string
+	MAC      []byte
 	Mark     markPacket
 	// Body is the Offer or the Delta in JSON.
 	Body []byte
@@ -43,6 +47,8 @@
 	case PeerAnnounced:
 		a := m.Announcement
 		p.Revision, p.Ready, p.Started, p.Mark = a.Revision, a.Ready, a.Started, a.Mark.packet()
+		p.KeyID, p.MAC = a.Proof.KeyID, a.Proof.MAC
+		p.Sum, err = hex.DecodeString(string(a.Checksum))
 	case PeerOffered:
 		p.Body, err = json.Marshal(m.Offer)
 	case PeerSentDelta:
@@ -67,7 +73,10 @@
 	m = Message{Kind: p.Kind, From: from}
 	switch p.Kind {
 	case PeerAnnounced:
-		m.Announcement = Announcement{Revision: p.Revision, Ready: p.Ready, Started: p.Started, Mark: p.Mark.mark()}
+		m.Announcement = Announcement{
+			Revision: p.Revision, Checksum: Checksum(hex.EncodeToString(p.Sum)), Proof: Proof{KeyID: p.KeyID, MAC: p.MAC},
+			Ready: p.Ready, Started: p.Started, Mark: p.Mark.mark(),
+		}
 	case PeerOffered:
 		err = decodeStrict(p.Body, &m.Offer)
 	case PeerSentDelta:
--- a/hitchconfig/tracker_test.go
+++ b/hitchconfig/tracker_test.go
@@ -242,6 +242,13 @@
 	}
 }
 
+// claim returns what a peer announces that has a revision.
+func claim(revision uint64) Announcement {
+	return Announcement{
+		Revision: revision, Checksum: "aa", Proof: signRevision(fleetKeys, revision, "aa"), Started: true, Ready: true,
+	}
+}
+
 func TestTrackerFaults(t *testing.T) {
 	all := []int{0, 1, 2, 3}
 	tests := map[string]struct {
@@ -301,7 +308,7 @@
 		"newer revision is known and can't be had": {func(m *model) {
 			for range 10 {
 				m.pass(500 * time.Millisecond)
-				m.update(0, Message{Kind: PeerAnnounced, From: "1", Announcement: Announcement{Revision: 2, Started: true, Ready: true}})
+				m.update(0, Message{Kind: PeerAnnounced, From: "1", Announcement: claim(2)})
 			}
 		}, CutOff, 1},
 		"woken from a pause by a starting peer": {func(m *model) {
@@ -310,8 +317,14 @@
 		}, CutOff, 1},
 		"woken from a pause by a newer peer": {func(m *model) {
 			m.now = m.now.Add(time.Hour)
-			m.update(0, Message{Kind: PeerAnnounced, From: "1", Announcement: Announcement{Revision: 2, Started: true, Ready: true}})
+			m.update(0, Message{Kind: PeerAnnounced, From: "1", Announcement: claim(2)})
 		}, CutOff, 1},
+		"wrong number in an announcement": {func(m *model) {
+			for range 20 {
+				m.rounds(1, all...)
+				m.update(0, Message{Kind: PeerAnnounced, From: "1", Announcement: Announcement{Revision: 1 << 60, Started: true, Ready: true}})
+			}
+		}, Serving, 1},
 		"forged offer": {func(m *model) {
 			forged, _ := m.head.with(planOn(m.t, m.head, "p", "x", zoneIntent(9)), "x", m.now, fleetKeys)
 			forged.Proof = Keyring{Keys: []FleetKey{{ID: "k1", Secret: []byte("guess")}}}.Sign(purposeRevision, uint64Bytes(2))
