Measure control, store-calls and membership at 7, 14 and 28 routers

Change: three measures run the fleet at one, two and four times its routers, idle and with 8 requests a second and router, which is the design size's share.

--- a/hitchmeasure/config.go
+++ b/hitchmeasure/config.go
@@ -20,8 +20,8 @@
 
 // Times of the spread measurement.
 const (
-	forceStep   = 5 * time.Millisecond
-	forceLimit  = 15 * time.Second
+	forceStep  = 5 * time.Millisecond
+	forceLimit = 15 * time.Second
 )
 
 // spreadCase is one way to disturb the spread of a change.
--- a/hitchmeasure/measure.go
+++ b/hitchmeasure/measure.go
@@ -123,6 +123,9 @@
 		{"at-most-once", "Bookings under kills, silence and store faults, against the services' records.", AtMostOnce},
 		{"config", "Time from the accept of a change to its force on all routers.", Config},
 		{"zone-exit", "New work in a zone after it is taken out, and service meanwhile.", ZoneExit},
+		{"control", "Control traffic of a router at several sizes of the fleet.", Control},
+		{"store-calls", "Growth of the key-value service's calls with the fleet.", StoreCalls},
+		{"membership", "Time until a dead router is known to all, and a new one.", Membership},
 		{"rolling-restart", "Turns cut while every router is replaced in turn.", RollingRestart},
 	}
 }
