--- a/cmd/citronhitch/report_test.go
+++ b/cmd/citronhitch/report_test.go
@@ -15,9 +15,12 @@
 
 	"citronhitch.example/citronhitch/hitchapi"
 	"citronhitch.example/citronhitch/hitchburn"
+	"citronhitch.example/citronhitch/hitchclaim"
 	"citronhitch.example/citronhitch/hitchdev"
 	"citronhitch.example/citronhitch/hitchfake"
+	"citronhitch.example/citronhitch/hitchnode"
 	"citronhitch.example/citronhitch/hitchoutcome"
+	"citronhitch.example/citronhitch/hitchpeer"
 )
 
 // runReport runs the report command and returns its exit code and output.
@@ -176,3 +179,29 @@
 	code, _ = runReport(address(server), "key", "--html", "--json")
 	qt.Assert(t, code, qt.Equals, exitUsage)
 }
+
+// TestRefusalWithoutConfigurationIsObserved asks a router that has no configuration
+// yet, so that it refuses before it knows who calls.
+func TestRefusalWithoutConfigurationIsObserved(t *testing.T) {
+	gone := httptest.NewServer(http.NotFoundHandler())
+	gone.Close()
+	var authority hitchpeer.DevCertificates
+	keys, err := authority.Issue("router-0", time.Now())
+	qt.Assert(t, err, qt.IsNil)
+	var access bytes.Buffer
+	node := &hitchnode.Node{Settings: hitchnode.Settings{
+		ID: "router-0", Region: "se-south", Zone: "se-south-a", Listen: "127.0.0.1:0", PeerListen: "127.0.0.1:0",
+		Stores: []string{gone.URL}, ListURL: gone.URL, PeerKeys: keys.Current,
+		BookingSecrets: func() hitchclaim.Secrets { return hitchclaim.Secrets{} },
+		Log:            hclog.New(&hclog.LoggerOptions{Output: &access}),
+	}}
+	qt.Assert(t, node.Start(context.Background()), qt.IsNil)
+	for _, path := range []string{"/v1/chat/completions", "/services/slots", "/v1/address", "/healthz"} {
+		answer, err := http.Post("http://"+node.Addr()+path, "application/json", strings.NewReader("{}"))
+		qt.Assert(t, err, qt.IsNil)
+		_ = answer.Body.Close()
+	}
+	node.Kill()
+	qt.Assert(t, strings.Count(access.String(), "access: request:"), qt.Equals, 2)
+	qt.Assert(t, strings.Count(access.String(), "Outcome=NotRun Reason=Stale"), qt.Equals, 2)
+}
--- a/hitchburn/accesslog.go
+++ b/hitchburn/accesslog.go
@@ -17,11 +17,13 @@
 	}
 	args := []any{
 		"Request", e.Request, "Attempt", e.Attempt, "Kind", e.Kind.String(),
-		"Chat", strconv.FormatUint(uint64(e.Chat), hexadecimal), "Organisation", string(e.Organisation),
-		"Route", string(e.Route), "Zone", string(e.Zone), "Endpoint", string(e.Endpoint),
+		"Organisation", string(e.Organisation), "Route", string(e.Route), "Zone", string(e.Zone), "Endpoint", string(e.Endpoint),
 		"Outcome", e.Outcome.String(), "Reason", reason, "Status", e.Status,
 		"Milliseconds", e.End.Sub(e.Start).Milliseconds(),
 	}
+	if e.Kind == KindStream || e.Kind == KindWhole {
+		args = append(args, "Chat", strconv.FormatUint(uint64(e.Chat), hexadecimal))
+	}
 	if after, ok := e.FirstTokenAfter(); ok {
 		args = append(args, "FirstTokenMilliseconds", after.Milliseconds(), "Tokens", e.Tokens)
 	}
--- a/hitchburn/event.go
+++ b/hitchburn/event.go
@@ -42,6 +42,7 @@
 }
 
 // Event is what became of one request. It holds nothing of the request's content.
+// Names that aren't known are empty.
 type Event struct {
 	Kind         RequestKind
 	Route        hitchfleet.RouteID
--- a/hitchburn/event_test.go
+++ b/hitchburn/event_test.go
@@ -91,7 +91,7 @@
 	e := stream(120*time.Millisecond, 30*time.Millisecond)
 	e.Request, e.Attempt, e.Chat, e.Endpoint = "01R", "01A", 0xbeef, "engine-3"
 	e.LogTo(log)
-	qt.Assert(t, out.String(), qt.Equals, "[INFO]  access: request: Request=01R Attempt=01A Kind=Stream Chat=beef "+
+	qt.Assert(t, out.String(), qt.Equals, "[INFO]  access: request: Request=01R Attempt=01A Kind=Stream "+
 		"Organisation=aquarium Route=guide-llm Zone=se-south-a Endpoint=engine-3 Outcome=Ran Reason=\"\" Status=200 "+
-		"Milliseconds=420 FirstTokenMilliseconds=120 Tokens=11 TokenGapMicroseconds=30000\n")
+		"Milliseconds=420 Chat=beef FirstTokenMilliseconds=120 Tokens=11 TokenGapMicroseconds=30000\n")
 }
--- a/hitchburn/plot.go
+++ b/hitchburn/plot.go
@@ -5,6 +5,7 @@
 	"cmp"
 	"fmt"
 	"html/template"
+	"math"
 	"slices"
 	"time"
 
@@ -36,22 +37,32 @@
 			err = fmt.Errorf("plot of %s: %w", l, err)
 		}
 	}()
+	p, err := r.plot(l)
+	if err != nil || p == nil {
+		return "", err
+	}
+	return drawSVG(p)
+}
+
+// plot returns the plot of a level, or nil if it has no events.
+func (r Report) plot(l Level) (*plot.Plot, error) {
 	series := r.plotSeries(l)
 	if len(series) == 0 {
-		return "", nil
+		return nil, nil
 	}
 	p := plot.New()
 	p.Title.Text = fmt.Sprintf("%s: burn rate by route, 6 hours by 10 minutes", l)
 	p.Y.Label.Text = "burn rate"
-	p.X.Tick.Marker = plot.TimeTicks{Format: "15:04", Time: plot.UTCUnixTime}
+	p.X.Tick.Marker = plot.TickerFunc(hourTicks)
 	p.Legend.Top = true
+	p.Legend.Left = true
 	top := float64(leastTop)
 	for i, s := range series {
 		points := ratePoints(r.AsOf, s, r.objectives.Of(l))
 		top = max(top, highest(points))
 		line, err := plotter.NewLine(points)
 		if err != nil {
-			return "", err
+			return nil, err
 		}
 		line.Color = plotutil.Color(i)
 		p.Add(line)
@@ -62,7 +73,7 @@
 	p.Add(budget)
 	p.Legend.Add("budget", budget)
 	p.Y.Min, p.Y.Max = 0, top
-	return drawSVG(p)
+	return p, nil
 }
 
 // plotSeries returns the routes of a plot, those with the most bad events first.
@@ -78,16 +89,27 @@
 	return series[:min(len(series), plotLines)]
 }
 
-// ratePoints returns the burn rate of each bucket at the time of its start.
+// ratePoints returns the burn rate of each whole bucket at the time of its start,
+// and that of the last 5 minutes at the end.
 func ratePoints(now time.Time, s Series, objective float64) plotter.XYs {
 	r := resolutions[plotRing]
 	newest := r.slot(now)
 	points := make(plotter.XYs, 0, r.buckets)
-	for slot := newest - int64(r.buckets) + 1; slot <= newest; slot++ {
+	for slot := newest - int64(r.buckets) + 1; slot < newest; slot++ {
 		rate := BurnRate(s.Rings[plotRing].at(slot), objective)
 		points = append(points, plotter.XY{X: float64(r.start(slot).Unix()), Y: rate})
 	}
-	return points
+	last := BurnRate(s.Count(now, Minutes5), objective)
+	return append(points, plotter.XY{X: float64(now.Unix()), Y: last})
+}
+
+// hourTicks marks the full hours between two Unix times.
+func hourTicks(least, most float64) (ticks []plot.Tick) {
+	const hour = 3600
+	for at := math.Ceil(least/hour) * hour; at <= most; at += hour {
+		ticks = append(ticks, plot.Tick{Value: at, Label: time.Unix(int64(at), 0).UTC().Format("15:04")})
+	}
+	return ticks
 }
 
 func highest(points plotter.XYs) (top float64) {
--- a/hitchburn/recorder.go
+++ b/hitchburn/recorder.go
@@ -81,7 +81,7 @@
 }
 
 // Record counts one event that ended now. It allocates only for a name or level
-// that is new.
+// that is new. An event without a name in a dimension isn't counted there.
 func (r *Recorder) Record(now time.Time, e Event) {
 	at := slotsOf(now)
 	var verdicts [levelCount]verdict
@@ -95,6 +95,9 @@
 
 // record counts an event for one subject. With e, its times go to the histograms.
 func (r *Recorder) record(now time.Time, at slots, s subject, verdicts *[levelCount]verdict, e *Event) {
+	if s.name == "" {
+		return
+	}
 	shard := r.shard(s)
 	shard.mu.Lock()
 	x, ok := r.entry(shard, at, s)
--- a/hitchburn/recorder_test.go
+++ b/hitchburn/recorder_test.go
@@ -202,15 +202,20 @@
 	}
 }
 
+// fleetSize is the number of names of each dimension.
+type fleetSize struct {
+	organisations, routes, zones int
+}
+
 // BenchmarkMemory measures the heap of a recorder and the size of its summary, with
-// all levels in use: one route for each ten organisations, and three zones.
+// all levels in use.
 func BenchmarkMemory(b *testing.B) {
-	for _, organisations := range []int{10, 100, 500} {
-		b.Run(fmt.Sprint("organisations=", organisations), func(b *testing.B) {
+	for _, size := range []fleetSize{{10, 2, 3}, {100, 4, 6}, {210, 8, 9}, {MaxOrganisations, MaxRoutes, MaxZones}} {
+		b.Run(fmt.Sprint("organisations=", size.organisations), func(b *testing.B) {
 			var bytes, perSeries, summary float64
 			for b.Loop() {
 				before := heap()
-				r := filled(organisations)
+				r := filled(size)
 				bytes = heap() - before
 				s := r.Summary(start)
 				perSeries = bytes / float64(len(s.Series))
@@ -234,15 +239,15 @@
 }
 
 // filled returns a recorder with events in all buckets of three days.
-func filled(organisations int) *Recorder {
+func filled(size fleetSize) *Recorder {
 	r := &Recorder{}
 	const step = 5 * time.Minute
 	for now := start.Add(-72 * time.Hour); !now.After(start); now = now.Add(step) {
-		for n := range organisations {
+		for n := range size.organisations {
 			e := stream(time.Duration(n+1)*time.Millisecond, 30*time.Millisecond)
 			e.Organisation = hitchfleet.OrganisationID(fmt.Sprint("organisation-", n))
-			e.Route = hitchfleet.RouteID(fmt.Sprint("route-", n/10))
-			e.Zone = hitchfleet.AvailabilityZone(fmt.Sprint("zone-", n%3))
+			e.Route = hitchfleet.RouteID(fmt.Sprint("route-", n%size.routes))
+			e.Zone = hitchfleet.AvailabilityZone(fmt.Sprint("zone-", n%size.zones))
 			r.Record(now, e)
 			e.Kind, e.Tokens, e.FirstToken = KindBooking, 0, time.Time{}
 			r.Record(now, e)
@@ -250,3 +255,12 @@
 	}
 	return r
 }
+
+// BenchmarkMerge merges the summary of one more router of the large fleet.
+func BenchmarkMerge(b *testing.B) {
+	one := filled(fleetSize{210, 8, 9}).Summary(start).WithRouter("router-1")
+	sum := one
+	for b.Loop() {
+		sum = Merge(sum, one)
+	}
+}
--- a/hitchnode/wire.go
+++ b/hitchnode/wire.go
@@ -1,16 +1,20 @@
 package hitchnode
 
 import (
+	"errors"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
+	"github.com/oklog/ulid/v2"
 	"github.com/samber/do/v2"
 
 	"citronhitch.example/citronhitch/hitchapi"
 	"citronhitch.example/citronhitch/hitchburn"
 	"citronhitch.example/citronhitch/hitchfleet"
 	"citronhitch.example/citronhitch/hitchforward"
+	"citronhitch.example/citronhitch/hitchoutcome"
 	"citronhitch.example/citronhitch/hitchpeer"
 	"citronhitch.example/citronhitch/hitchrouter"
 	"citronhitch.example/citronhitch/hitchstore"
@@ -117,12 +121,42 @@
 // watch returns a handler that counts the requests in flight, and has the router
 // tell what became of each.
 func (o *observer) watch(next http.Handler) http.Handler {
-	of := &hitchrouter.Observer{Observe: o.observe}
 	return o.inFlight.Count(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		start, isObserved := time.Now(), false
+		of := &hitchrouter.Observer{Observe: func(now time.Time, e hitchburn.Event) {
+			isObserved = true
+			o.observe(now, e)
+		}}
+		defer func() {
+			if !isObserved {
+				o.observeRefused(r, start, time.Now())
+			}
+		}()
 		next.ServeHTTP(w, r.WithContext(hitchrouter.WithObserver(r.Context(), of)))
 	}))
 }
 
+// chatPath is where callers chat, as hitchapi registers it.
+const chatPath = "/v1/chat/completions"
+
+// observeRefused counts a caller's request that the router refused before it read
+// whose it is, as it has no current configuration.
+func (o *observer) observeRefused(r *http.Request, start, now time.Time) {
+	isService := strings.HasPrefix(r.URL.Path, hitchapi.ServicePrefix+"/")
+	refusal := &hitchoutcome.Refusal{}
+	if !isService && r.URL.Path != chatPath || !errors.As(o.node.router.Ready(), &refusal) {
+		return
+	}
+	e := hitchburn.Event{
+		Kind: hitchburn.KindWhole, Zone: o.node.Settings.Zone, Request: ulid.Make().String(),
+		Reason: refusal.Reason, Outcome: refusal.Outcome, Start: start, End: now,
+	}
+	if isService {
+		e.Kind = hitchburn.KindService
+	}
+	o.observe(now, e)
+}
+
 // observe takes what became of a request.
 func (o *observer) observe(now time.Time, e hitchburn.Event) {
 	o.recorder.Record(now, e)
