hitchpeer: a router that stands still, and random splits

Cause: finding a silent router was only driven on plain values, and the random orders had no splits.

Tried: closing a router's socket. It isn't silence: the router goes on over the fresh sockets that it dials from, and is rightly seen as alive.

--- a/hitchpeer/cost_test.go
+++ b/hitchpeer/cost_test.go
@@ -60,6 +60,9 @@
 	b.ReportMetric(1000*second.Seconds()/calls, "ms/call")
 	b.ReportMetric(1000*(first-second).Seconds()/dials, "ms/dial")
 	b.ReportMetric(float64(mesh.WireSent-dialed.WireSent)/dials, "B/dial")
+	found, back := pause(f, all[size-1])
+	b.ReportMetric(float64(found.Milliseconds()), "ms-to-find-paused")
+	b.ReportMetric(float64(back.Milliseconds()), "ms-to-return")
 }
 
 // callAll lets each router call each other one, and returns the processor time.
--- a/hitchpeer/gossip_test.go
+++ b/hitchpeer/gossip_test.go
@@ -50,7 +50,11 @@
 	s.run(period + delivery)
 	known, sent := 0, 0
 	for _, n := range s.nodes {
-		known += len(n.gossip.Values(testLoads))
+		values := n.gossip.Values(testLoads)
+		known += len(values)
+		for _, value := range values {
+			qt.Assert(t, s.nodes[value.Origin].members.Self.Region, qt.Equals, n.members.Self.Region)
+		}
 		sent += n.bytes - before[n]
 	}
 	rate := float64(sent)/count/(period+delivery).Seconds() - quiet
--- a/hitchpeer/members_test.go
+++ b/hitchpeer/members_test.go
@@ -231,13 +231,20 @@
 	return all
 }
 
-// TestMembersConvergeAfterFaults lets routers stop, restart and lose packets at
-// random, and then be quiet.
+// TestMembersConvergeAfterFaults lets routers stop, restart, lose packets and lose
+// each other at random, and then be quiet.
 func TestMembersConvergeAfterFaults(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		s := newSimulation(7).acquaint()
 		for range rapid.IntRange(1, 6).Draw(t, "faults") {
 			s.loss = rapid.Float64Range(0, 0.5).Draw(t, "loss")
+			cut := rapid.SampledFrom([]func(Record) string{
+				func(Record) string { return "" },
+				func(r Record) string { return string(r.Region) },
+				func(r Record) string { return string(r.Zone) },
+				func(r Record) string { return string(r.ID) },
+			}).Draw(t, "cut")
+			s.blocked = func(a, b Record) bool { return cut(a) != cut(b) }
 			id := rapid.SampledFrom(s.order).Draw(t, "router")
 			n := s.nodes[id]
 			if !n.down {
@@ -250,6 +257,7 @@
 			s.run(time.Duration(rapid.IntRange(100, 5000).Draw(t, "ms")) * time.Millisecond)
 		}
 		s.loss = 0
+		s.blocked = func(Record, Record) bool { return false }
 		running := 0
 		var list Listed
 		for _, n := range s.nodes {
