--- a/hitchadmit/endpoint.go
+++ b/hitchadmit/endpoint.go
@@ -43,6 +43,8 @@
 	// stray is reported work that no grant explains.
 	stray holder
 	// reported is the time of the last load report.
+	// slots is how many requests the endpoint runs at once, or 0 if unknown.
+	slots int64
 	reported time.Time
 	// remote is the load by the digest of the endpoint's owner.
 	remote holder
@@ -224,7 +226,7 @@
 	if asOf.Before(e.reported) {
 		return
 	}
-	e.reported = asOf
+	e.reported, e.slots = asOf, r.Slots
 	then := e.history.at(asOf)
 	other := e.elsewhere()
 	e.stray = holder{
--- a/hitchadmit/message.go
+++ b/hitchadmit/message.go
@@ -120,6 +120,9 @@
 	Load     int64
 	Requests int64
 	Cold     bool
+	// Slots is how many requests the endpoint runs at once, or 0 if it doesn't say.
+	// More would wait in its own queue, which knows no shares.
+	Slots int64
 }
 
 // EndpointLoad is what an owner knows of one of its endpoints.
--- a/hitchadmit/room.go
+++ b/hitchadmit/room.go
@@ -1,6 +1,7 @@
 package hitchadmit
 
 import (
+	"math"
 	"time"
 
 	"citronhitch.example/citronhitch/hitchfleet"
@@ -30,12 +31,22 @@
 func (e *endpoint) limit(l *Limits, cost int64) (int64, shortage) {
 	bound := Bound(l.BoundFactor, l.floor(e.spec.Kind), e.pool.total.Load(), cost, e.pool.serving.Load())
 	bound = int64(SettledShare * float64(bound))
-	if capacity := l.capacity(e.spec.Kind); capacity < bound {
+	if capacity := min(l.capacity(e.spec.Kind), e.slotCapacity()); capacity < bound {
 		return capacity, shortCapacity
 	}
 	return bound, shortBound
 }
 
+// slotCapacity is the work that the endpoint runs at once: its slots times the
+// mean work of the requests in hand.
+func (e *endpoint) slotCapacity() int64 {
+	load := e.load()
+	if e.slots <= 0 || load.Requests <= 0 {
+		return math.MaxInt64
+	}
+	return e.slots * max(load.Cost/load.Requests, 1)
+}
+
 // takeoverLimit is the most work that a new owner may grant by itself.
 func (e *endpoint) takeoverLimit(l *Limits, cost int64) int64 {
 	bound := Bound(l.BoundFactor, l.floor(e.spec.Kind), e.pool.total.Load(), cost, e.pool.serving.Load())
--- a/hitchdev/deployment.go
+++ b/hitchdev/deployment.go
@@ -37,6 +37,9 @@
 	CacheTokens int
 	// ColdLimit is how many requests an engine in cold start bears.
 	ColdLimit int
+	// MaxRunning is how many requests an engine runs at once; 0 means the stand-in's
+	// own.
+	MaxRunning int
 	// LagMillis is the age of load reports and of the instance list.
 	LagMillis int
 }
--- a/hitchdev/enginepool.go
+++ b/hitchdev/enginepool.go
@@ -75,7 +75,7 @@
 func (d Deployment) newEngine() *hitchfake.Engine {
 	return &hitchfake.Engine{
 		TokensPerSecond: d.TokensPerSecond, PrefillPerSecond: d.PrefillPerSecond, CacheTokens: d.CacheTokens,
-		LoadLagMillis: d.LagMillis, EventLagMillis: d.LagMillis, ColdLimit: d.ColdLimit,
+		LoadLagMillis: d.LagMillis, EventLagMillis: d.LagMillis, ColdLimit: d.ColdLimit, MaxRunning: d.MaxRunning,
 	}
 }
 
--- a/hitchdev/fleet.go
+++ b/hitchdev/fleet.go
@@ -101,6 +101,18 @@
 	return f.platform.addEngine(f.Deployment.engineEndpoint(n), f.Deployment.newEngine())
 }
 
+// AddColdEngine starts one more engine, which is in cold start and says so until
+// its faults are switched off.
+func (f *Fleet) AddColdEngine() (*EngineHost, error) {
+	f.mu.Lock()
+	n := f.engines
+	f.engines++
+	f.mu.Unlock()
+	engine := f.Deployment.newEngine()
+	engine.Faults.Set(hitchfake.Fault{Kind: hitchfake.FaultCold, Announced: true})
+	return f.platform.addEngine(f.Deployment.engineEndpoint(n), engine)
+}
+
 // KillEngine ends an engine at once.
 func (f *Fleet) KillEngine(id hitchfleet.EndpointID) error { return f.platform.removeEngine(id) }
 
--- a/hitchrouter/report.go
+++ b/hitchrouter/report.go
@@ -9,6 +9,8 @@
 	"sync"
 	"time"
 
+	"github.com/samber/lo"
+
 	"citronhitch.example/citronhitch/hitchadmit"
 	"citronhitch.example/citronhitch/hitchfleet"
 )
@@ -23,9 +25,28 @@
 type endpointReport struct {
 	Running           int64
 	Waiting           int64
+	MaxRunning        int64
 	TokensOutstanding int64
 	Cold              bool
 	AsOf              time.Time
+	// Versions is nil if the endpoint doesn't tell which model versions it holds.
+	Versions []reportedVersion
+	Adapters []string
+}
+
+// reportedVersion is a model version that an engine holds.
+type reportedVersion struct {
+	Name  string
+	Ready bool
+}
+
+// models returns what an engine holds, if it tells.
+func (r endpointReport) models(id hitchfleet.EndpointID) []EngineModels {
+	if r.Versions == nil {
+		return nil
+	}
+	ready, _ := lo.Find(r.Versions, func(v reportedVersion) bool { return v.Ready })
+	return []EngineModels{{Endpoint: id, Version: ready.Name, Adapters: r.Adapters}}
 }
 
 // collectReports asks the endpoints that this router owns for their loads.
@@ -46,6 +67,7 @@
 		rt.log().Debug("no load report", "Endpoint", string(e.ID), "Error", err)
 		return
 	}
+	rt.models.learn(report.models(e.ID))
 	load := report.TokensOutstanding
 	if e.Kind == hitchfleet.KindService {
 		load = report.Running + report.Waiting
@@ -57,6 +79,7 @@
 		Load:     load,
 		Requests: report.Running + report.Waiting,
 		Cold:     report.Cold,
+		Slots:    report.MaxRunning,
 	}, nil))
 }
 
