hitchburn: tests for late events, uneven burns, and room within a dimension

Cause: five deliberate faults put into the package one at a time were found by no test: an event older than a ring counted in it, a pause of a bucket taken for a burn's start, quiet minutes in the short window hiding the start, room for a new name made by forgetting one of another dimension, and a router named twice.

Change: a test for each. None of them found a fault in the package.

Ruled out: wider rapid tests, as each of these faults needs a shape of events that random ones seldom have.

Conclusion: the start that the report tells is covered also for burns that pause.

--- a/hitchburn/recorder_test.go
+++ b/hitchburn/recorder_test.go
@@ -130,6 +130,39 @@
 	qt.Assert(t, own > MaxOrganisations*8/10, qt.IsTrue, qt.Commentf("%d names have their own series", own))
 }
 
+func TestRoomIsMadeWithinADimension(t *testing.T) {
+	var r Recorder
+	old := start.Add(-4 * 24 * time.Hour)
+	for n := range MaxOrganisations {
+		e := stream(0, 0)
+		e.Route = hitchfleet.RouteID(fmt.Sprint("route-", n%MaxRoutes))
+		e.Organisation = hitchfleet.OrganisationID(fmt.Sprint("old-", n))
+		r.Record(old, e)
+	}
+	for n := range 3 * MaxOrganisations {
+		e := stream(0, 0)
+		e.Organisation = hitchfleet.OrganisationID(fmt.Sprint("new-", n))
+		r.Record(start, e)
+	}
+	names := 0
+	for _, x := range r.Summary(start).Series {
+		if x.Dimension == ByOrganisation && x.Level == Availability && x.Name != Other {
+			names++
+		}
+	}
+	qt.Assert(t, names, qt.Equals, MaxOrganisations)
+}
+
+func TestLateEventsAreLeftOutOfFineRings(t *testing.T) {
+	var r Recorder
+	r.Record(start, stream(0, 0))
+	r.Record(start.Add(-2*time.Hour), stream(0, 0))
+	s := r.Summary(start).find(ByRoute, "guide-llm", Availability)
+	for w, want := range [windowCount]uint64{1, 1, 1, 2, 2} {
+		qt.Assert(t, s.Count(start, Window(w)).Total, qt.Equals, want, qt.Commentf("window %s", Window(w)))
+	}
+}
+
 func TestRecordDoesNotAllocate(t *testing.T) {
 	var r Recorder
 	e := stream(time.Second, 30*time.Millisecond)
--- a/hitchburn/report_test.go
+++ b/hitchburn/report_test.go
@@ -10,6 +10,7 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/sebdah/goldie/v2"
 
+	"citronhitch.example/citronhitch/hitchfleet"
 	"citronhitch.example/citronhitch/hitchoutcome"
 )
 
@@ -72,6 +73,40 @@
 	}
 }
 
+// TestSinceOfUnevenBurns has faults that pause: a short pause doesn't begin a new
+// burn, and one in the short window doesn't hide it.
+func TestSinceOfUnevenBurns(t *testing.T) {
+	const minute = time.Minute
+	for name, test := range map[string]struct {
+		// pauseFrom and pauseTo are how long ago the faults paused.
+		pauseFrom, pauseTo, want time.Duration
+	}{
+		"no pause":                       {0, 0, 40 * minute},
+		"a pause of 2 minutes":           {20 * minute, 18 * minute, 40 * minute},
+		"a pause of 10 minutes":          {20 * minute, 10 * minute, 10 * minute},
+		"no fault in the last 3 minutes": {3 * minute, 0, 40 * minute},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var r Recorder
+			const step = 3 * time.Second
+			history(&r, start.Add(-72*time.Hour), start.Add(-6*time.Hour), minute, 0)
+			history(&r, start.Add(-6*time.Hour), start.Add(-40*minute), step, 0)
+			history(&r, start.Add(-40*minute), start.Add(-test.pauseFrom), step, 1)
+			history(&r, start.Add(-test.pauseFrom), start.Add(-test.pauseTo), step, 0)
+			history(&r, start.Add(-test.pauseTo), start, step, 1)
+			f := NewReport(start, r.Summary(start), Objectives{}).Findings[0]
+			qt.Assert(t, f.Rule.Rate, qt.Equals, 14.4)
+			qt.Assert(t, start.Sub(f.Since), qt.Equals, test.want)
+		})
+	}
+}
+
+func TestMergeNamesARouterOnce(t *testing.T) {
+	one := Summary{}.WithRouter("router-1")
+	sum := Merge(one, Summary{}.WithRouter("router-2"), one)
+	qt.Assert(t, sum.Routers, qt.DeepEquals, []hitchfleet.InstanceID{"router-1", "router-2"})
+}
+
 func TestFewEventsFireOnlyForBookings(t *testing.T) {
 	var r Recorder
 	r.Record(start, refused(hitchoutcome.ReasonOverloaded, hitchoutcome.NotRun, 0))
