Configuration: watchers read the beacon, routers speak CBOR, old changes can be undone

Cause: each watcher read the whole head from the store every second, and routers sent each other announcements in JSON. A fork of the store was noticed but shown nowhere.

Ruled out: watching the head without the beacon, as an event of a watch is no word of what is current. Sending Undo's page from the head always, as it costs a call for each plan.

Change: Confirmer.Unchanged before Head, also while a router starts or is cut off. EncodeMessage and DecodeMessage between routers. The tracker stands in an atomic pointer, so that requests read it without a lock. FleetStatus has Forked.

A fork seen through a whole fleet isn't tested; the tracker's own tests cover it.

--- a/cmd/citronhitch/operator.go
+++ b/cmd/citronhitch/operator.go
@@ -164,6 +164,7 @@
 	c.flags(clause)
 	plan := clause.Arg("plan", "The plan, as citronhitch plan printed it.").Required().String()
 	wait := clause.Flag("wait", "Wait until every router has the change in force, and show the progress.").Bool()
+	waitSeconds := clause.Flag("wait-seconds", "How long --wait waits at most, in seconds.").Default("60").Int()
 	return command{clause, func(ctx context.Context) error {
 		var answer hitchapi.ConfirmAnswer
 		raw, err := c.ask(ctx, http.MethodPost, "/v1/operator/confirm", planName{*plan}, &answer)
@@ -174,6 +175,8 @@
 		if !*wait {
 			return nil
 		}
+		ctx, cancel := context.WithTimeout(ctx, time.Duration(*waitSeconds)*time.Second)
+		defer cancel()
 		return c.awaitForce(ctx, answer.Revision)
 	}}
 }
@@ -181,8 +184,28 @@
 // planName names a plan to confirm.
 type planName struct{ Plan string }
 
+// SpreadError says that --wait ended before every router had the revision in
+// force or refused new work. The change itself is accepted.
+type SpreadError struct {
+	Revision uint64
+	Err      error
+}
+
+// Error names the revision and says what to do.
+func (e *SpreadError) Error() string {
+	return fmt.Sprintf("revision %d is accepted, but not known to be in force everywhere (%v); see citronhitch status", e.Revision, e.Err)
+}
+
+// Unwrap returns what ended the wait.
+func (e *SpreadError) Unwrap() error { return e.Err }
+
 // awaitForce shows how a revision spreads until no router acts on an older one.
-func (c *operatorClient) awaitForce(ctx context.Context, revision uint64) error {
+func (c *operatorClient) awaitForce(ctx context.Context, revision uint64) (err error) {
+	defer func() {
+		if err != nil {
+			err = &SpreadError{Revision: revision, Err: err}
+		}
+	}()
 	for shown := -1; ; {
 		var status hitchapi.FleetStatus
 		if _, err := c.ask(ctx, http.MethodGet, "/v1/operator/status", nil, &status); err != nil {
@@ -222,6 +245,9 @@
 func statusText(s hitchapi.FleetStatus) string {
 	var text strings.Builder
 	_, _ = fmt.Fprintf(&text, "Revision %d is in force on %d of %d routers. StoreOut=%t ZonesOut=%v\n", s.Revision, s.InForce, s.Routers, s.StoreOut, s.ZonesOut)
+	if s.Forked {
+		_, _ = fmt.Fprintf(&text, "Forked=true: the store has lost writes; repair it before the next change.\n")
+	}
 	for _, i := range s.Instances {
 		_, _ = fmt.Fprintf(&text, "Instance=%s Zone=%s Address=%s Leaving=%t Behind=%t\n", i.ID, i.Zone, i.Address, i.Leaving, i.Behind)
 	}
--- a/hitchapi/operator.go
+++ b/hitchapi/operator.go
@@ -43,6 +43,9 @@
 	Endpoints []EndpointStatus
 	// StoreOut tells that the key-value service doesn't answer.
 	StoreOut bool
+	// Forked tells that the store holds another configuration with the number of the
+	// one in force here, as it has lost writes.
+	Forked bool
 }
 
 // InstanceStatus is one router.
--- a/hitchnode/config.go
+++ b/hitchnode/config.go
@@ -2,10 +2,9 @@
 
 import (
 	"context"
-	"encoding/json"
-	"fmt"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/samber/lo"
@@ -43,13 +42,14 @@
 	node  *Node
 	store *hitchstore.Client
 
+	// mu orders the updates of the tracker. Readers load it without the lock.
 	mu      sync.Mutex
-	tracker hitchconfig.Tracker
+	tracker atomic.Pointer[hitchconfig.Tracker]
 }
 
 func (s *configSource) run(ctx context.Context) {
 	s.mu.Lock()
-	s.tracker.Self, s.tracker.Keys = s.node.self.ID, s.node.Settings.FleetKeys
+	s.tracker.Store(&hitchconfig.Tracker{Self: s.node.self.ID, Keys: s.node.Settings.FleetKeys})
 	s.mu.Unlock()
 	s.readStore(ctx)
 	var group sync.WaitGroup
@@ -63,14 +63,17 @@
 // update tells the tracker a message and carries out what follows.
 func (s *configSource) update(m hitchconfig.Message) {
 	s.mu.Lock()
-	before := s.tracker
+	before := s.current()
 	next, actions := before.Update(m, time.Now())
-	s.tracker = next
+	s.tracker.Store(&next)
 	s.mu.Unlock()
 	if next.Revision() != before.Revision() || next.Standing() != before.Standing() {
 		s.node.log().Info("configuration", "Revision", next.Revision(), "Standing", next.Standing().String())
 		s.node.change()
 	}
+	if err := next.Err(); err != nil && before.Err() == nil {
+		s.node.log().Error("configuration forked", "Revision", next.Revision(), "Error", err)
+	}
 	for _, action := range actions {
 		s.act(action)
 	}
@@ -99,7 +102,7 @@
 
 // tell sends a message to a peer without waiting.
 func (s *configSource) tell(to hitchfleet.InstanceID, m hitchconfig.Message) {
-	body, err := json.Marshal(m)
+	body, err := hitchconfig.EncodeMessage(m)
 	if err != nil {
 		s.node.log().Error("configuration message not encoded", "Error", err)
 		return
@@ -131,14 +134,35 @@
 	}
 }
 
-// askStore reads the store if this router holds a watch, or if it isn't serving:
-// then the store may be the only one to tell it what is current.
+// askStore asks the store if this router holds a watch, or if it isn't serving:
+// then the store may be the only one to tell it what is current. The beacon comes
+// first, as it is far smaller than the head.
 func (s *configSource) askStore(ctx context.Context) {
-	if s.isWatcher() || s.current().Standing() != hitchconfig.Serving {
+	if !s.isWatcher() && s.current().Standing() == hitchconfig.Serving {
+		return
+	}
+	if !s.readBeacon(ctx) {
 		s.readStore(ctx)
 	}
 }
 
+// readBeacon tells the tracker that the store's head hasn't moved. It returns
+// false if the head must be read to know.
+func (s *configSource) readBeacon(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, storeLimit)
+	defer cancel()
+	revision, asOf := s.current().Revision(), time.Now()
+	if revision == 0 {
+		return false
+	}
+	ok, err := s.node.confirmer().Unchanged(ctx, revision)
+	if err != nil || !ok {
+		return false
+	}
+	s.update(hitchconfig.Message{Kind: hitchconfig.StoreUnchanged, Revision: revision, AsOf: asOf})
+	return true
+}
+
 func (s *configSource) isWatcher() bool {
 	return hitchconfig.IsWatcher(s.node.self.ID, s.node.peers.Live())
 }
@@ -204,9 +228,10 @@
 
 // current returns the tracker.
 func (s *configSource) current() hitchconfig.Tracker {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.tracker
+	if t := s.tracker.Load(); t != nil {
+		return *t
+	}
+	return hitchconfig.Tracker{}
 }
 
 // inForce returns the look-ups in force, and whether they are too old to serve by.
@@ -223,23 +248,17 @@
 
 // handleMessage takes a peer's message about configurations.
 func (s *configSource) handleMessage(_ context.Context, from hitchfleet.Instance, body []byte) (_ []byte, err error) {
-	var m hitchconfig.Message
-	if err := json.Unmarshal(body, &m); err != nil {
-		return nil, fmt.Errorf("configuration message: %w", err)
-	}
-	switch m.Kind {
-	case hitchconfig.PeerAnnounced, hitchconfig.PeerAsked, hitchconfig.PeerOffered, hitchconfig.PeerSentDelta:
-	default:
-		return nil, fmt.Errorf("configuration message of kind %d isn't a peer's", m.Kind)
+	m, err := hitchconfig.DecodeMessage(body, from.ID)
+	if err != nil {
+		return nil, err
 	}
-	m.From = from.ID
 	s.update(m)
 	return nil, nil
 }
 
 // handleRevision tells which revision is in force here.
 func (s *configSource) handleRevision(context.Context, hitchfleet.Instance, []byte) ([]byte, error) {
-	return json.Marshal(s.current().Announcement())
+	return hitchconfig.EncodeMessage(hitchconfig.Message{Kind: hitchconfig.PeerAnnounced, Announcement: s.current().Announcement()})
 }
 
 // revisions asks all live routers which revision they have in force.
@@ -272,5 +291,6 @@
 	if err != nil {
 		return a, err
 	}
-	return a, json.Unmarshal(body, &a)
+	m, err := hitchconfig.DecodeMessage(body, id)
+	return m.Announcement, err
 }
--- a/hitchnode/operator.go
+++ b/hitchnode/operator.go
@@ -57,12 +57,27 @@
 	if err != nil {
 		return plan, err
 	}
+	accepts, err := n.undoable(ctx, intent, head)
+	if err != nil {
+		return plan, err
+	}
 	return hitchconfig.Draft{
 		ID: ulid.Make().String(), Operator: operator, Intent: intent, Base: head.Configuration,
-		Accepts: head.Accepts, Fleet: n.fleetView(), Keys: n.Settings.FleetKeys,
+		Accepts: accepts, Fleet: n.fleetView(), Keys: n.Settings.FleetKeys,
 	}.Plan(time.Now())
 }
 
+// undoable returns the accepts that an intent may look into: those of the head, and
+// for an Undo of an older revision its page of the history.
+func (n *Node) undoable(ctx context.Context, intent hitchconfig.Intent, head hitchconfig.Head) ([]hitchconfig.Accept, error) {
+	isRecent := lo.ContainsBy(head.Accepts, func(a hitchconfig.Accept) bool { return a.Revision == intent.Revision })
+	if intent.Kind != hitchconfig.Undo || isRecent {
+		return head.Accepts, nil
+	}
+	page, err := n.confirmer().Page(ctx, intent.Revision)
+	return append(page.Accepts, head.Accepts...), err
+}
+
 // fleetView returns the fleet with its loads, for the warnings of plans.
 func (n *Node) fleetView() hitchconfig.FleetView {
 	loads := n.router.Loads()
@@ -131,7 +146,7 @@
 	progress := rollout.Progress(revision, lo.Map(live, func(i hitchfleet.Instance, _ int) hitchfleet.InstanceID { return i.ID }))
 	status := hitchapi.FleetStatus{
 		Revision: revision, InForce: progress.InForce, Refusing: progress.Refusing, Routers: progress.Live,
-		StoreOut: n.store.Out(time.Now()), ZonesOut: index.Configuration().ZonesOut,
+		StoreOut: n.store.Out(time.Now()), Forked: n.config.current().Err() != nil, ZonesOut: index.Configuration().ZonesOut,
 	}
 	for _, i := range live {
 		status.Instances = append(status.Instances, hitchapi.InstanceStatus{
