--- a/cmd/citronhitch/devonce.go
+++ b/cmd/citronhitch/devonce.go
@@ -172,7 +172,7 @@
 	n := 0
 	for _, host := range s.fleet.Services() {
 		for _, run := range host.Service.Runs() {
-			if run.Key == s.booking.Key {
+			if run.Key == s.fleet.KeyID(s.booking.Key) {
 				n++
 			}
 		}
--- a/hitchdev/fleet.go
+++ b/hitchdev/fleet.go
@@ -197,6 +197,16 @@
 	}
 }
 
+// KeyID returns the ID under which endpoints are shown a booking key, or nothing
+// if the fleet never minted it.
+func (f *Fleet) KeyID(text string) string {
+	key, err := f.secrets.Parse(text)
+	if err != nil {
+		return ""
+	}
+	return key.ID().String()
+}
+
 // awaitReady waits until every router takes requests and knows all the others.
 func (f *Fleet) awaitReady(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, readyLimit)
--- a/hitchmeasure/atmostonce.go
+++ b/hitchmeasure/atmostonce.go
@@ -75,15 +75,16 @@
 func (y *bookingTally) bookUntil(ctx context.Context, fleet *hitchdev.Fleet, worker int, s Settings) {
 	for n := 0; ctx.Err() == nil; n++ {
 		body := fmt.Appendf(nil, `{"Worker":%d,"Number":%d,"Seed":%d}`, worker, n, s.Seed)
-		y.book(context.WithoutCancel(ctx), fleet.Client(worker%s.Organisations), fleet.Deployment, body)
+		y.book(context.WithoutCancel(ctx), fleet, worker%s.Organisations, body)
 		pauseFor(ctx, bookingPause)
 	}
 }
 
-func (y *bookingTally) book(ctx context.Context, client *hitchclient.Client, d hitchdev.Deployment, body []byte) {
+func (y *bookingTally) book(ctx context.Context, fleet *hitchdev.Fleet, organisation int, body []byte) {
+	client, d := fleet.Client(organisation), fleet.Deployment
 	ctx, cancel := context.WithTimeout(ctx, bookingLimit)
 	defer cancel()
-	client.OnNotRun = y.sawNotRun
+	client.OnNotRun = func(key string, isAbandoned bool) { y.sawNotRun(fleet.KeyID(key), isAbandoned) }
 	start := time.Now()
 	booked, err := client.Book(ctx, string(d.ServiceRoute), d.ServicePrefix+"/slots", body)
 	y.add(body, booked, err, time.Since(start))
--- a/hitchrouter/booking.go
+++ b/hitchrouter/booking.go
@@ -97,12 +97,12 @@
 
 // bookHere carries out what the home decides until there is an answer.
 func (rt *Router) bookHere(ctx context.Context, h *bookingHome, k booking) hitchclaim.Result {
-	d := h.home.Begin(rt.now(), k.present())
+	d := rt.note(h, h.home.Begin(rt.now(), k.present()))
 	for {
 		switch d.Action {
 		case hitchclaim.ActionJournal:
 			committed := rt.Bookings.commit(ctx, h, d.Record, d.Until)
-			d = h.home.Journaled(rt.now(), d.Run, committed)
+			d = rt.note(h, h.home.Journaled(rt.now(), d.Run, committed))
 		case hitchclaim.ActionDispatch:
 			d = rt.dispatch(ctx, h, k, d)
 		case hitchclaim.ActionWait:
@@ -123,14 +123,16 @@
 // dispatch sends a booking to an endpoint. It goes on if the caller leaves, so
 // that the outcome is known when the key comes again.
 func (rt *Router) dispatch(ctx context.Context, h *bookingHome, k booking, d hitchclaim.Decision) hitchclaim.Decision {
-	if !d.Record.IsZero() {
+	result := rt.send(context.WithoutCancel(ctx), k)
+	return rt.note(h, h.home.Finish(rt.now(), d.Run, result))
+}
+
+// note journals what a decision says of its run, without waiting.
+func (rt *Router) note(h *bookingHome, d hitchclaim.Decision) hitchclaim.Decision {
+	if !d.Record.IsZero() && d.Action != hitchclaim.ActionJournal {
 		rt.Bookings.record(h, d.Record)
 	}
-	next := h.home.Finish(rt.now(), d.Run, rt.send(context.WithoutCancel(ctx), k))
-	if !next.Record.IsZero() {
-		rt.Bookings.record(h, next.Record)
-	}
-	return next
+	return d
 }
 
 // send makes the one attempt of a booking that may reach an endpoint.
@@ -139,7 +141,8 @@
 	organisation, _ := rt.View().Index.Configuration().Organisation(k.Organisation)
 	call := k.Call
 	call.Header = call.Header.Clone()
-	call.Header.Set("Idempotency-Key", k.Text)
+	// The key's ID, not its text: an endpoint needs no right to run the call.
+	call.Header.Set("Idempotency-Key", k.Key.ID().String())
 	c := ServiceCall{Organisation: organisation, Route: route, Call: call}
 	answer, err := rt.whole(ctx, c.job(), call, nil)
 	if err != nil {
--- a/hitchrouter/bookings.go
+++ b/hitchrouter/bookings.go
@@ -47,11 +47,14 @@
 // Start opens the first home.
 func (b *Bookings) Start(self hitchclaim.HomeID) {
 	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.open(self)
+	h := b.open(self)
+	b.mu.Unlock()
+	b.step(h, h.journal.Tick(b.now()))
 }
 
-func (b *Bookings) open(self hitchclaim.HomeID) {
+// open makes a home the current one. The caller lets its journal open at once
+// afterwards: one that opens late could miss that it was ended.
+func (b *Bookings) open(self hitchclaim.HomeID) *bookingHome {
 	h := &bookingHome{waiting: make(map[hitchclaim.Run]chan bool), moved: make(chan struct{})}
 	h.home.Self = self
 	h.journal.Self = self
@@ -64,6 +67,7 @@
 	if b.OnHome != nil {
 		b.OnHome(self)
 	}
+	return h
 }
 
 // SetHomes sets the number of homes in the fleet.
@@ -108,27 +112,37 @@
 
 func (b *Bookings) sweep(now time.Time) {
 	b.mu.Lock()
-	h := b.current
+	all := append(slices.Clone(b.former), b.current)
 	b.mu.Unlock()
-	if h != nil {
-		h.home.Sweep(now)
+	for _, h := range all {
+		if h != nil {
+			h.home.Sweep(now)
+		}
 	}
 }
 
 // fenced replaces a home that another router has ended.
 func (b *Bookings) fenced(h *bookingHome) {
 	h.home.Fence()
+	if next := b.replace(h); next != nil {
+		b.step(next, next.journal.Tick(b.now()))
+	}
+}
+
+// replace opens a home in place of one that was ended, or returns nil if that
+// isn't the current one.
+func (b *Bookings) replace(h *bookingHome) *bookingHome {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.current != h || b.closed {
-		return
+		return nil
 	}
 	self := h.home.Self
 	self.Incarnation = hitchclaim.NewIncarnation(b.now(), self.Incarnation)
 	if b.Log != nil {
 		b.Log.Warn("home fenced", "Was", h.home.Self.String(), "Now", self.String())
 	}
-	b.open(self)
+	return b.open(self)
 }
 
 // commit journals a record and reports whether it stands in the store by the
--- a/hitchrouter/handover.go
+++ b/hitchrouter/handover.go
@@ -20,7 +20,8 @@
 // Limits of a handover.
 const (
 	drainStep    = 20 * time.Millisecond
-	handOverWait = 5 * time.Second
+	handOverWait = 10 * time.Second
+	adoptAgain   = 100 * time.Millisecond
 )
 
 // adoptMessage is a handover with the home that it is for.
@@ -67,7 +68,7 @@
 	if err != nil {
 		return err
 	}
-	if _, err := rt.Peers.call(ctx, successor.Instance, 0, KindAdopt, body); err != nil {
+	if err := rt.deliver(ctx, successor, body); err != nil {
 		return err
 	}
 	h.home.MoveTo(successor)
@@ -75,6 +76,25 @@
 	return nil
 }
 
+// deliver brings a handover to its successor, again and again until it is taken:
+// the journal names the successor already, so no other router can answer.
+func (rt *Router) deliver(ctx context.Context, successor hitchclaim.HomeID, body []byte) error {
+	for {
+		_, err := rt.Peers.call(ctx, successor.Instance, 0, KindAdopt, body)
+		if err == nil {
+			return nil
+		}
+		rt.log().Warn("handover not taken yet", "To", successor.String(), "Error", err)
+		timer := time.NewTimer(adoptAgain)
+		select {
+		case <-timer.C:
+		case <-ctx.Done():
+			timer.Stop()
+			return err
+		}
+	}
+}
+
 // waitFor waits until the condition holds. It returns false once ctx is done.
 func waitFor(ctx context.Context, condition func() bool) bool {
 	ticker := time.NewTicker(drainStep)
--- a/hitchrouter/loop.go
+++ b/hitchrouter/loop.go
@@ -26,7 +26,7 @@
 	group.Go(func() { every(ctx, reportEvery, func() { rt.collectReports(ctx) }) })
 	group.Go(func() { every(ctx, hitchadmit.HeartbeatEvery, rt.heartbeat) })
 	if rt.Bookings != nil {
-		group.Go(func() { every(ctx, sweepEvery, func() { rt.Bookings.sweep(rt.now()) }) })
+		group.Go(func() { rt.careForBookings(ctx) })
 	}
 	group.Wait()
 }
