Orders: a holder loads and unloads versions, and chats go to engines that hold theirs

Cause: hitchorder decided and nothing carried it out. SetVersionWeights changed the configuration alone: no engine got an order, and placement took every engine to serve every version.

Ruled out: each router asking each engine what it holds, as 390 routers would ask each 390 times a second; versions in the digest of loads, which goes out every second; the pool's own draw by weights, which moves chats that needn't move.

Change: the first two watchers run hitchorder's Holder and Reconciler, and give orders by POST /v1/orders with FencingNumber and X-Deadline. Engines say in their load report what they hold; their owner shares it when it changes. A chat's version is chosen by Route.VersionAmong among those that are held, goes to their holders alone, and is named in X-Model-Version. A version without room, or with engines in cold start only, leaves its chats to another. Engines that don't tell serve as before. The stand-in engine reports versions, adapters, role and slots once Hold was called, takes LoadMillis to load, asks its Weights, and answers 404 for a version that it doesn't hold.

--- a/hitchfake/engine.go
+++ b/hitchfake/engine.go
@@ -51,6 +51,13 @@
 	DownMillis int
 	// ColdMillis is how long an engine is cold after it has loaded a model.
 	ColdMillis int
+	// LoadMillis is how long a load takes until the version serves, for an engine
+	// that reports what it holds.
+	LoadMillis int
+	// Slots is how many versions such an engine holds at once; 0 means 1.
+	Slots int
+	// Weights is where such an engine loads from; nil loads without a limit.
+	Weights *Weights
 	// LoadLagMillis is the age of what the load report says.
 	LoadLagMillis int
 	// EventLagMillis is how late cache events are published.
--- a/hitchfake/engine_batch.go
+++ b/hitchfake/engine_batch.go
@@ -22,7 +22,7 @@
 	if _, ok := e.streams[s.attempt]; ok {
 		return errAttemptExists
 	}
-	if e.orders.unloaded[s.request.Model] {
+	if e.orders.unloaded[s.request.Model] || !e.orders.held.serves(s.version, time.Now()) {
 		return errNoModel
 	}
 	if cold, _ := e.coldState(); cold && len(e.running)+len(e.waiting) >= cmp.Or(e.ColdLimit, defaultColdLimit) {
--- a/hitchfake/engine_chat.go
+++ b/hitchfake/engine_chat.go
@@ -90,6 +90,7 @@
 	s := &stream{
 		attempt: r.Header.Get(AttemptHeader),
 		chat:    r.Header.Get(ChatHeader),
+		version: r.Header.Get(VersionHeader),
 		request: body,
 		tokens:  answerTokens(body),
 		created: time.Now(),
--- a/hitchfake/engine_order.go
+++ b/hitchfake/engine_order.go
@@ -48,6 +48,7 @@
 	records  []OrderRecord
 	unloaded map[string]bool // by model
 	falls    int
+	held     heldModels
 }
 
 // take records an order and says whether it is carried out.
@@ -58,9 +59,13 @@
 	return accepted
 }
 
-// carryOut changes the models that are served. Orders for adapters are only
-// recorded.
-func (b *orderBook) carryOut(order Order) {
+// carryOut changes the models that are served. An engine that doesn't report what
+// it holds only records orders for adapters and roles.
+func (b *orderBook) carryOut(order Order, readyAt time.Time) {
+	if b.held.isReported {
+		b.held.carryOut(order, readyAt)
+		return
+	}
 	if order.Adapter != "" {
 		return
 	}
@@ -87,19 +92,48 @@
 	}
 	e.Faults.breakOff(r, false)
 	e.mu.Lock()
-	accepted := e.orders.take(order, e.IgnoresFencing, time.Now())
-	if accepted {
-		e.orders.carryOut(order)
-	}
-	if accepted && order.Kind == OrderLoad && e.ColdMillis > 0 {
-		e.coldUntil = time.Now().Add(millis(e.ColdMillis, 0))
-	}
-	answer := OrderAnswer{Accepted: accepted, Newest: e.orders.newest}
+	answer, refusal := e.obey(order, time.Now())
 	e.mu.Unlock()
 	e.Faults.breakOff(r, true)
-	status := http.StatusOK
+	switch {
+	case !answer.Accepted:
+		writeJSON(w, http.StatusConflict, answer)
+	case refusal.retryAfter > 0:
+		retryAfter(w, refusal.retryAfter)
+		writeProblem(w, http.StatusTooManyRequests, "the weight store is busy")
+	case refusal.isFull:
+		writeProblem(w, http.StatusUnprocessableEntity, "no slot is free for another version")
+	default:
+		writeJSON(w, http.StatusOK, answer)
+	}
+}
+
+// orderRefusal says why an order with a good number isn't carried out.
+type orderRefusal struct {
+	retryAfter time.Duration
+	isFull     bool
+}
+
+// obey takes an order and carries it out. It needs the lock.
+func (e *Engine) obey(order Order, now time.Time) (answer OrderAnswer, refusal orderRefusal) {
+	accepted := e.orders.take(order, e.IgnoresFencing, now)
+	answer = OrderAnswer{Accepted: accepted, Newest: e.orders.newest}
 	if !accepted {
-		status = http.StatusConflict
+		return answer, refusal
+	}
+	if e.orders.held.isReported && order.Kind == OrderLoad && !e.orders.held.has(order) {
+		refusal.isFull = order.Adapter == "" && len(e.orders.held.versions) >= max(1, e.Slots)
+		if !refusal.isFull && e.Weights != nil {
+			refusal.retryAfter = e.Weights.reserve(now)
+		}
+		if refusal != (orderRefusal{}) {
+			return answer, refusal
+		}
+	}
+	readyAt := now.Add(millis(e.LoadMillis, 0))
+	e.orders.carryOut(order, readyAt)
+	if order.Kind == OrderLoad && order.Adapter == "" && e.ColdMillis > 0 {
+		e.coldUntil = readyAt.Add(millis(e.ColdMillis, 0))
 	}
-	writeJSON(w, status, answer)
+	return answer, refusal
 }
--- a/hitchfake/engine_stream.go
+++ b/hitchfake/engine_stream.go
@@ -20,6 +20,7 @@
 	// shown is the attempt ID that answers carry.
 	shown    string
 	chat     string
+	version  string // that is asked for; empty means any
 	request  ChatRequest
 	tokens   []string
 	prompt   int // tokens
--- a/hitchfake/load.go
+++ b/hitchfake/load.go
@@ -47,7 +47,7 @@
 	now := time.Now()
 	e.loads.add(now, e.load(now))
 	at := now.Add(-millis(e.LoadLagMillis, 0))
-	report := e.loads.at(at)
+	report := EngineLoad{Load: e.loads.at(at), Models: e.models(now)}
 	e.mu.Unlock()
 	report.AsOf, report.MaxRunning = at, cmp.Or(e.MaxRunning, defaultMaxRunning)
 	writeJSON(w, http.StatusOK, report)
--- a/hitchnode/node.go
+++ b/hitchnode/node.go
@@ -79,6 +79,7 @@
 	n.running.Go(func() { n.follow(ctx, listEvery, n.refreshList) })
 	n.running.Go(func() { n.config.run(ctx) })
 	n.running.Go(func() { n.followChanges(ctx) })
+	n.running.Go(func() { n.follow(ctx, orderTick, n.newOrderLoop().step) })
 	n.running.Go(func() { n.router.Run(ctx) })
 	n.running.Go(func() {
 		if err := n.server.Serve(); err != nil {
--- /dev/null
+++ b/hitchnode/orderstore.go
@@ -0,0 +1,75 @@
+package hitchnode
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+
+	"citronhitch.example/citronhitch/hitchorder"
+	"citronhitch.example/citronhitch/hitchstore"
+)
+
+// call does a call of the store for the holder. ok is false if no answer is
+// wanted.
+func (l *orderLoop) call(ctx context.Context, a hitchorder.Action) (m hitchorder.Message, ok bool) {
+	ctx, cancel := context.WithTimeout(ctx, orderStoreCall)
+	defer cancel()
+	m, err := l.storeCall(ctx, a)
+	if err == nil {
+		return m, a.Kind != hitchorder.RevokeLease
+	}
+	l.log.Debug("orders: store call failed", "Error", err)
+	var lapsed *hitchstore.LeaseLapsedError
+	switch {
+	case a.Kind == hitchorder.RevokeLease:
+		return m, false
+	case a.Kind == hitchorder.RenewLease && errors.As(err, &lapsed):
+		return hitchorder.Message{Kind: hitchorder.LeaseLapsed, Lease: a.Lease}, true
+	case a.Kind == hitchorder.RenewLease:
+		return hitchorder.Message{Kind: hitchorder.RenewFailed, Lease: a.Lease}, true
+	default:
+		return hitchorder.Message{Kind: hitchorder.CallFailed}, true
+	}
+}
+
+// storeCall does the call that an action wants.
+func (l *orderLoop) storeCall(ctx context.Context, a hitchorder.Action) (m hitchorder.Message, err error) {
+	switch a.Kind {
+	case hitchorder.ReadHolder:
+		entry, err := l.store.Get(ctx, hitchorder.HolderKey)
+		return hitchorder.Message{Kind: hitchorder.HolderSeen, Exists: entry.Exists}, err
+	case hitchorder.GrantLease:
+		lease, err := l.store.GrantLease(ctx, a.Deadline)
+		return leaseMessage(hitchorder.LeaseGranted, lease), err
+	case hitchorder.Claim:
+		_, err := l.store.Swap(ctx, hitchorder.HolderKey, 0, []byte(l.self), hitchstore.LeaseID(a.Lease))
+		return hitchorder.Message{Kind: hitchorder.Claimed}, err
+	case hitchorder.ReadFence:
+		return l.readFence(ctx)
+	case hitchorder.WriteFence:
+		data, err := json.Marshal(a.Fence)
+		if err == nil {
+			_, err = l.store.Swap(ctx, hitchorder.FenceKey, hitchstore.Revision(a.Revision), data, 0)
+		}
+		return hitchorder.Message{Kind: hitchorder.FenceWritten}, err
+	case hitchorder.RenewLease:
+		lease, err := l.store.KeepAlive(ctx, hitchstore.LeaseID(a.Lease))
+		return leaseMessage(hitchorder.LeaseRenewed, lease), err
+	default:
+		return m, l.store.Revoke(ctx, hitchstore.LeaseID(a.Lease))
+	}
+}
+
+func leaseMessage(kind hitchorder.MessageKind, lease hitchstore.Lease) hitchorder.Message {
+	return hitchorder.Message{Kind: kind, Lease: int64(lease.ID), Deadline: lease.Deadline}
+}
+
+// readFence reads the latest fencing number.
+func (l *orderLoop) readFence(ctx context.Context) (m hitchorder.Message, err error) {
+	entry, err := l.store.Get(ctx, hitchorder.FenceKey)
+	m = hitchorder.Message{Kind: hitchorder.FenceRead, Revision: int64(entry.Revision)}
+	if err == nil && entry.Exists {
+		err = json.Unmarshal(entry.Value, &m.Fence)
+	}
+	return m, err
+}
--- a/hitchnode/wire.go
+++ b/hitchnode/wire.go
@@ -215,6 +215,8 @@
 	switch value.Topic.Name {
 	case hitchrouter.TopicLoads.Name:
 		n.router.LearnLoads(value.Origin, value.Body)
+	case hitchrouter.TopicModels.Name:
+		n.router.LearnModels(value.Origin, value.Body)
 	case hitchrouter.TopicHome.Name:
 		n.router.LearnHome(value.Origin, value.Body)
 	}
--- a/hitchrouter/placement.go
+++ b/hitchrouter/placement.go
@@ -7,7 +7,6 @@
 	"github.com/samber/lo"
 
 	"citronhitch.example/citronhitch/hitchadmit"
-	"citronhitch.example/citronhitch/hitchconfig"
 	"citronhitch.example/citronhitch/hitchfleet"
 	"citronhitch.example/citronhitch/hitchplace"
 )
@@ -19,6 +18,11 @@
 	endpoints map[hitchfleet.EndpointID]hitchfleet.Endpoint
 	owners    map[hitchfleet.EndpointID]hitchfleet.Instance
 	routers   hitchplace.Routers
+	// versions is the model version of each engine that tells, and of the others the
+	// only one of their route.
+	versions map[hitchfleet.EndpointID]string
+	// holders are the engines of each version.
+	holders map[routeVersion][]hitchfleet.EndpointID
 	// shares is the sum of the organisations' weights.
 	shares int
 }
@@ -41,35 +45,35 @@
 		endpoints: make(map[hitchfleet.EndpointID]hitchfleet.Endpoint, len(v.Endpoints)),
 		owners:    make(map[hitchfleet.EndpointID]hitchfleet.Instance, len(v.Endpoints)),
 		routers:   hitchplace.NewRouters(v.Live, v.zonesOut()),
+		versions:  make(map[hitchfleet.EndpointID]string),
+		holders:   make(map[routeVersion][]hitchfleet.EndpointID),
 	}
 	targets := make(map[hitchfleet.RouteID][]hitchplace.Target)
-	loads := rt.loads.snapshot()
+	loads, models := rt.loads.snapshot(), rt.models.snapshot()
 	for _, e := range v.Endpoints {
 		p.endpoints[e.ID] = e
 		p.owners[e.ID], _ = hitchadmit.Owner(e.ID, e.Region, v.Live)
 		if v.Index.InService(e) {
-			targets[e.Route] = append(targets[e.Route], target(e, loads[e.ID]))
+			t := target(e, loads[e.ID], versionOf(v.Index, e, models))
+			p.versions[e.ID] = t.Version
+			held := routeVersion{e.Route, t.Version}
+			p.holders[held] = append(p.holders[held], e.ID)
+			targets[e.Route] = append(targets[e.Route], t)
 		}
 	}
 	cfg := v.Index.Configuration()
 	for id, list := range targets {
-		route, _ := v.Index.Route(id)
-		p.pools[id] = hitchplace.NewPool(list, versionWeights(route), v.zonesOut())
+		p.pools[id] = hitchplace.NewPool(list, nil, v.zonesOut())
 	}
 	for _, o := range cfg.Organisations {
 		p.shares += max(o.ShareWeight, 1)
 	}
+	rt.models.keep(p.endpoints)
 	rt.placed.Store(p)
 }
 
-func target(e hitchfleet.Endpoint, load hitchadmit.EndpointLoad) hitchplace.Target {
-	return hitchplace.Target{Endpoint: e, Load: load.Load, Cold: load.Cold}
-}
-
-func versionWeights(route hitchconfig.Route) []hitchplace.VersionWeight {
-	return lo.Map(route.Versions, func(v hitchconfig.ModelVersion, _ int) hitchplace.VersionWeight {
-		return hitchplace.VersionWeight{Version: v.Name, Weight: float64(v.Weight)}
-	})
+func target(e hitchfleet.Endpoint, load hitchadmit.EndpointLoad, models EngineModels) hitchplace.Target {
+	return hitchplace.Target{Endpoint: e, Version: models.Version, Adapters: models.Adapters, Load: load.Load, Cold: load.Cold}
 }
 
 // candidates returns the endpoints to ask for, best first.
@@ -79,6 +83,7 @@
 		Organisation: j.organisation,
 		Chat:         j.key,
 		Zone:         rt.Self.Zone,
+		Adapter:      j.adapter(),
 		Subset:       hitchplace.SubsetSize(pool.Len(), p.shareOf(j)),
 		Residence:    &rt.residence,
 	}
@@ -87,8 +92,7 @@
 		j.located = true
 	}
 	request.Entry = j.entry
-	var buffer [maxAsks]hitchplace.Candidate
-	return lo.Map(pool.Choose(buffer[:0], request, rt.now()), func(c hitchplace.Candidate, _ int) hitchfleet.EndpointID {
+	return lo.Map(rt.choose(j, p, &pool, request), func(c hitchplace.Candidate, _ int) hitchfleet.EndpointID {
 		return c.Endpoint
 	})
 }
--- a/hitchrouter/report.go
+++ b/hitchrouter/report.go
@@ -9,6 +9,8 @@
 	"sync"
 	"time"
 
+	"github.com/samber/lo"
+
 	"citronhitch.example/citronhitch/hitchadmit"
 	"citronhitch.example/citronhitch/hitchfleet"
 )
@@ -27,9 +29,28 @@
 	TokensOutstanding int64
 	Cold              bool
 	AsOf              time.Time
+	// Versions is nil if the endpoint doesn't tell which model versions it holds.
+	Versions []reportedVersion
+	Adapters []string
+}
+
+// reportedVersion is a model version that an engine holds.
+type reportedVersion struct {
+	Name  string
+	Ready bool
+}
+
+// models returns what an engine holds, if it tells.
+func (r endpointReport) models(id hitchfleet.EndpointID) []EngineModels {
+	if r.Versions == nil {
+		return nil
+	}
+	ready, _ := lo.Find(r.Versions, func(v reportedVersion) bool { return v.Ready })
+	return []EngineModels{{Endpoint: id, Version: ready.Name, Adapters: r.Adapters}}
 }
 
-// collectReports asks the endpoints that this router owns for their loads.
+// collectReports asks the endpoints that this router owns for their loads and for
+// what they hold, and tells the other routers if that has changed.
 func (rt *Router) collectReports(ctx context.Context) {
 	p := rt.placement()
 	var group sync.WaitGroup
@@ -39,6 +60,7 @@
 		}
 	}
 	group.Wait()
+	rt.shareModels()
 }
 
 func (rt *Router) collectReport(ctx context.Context, e hitchfleet.Endpoint) {
@@ -47,6 +69,7 @@
 		rt.log().Debug("no load report", "Endpoint", string(e.ID), "Error", err)
 		return
 	}
+	rt.models.learn(report.models(e.ID))
 	load := report.TokensOutstanding
 	if e.Kind == hitchfleet.KindService {
 		load = report.Running + report.Waiting
--- a/hitchrouter/request.go
+++ b/hitchrouter/request.go
@@ -63,6 +63,12 @@
 	// entry is what the chat's home knows, once located is set.
 	entry   hitchplace.Entry
 	located bool
+	// version is the model version that was chosen, or empty. It is fixed once the
+	// caller has a part of the answer.
+	version        string
+	isVersionFixed bool
+	// full are the versions whose engines had no room in the present search.
+	full []string
 	// failed are the endpoints that an attempt failed at.
 	failed []hitchfleet.EndpointID
 }
--- a/hitchrouter/router.go
+++ b/hitchrouter/router.go
@@ -48,6 +48,7 @@
 	holder    hitchadmit.Holder
 	waiting   shards[chan hitchadmit.Decision]
 	loads     loadTable
+	models    modelTable
 	directory hitchplace.Directory
 	residence hitchplace.Residence
 	reports   http.Client
--- a/hitchrouter/serve.go
+++ b/hitchrouter/serve.go
@@ -31,8 +31,10 @@
 	return rt.serve(ctx, j, &ev, func(ctx context.Context, s *slot) error {
 		out.Deliver = func(event hitchforward.Event) error {
 			s.answered(rt.now())
+			j.isVersionFixed = true
 			return deliver(event)
 		}
+		out.Call = j.withVersion(c.Call)
 		err := rt.Forward.Stream(ctx, out, s.endpoint, &ev)
 		o.attempted(s.endpoint, err)
 		return err
@@ -51,7 +53,7 @@
 func (rt *Router) whole(ctx context.Context, j *job, call hitchforward.Call, o *observation) (answer *hitchforward.Answer, err error) {
 	var ev hitchoutcome.Evidence
 	err = rt.serve(ctx, j, &ev, func(ctx context.Context, s *slot) error {
-		answer, err = rt.Forward.Do(ctx, call, s.endpoint, &ev)
+		answer, err = rt.Forward.Do(ctx, j.withVersion(call), s.endpoint, &ev)
 		o.attempted(s.endpoint, err)
 		return err
 	})
--- a/hitchrouter/slot.go
+++ b/hitchrouter/slot.go
@@ -29,8 +29,20 @@
 // acquire finds an endpoint with room for a request. A refusal is final.
 func (rt *Router) acquire(ctx context.Context, j *job) (*slot, *hitchoutcome.Refusal) {
 	p := rt.placement()
-	search := slotSearch{router: rt, job: j, placement: p, candidates: rt.candidates(ctx, j, p)}
-	return search.run(ctx)
+	j.full = nil
+	candidates := rt.candidates(ctx, j, p)
+	for {
+		search := slotSearch{router: rt, job: j, placement: p, candidates: candidates}
+		s, refusal := search.run(ctx)
+		if refusal == nil || j.version == "" || j.isVersionFixed || ctx.Err() != nil {
+			return s, refusal
+		}
+		// Another version's engines may have room.
+		j.full = append(j.full, j.version)
+		if candidates = rt.candidates(ctx, j, p); len(candidates) == 0 {
+			return nil, refusal
+		}
+	}
 }
 
 // slotSearch is the search of one request for a slot.
@@ -73,7 +85,7 @@
 	for len(s.candidates) > 0 {
 		id := s.candidates[0]
 		s.candidates = s.candidates[1:]
-		if !s.job.hasFailed(id) && !contains(s.asked, id) {
+		if !s.job.hasFailed(id) && !contains(s.asked, id) && s.placement.isVersion(s.job, id) {
 			s.asked = append(s.asked, id)
 			return id, true
 		}
