Admission: slots bound the number of requests, not their size

Cause: slots were turned into a capacity in tokens by the mean of the requests in hand. One small request of 10 tokens at an engine of 8 slots made a capacity of 80, so that a request of 8,000 was refused with seven slots free.

Ruled out: a capacity of at least the load and the new request; the tenth that is kept for other organisations then refuses it all the same.

Change: slots are counted in requests, apart from tokens, with a tenth kept for organisations below their share of the slots. The wait of an ask counts a full engine as without room. A test that views age though the clock is set back.

--- a/hitchadmit/endpoint.go
+++ b/hitchadmit/endpoint.go
@@ -42,9 +42,9 @@
 	claim holder
 	// stray is reported work that no grant explains.
 	stray holder
-	// reported is the time of the last load report.
 	// slots is how many requests the endpoint runs at once, or 0 if unknown.
 	slots int64
+	// reported is the time of the last load report.
 	reported time.Time
 	// remote is the load by the digest of the endpoint's owner.
 	remote holder
--- a/hitchadmit/faults_test.go
+++ b/hitchadmit/faults_test.go
@@ -8,6 +8,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"citronhitch.example/citronhitch/hitchfleet"
+	"citronhitch.example/citronhitch/hitchoutcome"
 )
 
 // pair returns two routers, of which each in its own view owns the engines, and
@@ -111,6 +112,25 @@
 	qt.Assert(t, o.Renew(at(60), at(90)), qt.IsFalse)
 }
 
+func TestViewAgesThoughTheClockIsSetBack(t *testing.T) {
+	o := warmOwners(1, Limits{})
+	m := alone(1)
+	m.Until = at(4)
+	o.SetMembers(at(0), m, nil)
+	for s := 0.0; s < 3; s += 0.5 {
+		o.Tick(at(s), nil)
+	}
+	// From here the clock is 2.5 s behind: Until comes after 4 s all the same.
+	for s := 0.5; s <= 1.5; s += 0.5 {
+		d, _ := o.Ask(at(s), askFor(GrantID(10*s), 0, 100), nil)
+		qt.Assert(t, d.Verdict, qt.Equals, Granted)
+		o.Tick(at(s), nil)
+	}
+	o.Tick(at(2), nil)
+	d, _ := o.Ask(at(2), askFor(100, 0, 100), nil)
+	qt.Assert(t, d.Reason, qt.Equals, hitchoutcome.ReasonStale)
+}
+
 func TestFlappingEndpointKeepsItsLoad(t *testing.T) {
 	o := warmOwners(2, Limits{EngineFloor: 10_000})
 	qt.Assert(t, fill(o, 1, 0, 1), qt.Equals, int64(8000))
--- a/hitchadmit/owners_test.go
+++ b/hitchadmit/owners_test.go
@@ -130,6 +130,21 @@
 	}
 }
 
+func TestSlotsBoundRequestsNotTheirSize(t *testing.T) {
+	const slots = 8
+	o := warmOwners(1, Limits{EngineFloor: 1_000_000, EngineCapacity: 1_000_000})
+	o.Report(at(0), LoadReport{Endpoint: engineID(0), AsOf: at(0), Slots: slots}, nil)
+	costs := []int64{10, 8000, 20, 5000, 300, 9000, 1, 7000}
+	for i, cost := range costs {
+		a := askFor(GrantID(i+1), 0, cost)
+		a.Organisation = hitchfleet.OrganisationID(fmt.Sprint(i))
+		d, _ := o.Ask(at(0), a, nil)
+		qt.Assert(t, d.Verdict, qt.Equals, Granted, qt.Commentf("ask %d", i))
+	}
+	d, _ := o.Ask(at(0), askFor(100, 0, 1), nil)
+	qt.Assert(t, d.Verdict, qt.Equals, Refused)
+}
+
 func TestLostReleaseEndsAtTheReportAfterTheDeadline(t *testing.T) {
 	o := warmOwners(1, Limits{EngineFloor: 1000, EngineCapacity: 1000})
 	o.Ask(at(0), askFor(1, 0, 1000), nil)
--- a/hitchadmit/room.go
+++ b/hitchadmit/room.go
@@ -1,7 +1,6 @@
 package hitchadmit
 
 import (
-	"math"
 	"time"
 
 	"citronhitch.example/citronhitch/hitchfleet"
@@ -31,20 +30,26 @@
 func (e *endpoint) limit(l *Limits, cost int64) (int64, shortage) {
 	bound := Bound(l.BoundFactor, l.floor(e.spec.Kind), e.pool.total.Load(), cost, e.pool.serving.Load())
 	bound = int64(SettledShare * float64(bound))
-	if capacity := min(l.capacity(e.spec.Kind), e.slotCapacity()); capacity < bound {
+	if capacity := l.capacity(e.spec.Kind); capacity < bound {
 		return capacity, shortCapacity
 	}
 	return bound, shortBound
 }
 
-// slotCapacity is the work that the endpoint runs at once: its slots times the
-// mean work of the requests in hand.
-func (e *endpoint) slotCapacity() int64 {
-	load := e.load()
-	if e.slots <= 0 || load.Requests <= 0 {
-		return math.MaxInt64
+// slotShortage tells what the endpoint lacks to run one more request of a tenant
+// at once. More would wait in its own queue, which knows no shares.
+func (e *endpoint) slotShortage(t *tenant) shortage {
+	running := e.load().Requests
+	switch {
+	case e.slots <= 0 || running <= 0:
+		return shortNothing
+	case running >= e.slots:
+		return shortCapacity
+	case running >= e.tenants.slots(t, e.slots):
+		return shortShare
+	default:
+		return shortNothing
 	}
-	return e.slots * max(load.Cost/load.Requests, 1)
 }
 
 // takeoverLimit is the most work that a new owner may grant by itself.
@@ -77,7 +82,7 @@
 	if load.Cost+cost > e.tenants.limit(t, cost, limit) {
 		return shortShare
 	}
-	return shortNothing
+	return e.slotShortage(t)
 }
 
 // The times that a grant is taken to last before any was seen to end.
@@ -109,6 +114,9 @@
 	whole, _ := e.limit(l, cost)
 	limit := e.tenants.limit(t, cost, whole)
 	load := e.load().Cost
+	if e.slotShortage(t) != shortNothing {
+		limit = min(limit, load)
+	}
 	over := load + ahead + cost - limit
 	if over <= 0 && e.warmth.phase == phaseWarm {
 		return 0
--- a/hitchadmit/share.go
+++ b/hitchadmit/share.go
@@ -79,6 +79,15 @@
 	return limit
 }
 
+// slots is how many of an endpoint's slots may be in use for one more request of
+// the tenant to run: all but the reserve if it is above its share.
+func (s *tenants) slots(t *tenant, slots int64) int64 {
+	if t.granted.Requests+1 > s.fair(t, slots) {
+		return slots - int64(reservedShare*float64(slots))
+	}
+	return slots
+}
+
 // borrows tells whether cost more would put the tenant above its share.
 func (s *tenants) borrows(t *tenant, cost, limit int64) bool {
 	return t.granted.Cost+cost > s.fair(t, limit)
