Status shows which engine serves which version; a test of the wait for late orders

Cause: operators could read the versions of engines only in the holder's log.

Change: EndpointStatus has Version, printed by status for engines that tell. TestHolderWaitsOutOrdersOnTheirWay: engines that ignore numbers get no order before OrderFlight has passed since the claim.

--- a/cmd/citronhitch/operator.go
+++ b/cmd/citronhitch/operator.go
@@ -252,7 +252,11 @@
 		_, _ = fmt.Fprintf(&text, "Instance=%s Zone=%s Address=%s Leaving=%t Behind=%t\n", i.ID, i.Zone, i.Address, i.Leaving, i.Behind)
 	}
 	for _, e := range s.Endpoints {
-		_, _ = fmt.Fprintf(&text, "Endpoint=%s Route=%s Zone=%s Owner=%s InService=%t Cold=%t Load=%d\n", e.ID, e.Route, e.Zone, e.Owner, e.InService, e.Cold, e.Load)
+		_, _ = fmt.Fprintf(&text, "Endpoint=%s Route=%s Zone=%s Owner=%s InService=%t Cold=%t Load=%d", e.ID, e.Route, e.Zone, e.Owner, e.InService, e.Cold, e.Load)
+		if e.Version != "" {
+			_, _ = fmt.Fprintf(&text, " Version=%s", e.Version)
+		}
+		_ = text.WriteByte('\n')
 	}
 	return text.String()
 }
--- a/hitchapi/operator.go
+++ b/hitchapi/operator.go
@@ -68,6 +68,8 @@
 	InService bool
 	Cold      bool
 	Load      int64
+	// Version is the model version that an engine says it serves, or "".
+	Version string
 }
 
 // PlanAnswer is a plan for people and programs.
--- a/hitchnode/canary_test.go
+++ b/hitchnode/canary_test.go
@@ -12,6 +12,7 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/samber/lo"
 
+	"citronhitch.example/citronhitch/hitchapi"
 	"citronhitch.example/citronhitch/hitchconfig"
 	"citronhitch.example/citronhitch/hitchdev"
 	"citronhitch.example/citronhitch/hitchfake"
@@ -140,6 +141,10 @@
 	f.weigh(75, 25)
 	f.serves("v2", 1)
 	f.serves("v1", 3)
+	f.await("status shows the engine of v2", func() bool {
+		status, err := f.Routers()[2].Operators().Status(t.Context())
+		return err == nil && lo.CountBy(status.Endpoints, func(e hitchapi.EndpointStatus) bool { return e.Version == "v2" }) == 1
+	})
 	f.weigh(50, 50)
 	f.serves("v2", 2)
 	f.weigh(100, 0)
--- a/hitchnode/operator.go
+++ b/hitchnode/operator.go
@@ -157,7 +157,7 @@
 	for _, e := range n.list.endpoints() {
 		load := loads[e.ID]
 		status.Endpoints = append(status.Endpoints, hitchapi.EndpointStatus{
-			ID: e.ID, Route: e.Route, Zone: e.Zone, Owner: load.Owner, InService: index.InService(e), Cold: load.Cold, Load: load.Load,
+			ID: e.ID, Route: e.Route, Zone: e.Zone, Owner: load.Owner, InService: index.InService(e), Cold: load.Cold, Load: load.Load, Version: load.Version,
 		})
 	}
 	return status, nil
--- a/hitchnode/orders_test.go
+++ b/hitchnode/orders_test.go
@@ -204,6 +204,23 @@
 	})
 }
 
+// An order of the holder before may be on its way for as long as OrderFlight. Where
+// engines don't check numbers, a holder waits that long before its first order.
+func TestHolderWaitsOutOrdersOnTheirWay(t *testing.T) {
+	withOrderRig(t, holding(4, &hitchfake.Engine{IgnoresFencing: true}, "v1"), 600, func(r *orderRig) {
+		r.shall("v2")
+		r.await("a router holds", func() bool { return r.holder() >= 0 })
+		clearAt := r.loops[r.holder()].grant(time.Now()).ClearAt
+		qt.Assert(t, time.Until(clearAt) > hitchorder.OrderFlight-time.Second, qt.IsTrue)
+		r.await("all engines serve v2", func() bool { return r.serving("v2") == len(r.engines) })
+		for _, e := range r.engines {
+			for _, o := range e.Records().Orders {
+				qt.Check(t, o.At.Before(clearAt), qt.IsFalse, qt.Commentf("%v", o.Order))
+			}
+		}
+	})
+}
+
 // A holder that leaves gives its lease back: the next one doesn't wait for its end.
 func TestLeavingHolderGivesItsLeaseBack(t *testing.T) {
 	withOrderRig(t, holding(2, &hitchfake.Engine{}, "v1"), 600, func(r *orderRig) {
--- a/hitchrouter/loads.go
+++ b/hitchrouter/loads.go
@@ -69,6 +69,8 @@
 	Owner hitchfleet.InstanceID
 	Load  int64
 	Cold  bool
+	// Version is the model version that an engine says it serves, or "".
+	Version string
 	// Requests and Capacity count requests, if this router is the endpoint's owner.
 	Requests int64
 	Capacity int64
@@ -77,11 +79,11 @@
 // Loads returns the state of each endpoint by the newest digests.
 func (rt *Router) Loads() map[hitchfleet.EndpointID]EndpointState {
 	p := rt.placement()
-	loads := rt.loads.snapshot()
+	loads, models := rt.loads.snapshot(), rt.models.snapshot()
 	states := make(map[hitchfleet.EndpointID]EndpointState, len(p.endpoints))
 	for id := range p.endpoints {
 		load := loads[id]
-		states[id] = EndpointState{Owner: p.owners[id].ID, Load: load.Load, Cold: load.Cold}
+		states[id] = EndpointState{Owner: p.owners[id].ID, Load: load.Load, Cold: load.Cold, Version: models[id].Version}
 	}
 	return states
 }
