Placement reads the cache's age and the endpoints' failures

Cause: hitchplace decides by the idle time after which an engine evicts (the LRU expiration age of Squid's FAQ) and by the failure ratio, but nothing brought it either.

Change: an engine's owner asks it for cache events and spreads the age that follows; every attempt counts for its endpoint's failure ratio, and an endpoint above it takes only chats whose prefix it has. The floor of the load bound is admission's own default now.

--- a/hitchnode/wire.go
+++ b/hitchnode/wire.go
@@ -217,6 +217,8 @@
 		n.router.LearnLoads(value.Origin, value.Body)
 	case hitchrouter.TopicModels.Name:
 		n.router.LearnModels(value.Origin, value.Body)
+	case hitchrouter.TopicCacheAges.Name:
+		n.router.LearnCacheAges(value.Body)
 	case hitchrouter.TopicHome.Name:
 		n.router.LearnHome(value.Origin, value.Body)
 	}
--- a/hitchplace/residence.go
+++ b/hitchplace/residence.go
@@ -172,6 +172,37 @@
 	return horizon, !horizon.IsZero()
 }
 
+// Age returns the idle time after which the endpoint evicts, in seconds. It is
+// false while nothing was evicted.
+func (r *Residence) Age(endpoint hitchfleet.EndpointID) (seconds float64, ok bool) {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	c := r.byKey[endpoint]
+	if c == nil {
+		return 0, false
+	}
+	return c.age()
+}
+
+// Learn takes the idle time that another router has observed. Events that this
+// router observes later go on from it.
+func (r *Residence) Learn(endpoint hitchfleet.EndpointID, seconds float64) {
+	if !(seconds > 0) {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.byKey == nil {
+		r.byKey = make(map[hitchfleet.EndpointID]*cacheAge)
+	}
+	c := r.byKey[endpoint]
+	if c == nil {
+		c = &cacheAge{}
+		r.byKey[endpoint] = c
+	}
+	c.evictedAge = seconds
+}
+
 // Forget drops what is known of an endpoint that is gone.
 func (r *Residence) Forget(endpoint hitchfleet.EndpointID) {
 	r.mu.Lock()
--- a/hitchrouter/placement.go
+++ b/hitchrouter/placement.go
@@ -54,7 +54,7 @@
 		p.endpoints[e.ID] = e
 		p.owners[e.ID], _ = hitchadmit.Owner(e.ID, e.Region, v.Live)
 		if v.Index.InService(e) {
-			t := target(e, loads[e.ID], versionOf(v.Index, e, models))
+			t := target(e, loads[e.ID], versionOf(v.Index, e, models)).WithHitOnly(rt.failures.IsHitOnly(rt.now(), e.ID))
 			p.versions[e.ID] = t.Version
 			held := routeVersion{e.Route, t.Version}
 			p.holders[held] = append(p.holders[held], e.ID)
--- a/hitchrouter/router.go
+++ b/hitchrouter/router.go
@@ -51,6 +51,8 @@
 	models    modelTable
 	directory hitchplace.Directory
 	residence hitchplace.Residence
+	failures  hitchplace.Failures
+	cacheSeen cacheCursors
 	reports   http.Client
 	budgets   budgets
 	homeIDs   homeTable
@@ -69,16 +71,11 @@
 	rt.notify(rt.Owners.SetMembers(rt.now(), rt.members(v), nil))
 }
 
-// engineFloor is the granted work, in tokens, below which the mean load doesn't
-// bind an engine: about half of the batch of one that runs 64 requests at once.
-const engineFloor = 64 << 10
-
 // admitLimits returns the configuration's limits as admission reads them.
 func admitLimits(l hitchconfig.Limits) hitchadmit.Limits {
 	const percent = 100
 	return hitchadmit.Limits{
 		BoundFactor: float64(l.LoadBoundPercent) / percent,
-		EngineFloor: engineFloor,
 		ColdLimit:   int64(l.ColdRequests),
 		QueueLimit:  l.QueueLength,
 	}
--- a/hitchrouter/serve.go
+++ b/hitchrouter/serve.go
@@ -76,6 +76,7 @@
 		}
 		err := send(ctx, s)
 		rt.release(s)
+		rt.recordAttempt(s.endpoint.ID, err)
 		if err == nil {
 			rt.succeeded(j, s)
 			return nil
@@ -88,6 +89,16 @@
 	}
 }
 
+// recordAttempt counts an attempt for the failure ratio of its endpoint. What the
+// caller or the request's deadline ended says nothing of the endpoint.
+func (rt *Router) recordAttempt(endpoint hitchfleet.EndpointID, err error) {
+	var failure *hitchforward.Failure
+	if errors.As(err, &failure) && !failure.MayRetry() {
+		return
+	}
+	rt.failures.Record(rt.now(), endpoint, err != nil)
+}
+
 // succeeded remembers which endpoint has the chat's prefix now.
 func (rt *Router) succeeded(j *job, s *slot) {
 	if j.kind == hitchfleet.KindEngine {
