--- a/hitchforward/attempt.go
+++ b/hitchforward/attempt.go
@@ -32,14 +32,13 @@
 	ctx      context.Context
 	cancel   context.CancelCauseFunc
 	watchdog *time.Timer
-	silence  time.Duration
 	response *http.Response
 }
 
 // open sends a call and reads the head of its answer.
 func (c *Client) open(ctx context.Context, call Call, to hitchfleet.Endpoint, id string, ev *hitchoutcome.Evidence) (_ *attempt, err error) {
 	c.init()
-	a := &attempt{client: c, id: id, endpoint: to, silence: c.silence()}
+	a := &attempt{client: c, id: id, endpoint: to}
 	a.ctx, a.cancel = context.WithCancelCause(ctx)
 	defer func() {
 		if err != nil {
@@ -53,7 +52,7 @@
 	if err := ev.Dispatching(); err != nil {
 		return nil, a.fail(FailureCallerGone, err)
 	}
-	a.watchdog = time.AfterFunc(a.silence, func() { a.cancel(errSilent) })
+	a.watchdog = time.AfterFunc(c.silence(), func() { a.cancel(errSilent) })
 	a.response, err = c.transportFor(call.Idempotent).RoundTrip(r)
 	if err != nil && !a.wrote.Load() {
 		ev.Unsent()
@@ -105,7 +104,7 @@
 }
 
 // heard puts off the watchdog, as a byte has come.
-func (a *attempt) heard() { a.watchdog.Reset(a.silence) }
+func (a *attempt) heard() { a.watchdog.Reset(a.client.silence()) }
 
 // Read reads the answer's body under the watchdog.
 func (a *attempt) Read(p []byte) (int, error) {
--- a/hitchrouter/cacheage.go
+++ b/hitchrouter/cacheage.go
@@ -2,10 +2,7 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
-	"io"
-	"net/http"
 	"sync"
 	"time"
 
@@ -104,21 +101,7 @@
 }
 
 func (rt *Router) fetchCacheEvents(ctx context.Context, e hitchfleet.Endpoint, after uint64) (events cacheEvents, err error) {
-	ctx, cancel := context.WithTimeout(ctx, reportLimit)
-	defer cancel()
-	r, err := http.NewRequestWithContext(ctx, http.MethodGet, fmt.Sprintf("%s/v1/cache/events?after=%d", e.URL, after), nil)
-	if err != nil {
-		return events, err
-	}
-	answer, err := rt.reports.Do(r)
-	if err != nil {
-		return events, err
-	}
-	defer func() { _ = answer.Body.Close() }()
-	if answer.StatusCode != http.StatusOK {
-		return events, fmt.Errorf("status %d", answer.StatusCode)
-	}
-	err = json.NewDecoder(io.LimitReader(answer.Body, maxReportBytes)).Decode(&events)
+	err = rt.fetchJSON(ctx, fmt.Sprintf("%s/v1/cache/events?after=%d", e.URL, after), &events)
 	return events, err
 }
 
--- a/hitchrouter/report.go
+++ b/hitchrouter/report.go
@@ -2,10 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
-	"fmt"
-	"io"
-	"net/http"
 	"sync"
 	"time"
 
@@ -15,12 +11,6 @@
 	"citronhitch.example/citronhitch/hitchfleet"
 )
 
-// Limits of the question for a load report.
-const (
-	reportLimit    = 800 * time.Millisecond
-	maxReportBytes = 1 << 20
-)
-
 // endpointReport is what an endpoint says of itself, in its own format.
 type endpointReport struct {
 	Running           int64
@@ -90,21 +80,7 @@
 	if e.Kind == hitchfleet.KindService {
 		path = "/load"
 	}
-	ctx, cancel := context.WithTimeout(ctx, reportLimit)
-	defer cancel()
-	r, err := http.NewRequestWithContext(ctx, http.MethodGet, e.URL+path, nil)
-	if err != nil {
-		return report, err
-	}
-	answer, err := rt.reports.Do(r)
-	if err != nil {
-		return report, err
-	}
-	defer func() { _ = answer.Body.Close() }()
-	if answer.StatusCode != http.StatusOK {
-		return report, fmt.Errorf("status %d", answer.StatusCode)
-	}
-	err = json.NewDecoder(io.LimitReader(answer.Body, maxReportBytes)).Decode(&report)
+	err = rt.fetchJSON(ctx, e.URL+path, &report)
 	return report, err
 }
 
