--- a/hitchforward/forward_test.go
+++ b/hitchforward/forward_test.go
@@ -217,3 +217,31 @@
 		}
 	})
 }
+
+// A caller that leaves ends its stream at the engine, which would else go on for
+// a long time.
+func TestCancelReachesTheEngine(t *testing.T) {
+	engine := &hitchfake.Engine{TokensPerSecond: 100}
+	endpoint := host(t, "engine", engine.Handler())
+	request := hitchfake.ChatRequest{
+		Model: "guide-llm", Stream: true, MinTokens: 100_000, Messages: []hitchfake.Message{{Role: "user", Content: "x"}},
+	}
+	body, err := json.Marshal(request)
+	qt.Assert(t, err, qt.IsNil)
+	call := Call{Method: http.MethodPost, Path: "/v1/chat/completions", Body: body, Idempotent: true}
+	gone := errors.New("the caller left")
+	var ev hitchoutcome.Evidence
+	err = (&Client{}).Stream(context.Background(), &Stream{Call: call, Deliver: func(Event) error { return gone }}, endpoint, &ev)
+	var failure *Failure
+	qt.Assert(t, errors.As(err, &failure), qt.IsTrue)
+	qt.Assert(t, failure.Kind, qt.Equals, FailureCallerGone)
+	ticker := time.NewTicker(10 * time.Millisecond)
+	defer ticker.Stop()
+	for range 1000 {
+		if engine.LoadNow().Running == 0 {
+			return
+		}
+		<-ticker.C
+	}
+	t.Fatal("the engine still works on the stream")
+}
