Configuration: watchers read the head every 20 s whatever the beacon says

Cause: since watchers read the beacon first, a store that lost writes and took others up to the same revision went unnoticed while watches broke: the beacon has the number in force, and ErrFork needs the head.

Ruled out: a checksum in the beacon, as it is raised before the head is written and a failed accept would leave the wrong one.

Change: a watcher reads the whole head every 20 s. TestForkIsShown replaces the head in a running fleet's store by that of another history, with watches and without; status says Forked and the first configuration stays in force.

Conclusion: a fork shows within about 20 s also without a watch.

--- a/hitchnode/config.go
+++ b/hitchnode/config.go
@@ -26,9 +26,12 @@
 	configTick    = 250 * time.Millisecond
 	announceEvery = time.Second
 	storeEvery    = time.Second
-	storeLimit    = 3 * time.Second
-	tellLimit     = 2 * time.Second
-	askLimit      = time.Second
+	// headEvery is how often the whole head is read although the beacon stands still:
+	// a store that lost writes may hold another head of the same revision.
+	headEvery  = 20 * time.Second
+	storeLimit = 3 * time.Second
+	tellLimit  = 2 * time.Second
+	askLimit   = time.Second
 	// roundPeers is how many peers hear an announcement in each round, and
 	// newsPeers how many hear of a new revision at once.
 	roundPeers = 2
@@ -45,6 +48,8 @@
 	// mu orders the updates of the tracker. Readers load it without the lock.
 	mu      sync.Mutex
 	tracker atomic.Pointer[hitchconfig.Tracker]
+	// nextHead is when askStore reads the head whatever the beacon says.
+	nextHead time.Time
 }
 
 func (s *configSource) run(ctx context.Context) {
@@ -141,9 +146,12 @@
 	if !s.isWatcher() && s.current().Standing() == hitchconfig.Serving {
 		return
 	}
-	if !s.readBeacon(ctx) {
-		s.readStore(ctx)
+	now := time.Now()
+	if now.Before(s.nextHead) && s.readBeacon(ctx) {
+		return
 	}
+	s.nextHead = now.Add(headEvery)
+	s.readStore(ctx)
 }
 
 // readBeacon tells the tracker that the store's head hasn't moved. It returns
