A returning chat finds its home told; resolve; sessions start on a settled fleet

The owners of a fleet that has just started refuse some asks for five seconds, as not run; and the chat's home was told of the engine only after the caller had the end of its answer, by a message that a quick return could overtake. Ruled out: the engine's cache (it had the prefix).

Change: the home is told before the caller has the end; the sessions first send chats until a round needs one try each; a client doesn't wait after its last try; citronhitch resolve ends a doubt.

--- a/cmd/citronhitch/main.go
+++ b/cmd/citronhitch/main.go
@@ -79,6 +79,7 @@
 		p.statusCommand(),
 		p.historyCommand(),
 		p.doubtsCommand(),
+		p.resolveCommand(),
 		p.reportCommand(),
 		p.fakeCommand(),
 	}
--- a/cmd/citronhitch/processes_test.go
+++ b/cmd/citronhitch/processes_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -166,6 +167,26 @@
 			<-time.After(50 * time.Millisecond)
 		}
 	}
+	for !f.isSettled(t) {
+		qt.Assert(t, time.Now().Before(deadline), qt.IsTrue, qt.Commentf("the fleet doesn't settle"))
+	}
+}
+
+// isSettled sends chats to every router. The owners of a fleet that has just
+// started refuse some: they don't know yet what the endpoints hold.
+func (f *fleet) isSettled(t *testing.T) bool {
+	const chats = 24
+	for n := range chats {
+		client := f.client(0)
+		client.Entries = client.Entries[n%len(client.Entries):]
+		_, body := chatBody(t, 0, hitchfake.Message{Role: "user", Content: fmt.Sprintf("Settled %d?", n)})
+		answer, err := client.Chat(context.Background(), fmt.Sprintf("settle-%d", n), body, nil)
+		qt.Assert(t, err, qt.IsNil)
+		if answer.Tries > 1 {
+			return false
+		}
+	}
+	return true
 }
 
 func (f *fleet) operatorArgs(router *process, args ...string) []string {
--- a/hitchclient/book.go
+++ b/hitchclient/book.go
@@ -46,7 +46,7 @@
 		if isNotRun && needsKey(p) {
 			b.Key, again = p.BookingKey, true
 		}
-		if !again || pause(ctx, at) != nil {
+		if !again || try+1 == c.tries() || pause(ctx, at) != nil {
 			return b, err
 		}
 	}
@@ -107,7 +107,7 @@
 			return body, err
 		}
 		at, again := mayComeBack(err)
-		if !again || pause(ctx, at) != nil {
+		if !again || try+1 == c.tries() || pause(ctx, at) != nil {
 			return body, err
 		}
 	}
--- a/hitchclient/chat.go
+++ b/hitchclient/chat.go
@@ -55,7 +55,7 @@
 		}
 		c.forget(chat)
 		at, again := mayComeBack(err)
-		if !again || pause(ctx, at) != nil {
+		if !again || try+1 == c.tries() || pause(ctx, at) != nil {
 			return answer, err
 		}
 	}
--- a/hitchrouter/serve.go
+++ b/hitchrouter/serve.go
@@ -32,6 +32,10 @@
 		out.Deliver = func(event hitchforward.Event) error {
 			s.answered(rt.now())
 			j.isVersionFixed = true
+			if event.Done() {
+				// Before the caller has the end, as it may return at once.
+				rt.succeeded(j, s)
+			}
 			return deliver(event)
 		}
 		out.Call = j.withVersion(c.Call)
@@ -101,7 +105,8 @@
 
 // succeeded remembers which endpoint has the chat's prefix now.
 func (rt *Router) succeeded(j *job, s *slot) {
-	if j.kind == hitchfleet.KindEngine {
+	if j.kind == hitchfleet.KindEngine && !s.remembered {
+		s.remembered = true
 		rt.remember(j, s.endpoint.ID)
 	}
 }
--- a/hitchrouter/slot.go
+++ b/hitchrouter/slot.go
@@ -17,6 +17,8 @@
 	dispatched time.Time
 	// firstByte is when the answer began, or zero.
 	firstByte time.Time
+	// remembered is set once the chat's home knows of the endpoint.
+	remembered bool
 }
 
 // answered notes when the answer began.
