--- a/hitchadmit/capacity_test.go
+++ b/hitchadmit/capacity_test.go
@@ -39,7 +39,7 @@
 // roundOf encodes one round of heartbeats.
 func roundOf(b *testing.B, h *Holder, ownerOf func(hitchfleet.EndpointID) (hitchfleet.Instance, bool)) (packets, bytes int) {
 	for _, beat := range h.Heartbeats(ownerOf) {
-		body, err := Packet{Heartbeat: &beat.Heartbeat}.Encode()
+		body, err := Packet{Heartbeats: beat.Heartbeats}.Encode()
 		if err != nil {
 			b.Fatal(err)
 		}
--- a/hitchadmit/codec.go
+++ b/hitchadmit/codec.go
@@ -6,7 +6,8 @@
 	"github.com/fxamacker/cbor/v2"
 )
 
-// Packet is one message between routers about slots: exactly one field is set.
+// Packet is one message between routers about slots. The fields that are set are
+// taken in turn; a Release may carry its FirstToken.
 // It is an array in CBOR, as are the messages, so that an Ask takes about 100
 // bytes.
 type Packet struct {
@@ -14,7 +15,7 @@
 	Ask        *Ask
 	Decision   *Decision
 	Release    *Release
-	Heartbeat  *Heartbeat
+	Heartbeats []Heartbeat
 	FirstToken *FirstToken
 	LoadReport *LoadReport
 	Digest     *Digest
--- a/hitchadmit/holder.go
+++ b/hitchadmit/holder.go
@@ -92,23 +92,24 @@
 	return sum
 }
 
-// Addressed is a heartbeat with the router that it goes to.
+// Addressed is heartbeats with the router that they go to, in one message.
 type Addressed struct {
-	To        hitchfleet.InstanceID
-	Heartbeat Heartbeat
+	To         hitchfleet.InstanceID
+	Heartbeats []Heartbeat
 }
 
 // Heartbeats returns one heartbeat for each endpoint at which slots are held or
-// were held since the last call. Call it every HeartbeatEvery, and at once when
-// the routers change. ownerOf tells an endpoint's owner as this router sees it.
+// were held since the last call, by their owners. Call it every HeartbeatEvery,
+// and at once when the routers change. ownerOf tells an endpoint's owner as this
+// router sees it.
 func (h *Holder) Heartbeats(ownerOf func(hitchfleet.EndpointID) (hitchfleet.Instance, bool)) []Addressed {
-	var all []Addressed
+	byOwner := make(map[hitchfleet.InstanceID][]Heartbeat)
 	for i := range h.shards {
 		s := &h.shards[i]
 		s.mu.Lock()
 		for id, byID := range s.slots {
 			if owner, ok := ownerOf(id); ok {
-				all = append(all, Addressed{To: owner.ID, Heartbeat: h.heartbeat(id, byID, &owner)})
+				byOwner[owner.ID] = append(byOwner[owner.ID], h.heartbeat(id, byID, &owner))
 			}
 			if len(byID) == 0 {
 				delete(s.slots, id)
@@ -116,6 +117,10 @@
 		}
 		s.mu.Unlock()
 	}
+	all := make([]Addressed, 0, len(byOwner))
+	for owner, beats := range byOwner {
+		all = append(all, Addressed{To: owner, Heartbeats: beats})
+	}
 	return all
 }
 
--- a/hitchadmit/model_test.go
+++ b/hitchadmit/model_test.go
@@ -250,8 +250,12 @@
 func (f *modelFleet) beat(t *rapid.T, r *modelRouter) {
 	ownerOf := func(id hitchfleet.EndpointID) (hitchfleet.Instance, bool) { return f.ownerOf(r, id).self, true }
 	for _, b := range r.holder.Heartbeats(ownerOf) {
-		if owner := f.byID(b.To); f.reaches(r, owner) {
-			f.deliver(t, owner, owner.owners.Heartbeat(owner.local(f.now), b.Heartbeat, nil))
+		owner := f.byID(b.To)
+		if !f.reaches(r, owner) {
+			continue
+		}
+		for _, beat := range b.Heartbeats {
+			f.deliver(t, owner, owner.owners.Heartbeat(owner.local(f.now), beat, nil))
 		}
 	}
 }
--- a/hitchadmit/surge_test.go
+++ b/hitchadmit/surge_test.go
@@ -190,7 +190,7 @@
 		"ask":       {Packet{Ask: &a}, 110},
 		"decision":  {Packet{Decision: &d}, 70},
 		"release":   {Packet{Release: &Release{ID: a.ID, Endpoint: a.Endpoint}}, 40},
-		"heartbeat": {Packet{Heartbeat: &Heartbeat{Asker: a.Asker, Endpoint: a.Endpoint, Grants: []GrantID{a.ID, 2}}}, 60},
+		"heartbeat": {Packet{Heartbeats: []Heartbeat{{Asker: a.Asker, Endpoint: a.Endpoint, Grants: []GrantID{a.ID, 2}}}}, 60},
 		"handover":  {Packet{Handover: &Handover{From: a.Asker, Endpoint: a.Endpoint, Granted: Holding{Cost: 5, Requests: 1}}}, 50},
 		"report":    {Packet{LoadReport: &LoadReport{Endpoint: a.Endpoint, AsOf: at(1), Load: 1 << 20}}, 60},
 		"digest":    {Packet{Digest: &Digest{From: a.Asker, Loads: []EndpointLoad{{Endpoint: a.Endpoint, Load: 1 << 20}}}}, 60},
--- a/hitchrouter/admit.go
+++ b/hitchrouter/admit.go
@@ -32,9 +32,9 @@
 	if p.Release != nil {
 		due = rt.Owners.Release(now, *p.Release, due)
 	}
-	if p.Heartbeat != nil {
-		p.Heartbeat.Asker = from.ID
-		due = rt.Owners.Heartbeat(now, *p.Heartbeat, due)
+	for _, beat := range p.Heartbeats {
+		beat.Asker = from.ID
+		due = rt.Owners.Heartbeat(now, beat, due)
 	}
 	if p.Handover != nil {
 		rt.acceptHandover(*p.Handover)
--- a/hitchrouter/loop.go
+++ b/hitchrouter/loop.go
@@ -64,6 +64,6 @@
 		return owner, ok
 	})
 	for _, beat := range beats {
-		rt.tellAdmit(beat.To, hitchadmit.Packet{Heartbeat: &beat.Heartbeat})
+		rt.tellAdmit(beat.To, hitchadmit.Packet{Heartbeats: beat.Heartbeats})
 	}
 }
