--- a/cmd/citronhitch/operator.go
+++ b/cmd/citronhitch/operator.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"context"
+	"crypto/tls"
+	"crypto/x509"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -32,11 +34,14 @@
 	router  string
 	key     string
 	asJSON  bool
+	// authority is PEM text; empty means that routers are asked in the clear.
+	authority string
 }
 
 func (c *operatorClient) flags(clause *kingpin.CmdClause) {
 	clause.Flag("router", "Address of any router, as host:port.").Required().StringVar(&c.router)
 	clause.Flag("operator-key", "The operator's key.").Required().StringVar(&c.key)
+	clause.Flag("tls-authority", "PEM text of the authority of the routers' certificates; without it routers are asked in the clear.").StringVar(&c.authority)
 	clause.Flag("json", "Print the answer as JSON.").BoolVar(&c.asJSON)
 }
 
@@ -52,12 +57,16 @@
 		}
 		sent = bytes.NewReader(data)
 	}
-	r, err := http.NewRequestWithContext(ctx, method, "http://"+c.router+path, sent)
+	r, err := http.NewRequestWithContext(ctx, method, c.scheme()+c.router+path, sent)
 	if err != nil {
 		return nil, err
 	}
 	r.Header.Set("Authorization", "Bearer "+c.key)
-	answer, err := http.DefaultClient.Do(r)
+	client, err := c.client()
+	if err != nil {
+		return nil, err
+	}
+	answer, err := client.Do(r)
 	if err != nil {
 		return nil, err
 	}
@@ -74,6 +83,25 @@
 	return raw, json.Unmarshal(raw, out)
 }
 
+func (c *operatorClient) scheme() string {
+	if c.authority == "" {
+		return "http://"
+	}
+	return "https://"
+}
+
+// client returns the HTTP client that checks the routers' certificates.
+func (c *operatorClient) client() (*http.Client, error) {
+	if c.authority == "" {
+		return http.DefaultClient, nil
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM([]byte(c.authority)) {
+		return nil, &SettingError{"tls-authority", shorten(c.authority), "PEM text of a certificate"}
+	}
+	return &http.Client{Transport: &http.Transport{TLSClientConfig: &tls.Config{RootCAs: pool, MinVersion: tls.VersionTLS12}}}, nil
+}
+
 // show prints the raw answer, or the text for people.
 func (c *operatorClient) show(raw []byte, text string) {
 	if c.asJSON {
--- a/cmd/citronhitch/serve.go
+++ b/cmd/citronhitch/serve.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"crypto/x509"
 
 	"fmt"
 	"net"
@@ -120,6 +121,7 @@
 		func() error { return wantWithin("stop-seconds", s.stopSeconds, 1, maxStopSeconds) },
 		func() error { return wantSecrets("booking-secret", s.bookingSecrets) },
 		func() error { return wantPair("peer-certificate", s.peerCertificate, s.peerKey) },
+		func() error { return wantAuthority("peer-authority", s.peerAuthority) },
 	} {
 		if err := check(); err != nil {
 			return out, err
@@ -214,7 +216,14 @@
 
 func wantPair(flag, certificate, key string) error {
 	if _, err := tls.X509KeyPair([]byte(certificate), []byte(key)); err != nil {
-		return &SettingError{flag, shorten(certificate), "PEM text that fits its key: " + err.Error()}
+		return &SettingError{flag, shorten(certificate), "PEM text that fits the key beside it: " + err.Error()}
+	}
+	return nil
+}
+
+func wantAuthority(flag, value string) error {
+	if !x509.NewCertPool().AppendCertsFromPEM([]byte(value)) {
+		return &SettingError{flag, shorten(value), "PEM text of one or more certificates"}
 	}
 	return nil
 }
--- a/hitchclient/book.go
+++ b/hitchclient/book.go
@@ -74,7 +74,7 @@
 // BookWith makes the call once, at one router, under a key.
 func (c *Client) BookWith(ctx context.Context, router, key, path string, body []byte) (b Booking, err error) {
 	b.Key, b.Tries = key, 1
-	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+router+"/services"+path, bytes.NewReader(body))
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, c.url(router, "/services"+path), bytes.NewReader(body))
 	if err != nil {
 		return b, err
 	}
@@ -115,7 +115,7 @@
 }
 
 func (c *Client) lookupAt(ctx context.Context, router, path string) ([]byte, error) {
-	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+router+"/services"+path, nil)
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, c.url(router, "/services"+path), nil)
 	if err != nil {
 		return nil, err
 	}
--- a/hitchclient/chat.go
+++ b/hitchclient/chat.go
@@ -64,7 +64,7 @@
 
 // chatAt sends the turn to one router.
 func (c *Client) chatAt(ctx context.Context, router, chat string, body []byte, onToken func(string)) (a ChatAnswer, err error) {
-	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+router+"/v1/chat/completions", bytes.NewReader(body))
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, c.url(router, "/v1/chat/completions"), bytes.NewReader(body))
 	if err != nil {
 		return a, err
 	}
--- a/hitchclient/client.go
+++ b/hitchclient/client.go
@@ -10,6 +10,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -44,6 +45,9 @@
 	// OnNotRun is called for each answer that says that a booking didn't run. The
 	// key is abandoned if the client goes on with another one, or not at all.
 	OnNotRun func(key string, isAbandoned bool)
+	// TLS is how to check the routers' certificates; nil means that callers connect
+	// in the clear.
+	TLS *tls.Config
 	// HTTP sends requests; nil means a client of its own.
 	HTTP *http.Client
 
@@ -66,13 +70,21 @@
 		c.http = c.HTTP
 		if c.http == nil {
 			c.http = &http.Client{Transport: &http.Transport{
-				DialContext: (&net.Dialer{Timeout: dialLimit}).DialContext, MaxIdleConnsPerHost: 16,
+				DialContext: (&net.Dialer{Timeout: dialLimit}).DialContext, MaxIdleConnsPerHost: 16, TLSClientConfig: c.TLS,
 			}}
 		}
 	})
 	return c.http
 }
 
+// url returns the address of an operation at a router.
+func (c *Client) url(router, path string) string {
+	if c.TLS != nil {
+		return "https://" + router + path
+	}
+	return "http://" + router + path
+}
+
 func (c *Client) tries() int {
 	if c.Tries > 0 {
 		return c.Tries
@@ -133,7 +145,7 @@
 }
 
 func (c *Client) askOne(ctx context.Context, entry string, query url.Values) (a Address, err error) {
-	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+entry+"/v1/address?"+query.Encode(), nil)
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, c.url(entry, "/v1/address?"+query.Encode()), nil)
 	if err != nil {
 		return a, err
 	}
