A caller notices its silent connection; a leaving endpoint in a fleet

Cause: docs/PROOF.md: nothing showed a caller's own connection that goes silent, and a leaving endpoint was shown for decisions only.

Change: hitchclient takes a stream without a byte for six seconds as silent and goes to a new connection; whole calls have a limit for each try, and a booking repeats the same key. Two tests in a fleet: a relay silences the caller's open connection in the midst of a stream; an engine is listed as leaving in the midst of one.

--- a/hitchclient/book.go
+++ b/hitchclient/book.go
@@ -73,6 +73,8 @@
 
 // BookWith makes the call once, at one router, under a key.
 func (c *Client) BookWith(ctx context.Context, router, key, path string, body []byte) (b Booking, err error) {
+	ctx, cancel := context.WithTimeout(ctx, c.tryLimit())
+	defer cancel()
 	b.Key, b.Tries = key, 1
 	r, err := http.NewRequestWithContext(ctx, http.MethodPost, c.url(router, "/services"+path), bytes.NewReader(body))
 	if err != nil {
@@ -115,6 +117,8 @@
 }
 
 func (c *Client) lookupAt(ctx context.Context, router, path string) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.tryLimit())
+	defer cancel()
 	r, err := http.NewRequestWithContext(ctx, http.MethodGet, c.url(router, "/services"+path), nil)
 	if err != nil {
 		return nil, err
--- a/hitchclient/chat.go
+++ b/hitchclient/chat.go
@@ -15,6 +15,10 @@
 // ErrCut says that a streamed answer ended without its end mark.
 var ErrCut = errors.New("hitchclient: the answer ended without its end mark")
 
+// ErrSilent says that a connection carried nothing for too long. A new one may
+// work.
+var ErrSilent = errors.New("hitchclient: the connection went silent")
+
 // maxEvent bounds one line of a streamed answer, in bytes.
 const maxEvent = 1 << 20
 
@@ -64,6 +68,10 @@
 
 // chatAt sends the turn to one router.
 func (c *Client) chatAt(ctx context.Context, router, chat string, body []byte, onToken func(string)) (a ChatAnswer, err error) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	watchdog := time.AfterFunc(c.tryLimit(), func() { cancel(ErrSilent) })
+	defer watchdog.Stop()
 	r, err := http.NewRequestWithContext(ctx, http.MethodPost, c.url(router, "/v1/chat/completions"), bytes.NewReader(body))
 	if err != nil {
 		return a, err
@@ -86,7 +94,10 @@
 		return a, problemOf(response, text)
 	}
 	a.Attempt = response.Header.Get("X-Attempt-Id")
-	err = a.read(response, onToken)
+	err = a.read(response, func() { watchdog.Reset(c.silence()) }, onToken)
+	if errors.Is(context.Cause(ctx), ErrSilent) {
+		err = ErrSilent
+	}
 	a.Ended = time.Now()
 	return a, err
 }
@@ -106,14 +117,15 @@
 	} `json:"usage"`
 }
 
-// read takes the events up to the end mark.
-func (a *ChatAnswer) read(response *http.Response, onToken func(string)) error {
+// read takes the events up to the end mark. heard is called for each line.
+func (a *ChatAnswer) read(response *http.Response, heard func(), onToken func(string)) error {
 	var text strings.Builder
 	defer func() { a.Text = text.String() }()
 	scanner := bufio.NewScanner(response.Body)
 	scanner.Buffer(nil, maxEvent)
 	isError := false
 	for scanner.Scan() {
+		heard()
 		line := scanner.Text()
 		isError = isError || line == "event: error"
 		data, ok := strings.CutPrefix(line, "data: ")
--- a/hitchclient/client.go
+++ b/hitchclient/client.go
@@ -23,9 +23,11 @@
 
 // Limits of a client whose fields are zero.
 const (
-	defaultTries = 8
-	dialLimit    = time.Second
-	maxBody      = 16 << 20
+	defaultTries   = 8
+	defaultSilence = 6 * time.Second
+	defaultTry     = 15 * time.Second
+	dialLimit      = time.Second
+	maxBody        = 16 << 20
 	// retryFloor is the least wait before the same request is sent again.
 	retryFloor = 50 * time.Millisecond
 )
@@ -45,6 +47,12 @@
 	// OnNotRun is called for each answer that says that a booking didn't run. The
 	// key is abandoned if the client goes on with another one, or not at all.
 	OnNotRun func(key string, isAbandoned bool)
+	// SilenceMillis is how long, in milliseconds, a stream may carry nothing before
+	// the client takes its connection for silent. Routers write a comment every two
+	// seconds.
+	SilenceMillis int
+	// TryMillis bounds, in milliseconds, one try of a call whose answer comes whole.
+	TryMillis int
 	// TLS is how to check the routers' certificates; nil means that callers connect
 	// in the clear.
 	TLS *tls.Config
@@ -85,6 +93,22 @@
 	return "http://" + router + path
 }
 
+// silence returns how long a stream may carry nothing.
+func (c *Client) silence() time.Duration {
+	if c.SilenceMillis > 0 {
+		return time.Duration(c.SilenceMillis) * time.Millisecond
+	}
+	return defaultSilence
+}
+
+// tryLimit returns how long one try of a whole call may take.
+func (c *Client) tryLimit() time.Duration {
+	if c.TryMillis > 0 {
+		return time.Duration(c.TryMillis) * time.Millisecond
+	}
+	return defaultTry
+}
+
 func (c *Client) tries() int {
 	if c.Tries > 0 {
 		return c.Tries
@@ -145,6 +169,8 @@
 }
 
 func (c *Client) askOne(ctx context.Context, entry string, query url.Values) (a Address, err error) {
+	ctx, cancel := context.WithTimeout(ctx, c.tryLimit())
+	defer cancel()
 	r, err := http.NewRequestWithContext(ctx, http.MethodGet, c.url(entry, "/v1/address?"+query.Encode()), nil)
 	if err != nil {
 		return a, err
--- a/hitchdev/fleet.go
+++ b/hitchdev/fleet.go
@@ -113,6 +113,9 @@
 	return f.platform.addEngine(f.Deployment.engineEndpoint(n), engine)
 }
 
+// LeaveEngine lists an engine as leaving. It goes on to serve.
+func (f *Fleet) LeaveEngine(id hitchfleet.EndpointID) error { return f.platform.leaveEngine(id) }
+
 // KillEngine ends an engine at once.
 func (f *Fleet) KillEngine(id hitchfleet.EndpointID) error { return f.platform.removeEngine(id) }
 
--- a/hitchdev/fleet_test.go
+++ b/hitchdev/fleet_test.go
@@ -4,6 +4,10 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
 	"testing"
 	"time"
 
@@ -215,3 +219,72 @@
 	qt.Assert(t, string(again.Body), qt.Equals, string(first.Body))
 	qt.Assert(t, f.runsOf(used), qt.Equals, 1)
 }
+
+// An endpoint that leaves gets no new work, and its stream in flight ends whole.
+func TestLeavingEndpointGetsNoNewWork(t *testing.T) {
+	t.Parallel()
+	f := startFleet(t)
+	ctx := context.Background()
+	client := f.Client(0)
+	request, data := body(t, "Tell me all about the kelp forest.", 400)
+	var leaving *EngineHost
+	var once sync.Once
+	answer, err := client.Chat(ctx, "long", data, func(string) {
+		once.Do(func() {
+			for _, host := range f.Engines() {
+				if host.Engine.LoadNow().Running > 0 {
+					leaving = host
+				}
+			}
+			qt.Check(t, f.LeaveEngine(leaving.Endpoint.ID), qt.IsNil)
+		})
+	})
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, answer.Text, qt.Equals, hitchfake.Answer(request))
+	qt.Assert(t, answer.Tries, qt.Equals, 1)
+	await(t, "every router has it from the list", func() bool {
+		for _, node := range f.Routers() {
+			if e, ok := node.Router().View().Endpoint(leaving.Endpoint.ID); !ok || !e.Leaving {
+				return false
+			}
+		}
+		return true
+	})
+	before := leaving.Engine.Records().Submitted
+	for n := range 20 {
+		_, data := body(t, fmt.Sprintf("Chat %d", n), 0)
+		_, err := client.Chat(ctx, fmt.Sprint("new-", n), data, nil)
+		qt.Assert(t, err, qt.IsNil)
+	}
+	_, err = client.Chat(ctx, "long", data, nil)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, leaving.Engine.Records().Submitted, qt.Equals, before)
+}
+
+// A caller's open connection goes silent for good while new ones work: the caller
+// notices it, and gets the whole answer on a new one.
+func TestCallerNoticesASilentConnection(t *testing.T) {
+	t.Parallel()
+	f := startFleet(t)
+	client := f.Client(0)
+	address, err := client.Address(context.Background(), "chat")
+	qt.Assert(t, err, qt.IsNil)
+	relay := &hitchfake.Relay{Target: address.Addresses[0]}
+	through, err := relay.Listen("127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(func() { _ = relay.Close() })
+	caller := f.Client(0)
+	caller.SilenceMillis = 300
+	caller.HTTP = &http.Client{Transport: &http.Transport{DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
+		if addr == address.Addresses[0] {
+			addr = through
+		}
+		return (&net.Dialer{}).DialContext(ctx, network, addr)
+	}}}
+	request, data := body(t, "Tell me all about the kelp forest.", 300)
+	var once sync.Once
+	answer, err := caller.Chat(context.Background(), "chat", data, func(string) { once.Do(relay.Silence) })
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, answer.Text, qt.Equals, hitchfake.Answer(request))
+	qt.Assert(t, answer.Tries > 1, qt.IsTrue)
+}
--- a/hitchdev/platform.go
+++ b/hitchdev/platform.go
@@ -146,6 +146,19 @@
 // errNoSuchEngine says that an engine isn't there.
 var errNoSuchEngine = errors.New("hitchdev: there is no such engine")
 
+// leaveEngine lists an engine as leaving. It goes on to serve.
+func (p *platform) leaveEngine(id hitchfleet.EndpointID) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	host, ok := lo.Find(p.engines, func(e *EngineHost) bool { return e.Endpoint.ID == id })
+	if !ok {
+		return errNoSuchEngine
+	}
+	host.Endpoint.Leaving = true
+	p.publish()
+	return nil
+}
+
 // removeEngine ends an engine at once; the list tells so after its lag.
 func (p *platform) removeEngine(id hitchfleet.EndpointID) error {
 	p.mu.Lock()
