A fleet counts as started once its owners know what the endpoints hold

Cause: for five seconds after the start of a fleet the owners refuse some asks, truly as not run. Sessions and tests that began in them took two tries now and then, and the return of a chat could be placed elsewhere.

Change: Owners.Settled tells when no takeover is under way and every endpoint has reported; a deployment of hitchdev has started once that holds at all routers. That a whole fleet's stop leaves bookings without a successor is no warning.

--- a/hitchadmit/owners.go
+++ b/hitchadmit/owners.go
@@ -138,6 +138,29 @@
 	})
 }
 
+// Settled tells whether this router knows what its endpoints hold: no takeover is
+// under way at any of them, and each has reported. Until then it refuses some asks.
+func (o *Owners) Settled(now time.Time) bool {
+	for i := range o.shards {
+		if !o.shardSettled(&o.shards[i], now) {
+			return false
+		}
+	}
+	return o.view.Load() != nil
+}
+
+func (o *Owners) shardSettled(s *shard, now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, e := range s.endpoints {
+		ev := o.event(s, e, now)
+		if e.owned && !e.handed && (!ev.settled || e.warmth.phase == phaseUnknown) {
+			return false
+		}
+	}
+	return true
+}
+
 // Tick ends what has passed its deadline, at all endpoints, and returns the
 // grants and refusals that fall due by it. Call it a few times a second.
 func (o *Owners) Tick(now time.Time, due []Notice) []Notice {
--- a/hitchadmit/owners_test.go
+++ b/hitchadmit/owners_test.go
@@ -228,3 +228,17 @@
 		qt.Assert(t, p.open.Load(), qt.Equals, int64(6), qt.Commentf("%v", key))
 	}
 }
+
+func TestSettledAfterTheTakeoverAndAReport(t *testing.T) {
+	var o Owners
+	qt.Assert(t, o.Settled(at(0)), qt.IsFalse)
+	o.SetMembers(at(0), alone(1), nil)
+	qt.Assert(t, o.Settled(at(0)), qt.IsFalse)
+	for s := 0.0; s < TakeoverWindow.Seconds(); s++ {
+		o.Tick(at(s), nil)
+	}
+	later := at(TakeoverWindow.Seconds())
+	qt.Assert(t, o.Settled(later), qt.IsFalse)
+	o.Report(later, LoadReport{Endpoint: engineID(0), AsOf: later}, nil)
+	qt.Assert(t, o.Settled(later), qt.IsTrue)
+}
--- a/hitchdev/fleet.go
+++ b/hitchdev/fleet.go
@@ -43,7 +43,7 @@
 const readyStep = 20 * time.Millisecond
 
 // Start starts the stand-ins and the routers, and returns once every router takes
-// requests.
+// requests and knows what the endpoints that it owns hold.
 func (f *Fleet) Start(ctx context.Context) (err error) {
 	defer func() {
 		if err != nil {
@@ -229,7 +229,7 @@
 func (f *Fleet) isReady() bool {
 	routers := f.Routers()
 	return lo.EveryBy(routers, func(n *hitchnode.Node) bool {
-		return n.Router().Ready() == nil && len(n.Router().View().Live) >= len(routers) && n.Router().IsPlacing()
+		return n.Router().Ready() == nil && len(n.Router().View().Live) >= len(routers) && n.Router().IsSettled()
 	})
 }
 
--- a/hitchrouter/handover.go
+++ b/hitchrouter/handover.go
@@ -52,7 +52,7 @@
 	}
 	successor, ok := rt.successor()
 	if !ok {
-		rt.log().Warn("bookings not handed over", "Home", h.home.Self.String(), "Cause", "no other router")
+		rt.log().Info("bookings not handed over", "Home", h.home.Self.String(), "Cause", "no other router")
 		return nil
 	}
 	handover := h.home.HandOver()
--- a/hitchrouter/placement.go
+++ b/hitchrouter/placement.go
@@ -108,5 +108,8 @@
 
 func contains[T comparable](list []T, v T) bool { return slices.Contains(list, v) }
 
-// IsPlacing tells whether the router knows an endpoint to place requests at.
-func (rt *Router) IsPlacing() bool { return len(rt.placement().pools) > 0 }
+// IsSettled tells whether the router knows endpoints to place requests at, and
+// what those that it owns hold.
+func (rt *Router) IsSettled() bool {
+	return len(rt.placement().pools) > 0 && rt.Owners.Settled(rt.now())
+}
