measure skew tells the ratios while the load is on

Cause: the largest load over the mean was 10 of 10 engines for every way of placing: at the start and end of a run one request is the whole load.

Change: the ratios are of the samples whose mean is at least half the median one; the value compared with the bound still takes all samples.

--- a/hitchmeasure/skew.go
+++ b/hitchmeasure/skew.go
@@ -56,6 +56,19 @@
 	k.overSet = append(k.overSet, most/max(mean*loadBound, skewFloor))
 }
 
+// steady returns the largest loads over the mean while the load was on: at its start
+// and end a few requests stand for a mean.
+func (k *skewSamples) steady() []float64 {
+	least := at(k.means, percentileMedian) / 2
+	var all []float64
+	for i, mean := range k.means {
+		if mean >= least {
+			all = append(all, k.overMean[i])
+		}
+	}
+	return all
+}
+
 // loadBound is the set multiple of the mean in the measurement's configuration.
 const loadBound = 2
 
@@ -82,7 +95,8 @@
 		"Placement", "MaxOverMean", "P99OverMean", "MedianOverMean", "MeanTokens", "MaxOverSet", "Refused", "Failed", "FirstTokenP95Ms",
 	}}}
 	for _, c := range contenders {
-		r.Table = r.Table.With(c.name, at(c.skew.overMean, 100), at(c.skew.overMean, percentileTail), at(c.skew.overMean, percentileMedian),
+		steady := c.skew.steady()
+		r.Table = r.Table.With(c.name, at(steady, 100), at(steady, percentileTail), at(steady, percentileMedian),
 			at(c.skew.means, percentileMedian), at(c.skew.overSet, 100), c.tally.refused, c.tally.failed, millisAt(c.tally.firstToken, percentileHigh))
 	}
 	r.Value = at(contenders[0].skew.overSet, 100)
@@ -90,6 +104,7 @@
 	if err := contenders[0].tally.lastErr; err != nil {
 		r.Notes = append(r.Notes, fmt.Sprintf("LastError=%q", err))
 	}
-	r.Notes = append(r.Notes, "Value is the largest load over the larger of 2 times the mean and the floor of 65536 tokens.")
+	r.Notes = append(r.Notes, "MaxOverMean is of the samples whose mean is at least half the median one.",
+		"Value is the largest load over the larger of 2 times the mean and the floor of 65536 tokens.")
 	return r, nil
 }
