A chat's priority keeps to its organisation's ceiling

Cause: an organisation's PriorityCeiling was checked and stored, and nothing read it: any caller got the interactive priority.

Change: below the interactive priority an organisation's chats are batch work, for admission and for the engine. Conclusion: a table test of the four cases; the tests of hitchapi pass.

--- a/hitchapi/chat.go
+++ b/hitchapi/chat.go
@@ -10,6 +10,7 @@
 	"github.com/danielgtaylor/huma/v2"
 	"github.com/danielgtaylor/huma/v2/adapters/humago"
 
+	"citronhitch.example/citronhitch/hitchconfig"
 	"citronhitch.example/citronhitch/hitchfleet"
 	"citronhitch.example/citronhitch/hitchforward"
 	"citronhitch.example/citronhitch/hitchrouter"
@@ -93,18 +94,19 @@
 	if err != nil {
 		return hitchrouter.Chat{}, false, err
 	}
+	isBatch := isBatch(r, organisation)
 	return hitchrouter.Chat{
 		Organisation: organisation,
 		Route:        route,
 		ID:           chatID,
 		Zone:         zoneOf(r),
-		Batch:        r.Header.Get(PriorityHeader) == "Batch",
+		Batch:        isBatch,
 		PromptBytes:  int64(len(body)),
 		MaxTokens:    parsed.MaxTokens,
 		Call: hitchforward.Call{
 			Method:     http.MethodPost,
 			Path:       "/v1/chat/completions",
-			Header:     chatHeader(r, hitchrouter.ChatKey(organisation.ID, chatID)),
+			Header:     chatHeader(hitchrouter.ChatKey(organisation.ID, chatID), isBatch),
 			Body:       body,
 			Idempotent: true,
 			Deadline:   deadline,
@@ -125,13 +127,23 @@
 	return string(body.Messages[0].Content), nil
 }
 
+// interactivePriority is what an organisation's ceiling must reach for its work to
+// go before batch work, and what engines are told.
+const interactivePriority = 1
+
+// isBatch tells whether a chat waits behind interactive work: the caller says so,
+// or its organisation may not ask for more.
+func isBatch(r *http.Request, organisation hitchconfig.Organisation) bool {
+	return r.Header.Get(PriorityHeader) == "Batch" || organisation.PriorityCeiling < interactivePriority
+}
+
 // chatHeader returns the header fields that go on to the engine.
-func chatHeader(r *http.Request, key hitchfleet.Key) http.Header {
+func chatHeader(key hitchfleet.Key, isBatch bool) http.Header {
 	header := make(http.Header)
 	header.Set("Content-Type", "application/json")
 	header.Set(ChatHeader, strconv.FormatUint(uint64(key), 16))
-	if r.Header.Get(PriorityHeader) != "Batch" {
-		header.Set(PriorityHeader, "1")
+	if !isBatch {
+		header.Set(PriorityHeader, strconv.Itoa(interactivePriority))
 	}
 	return header
 }
--- a/hitchapi/input_test.go
+++ b/hitchapi/input_test.go
@@ -117,3 +117,24 @@
 		}
 	})
 }
+
+func TestPriorityOfAChat(t *testing.T) {
+	tests := map[string]struct {
+		asked   string
+		ceiling int
+		batch   bool
+	}{
+		"nothing asked":        {"", 1, false},
+		"batch asked":          {"Batch", 1, true},
+		"above the ceiling":    {"Interactive", 0, true},
+		"batch, ceiling of it": {"Batch", 0, true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			r := chatRequest(goodChat, http.Header{PriorityHeader: {test.asked}})
+			got := isBatch(r, hitchconfig.Organisation{PriorityCeiling: test.ceiling})
+			qt.Assert(t, got, qt.Equals, test.batch)
+			qt.Assert(t, chatHeader(1, got).Get(PriorityHeader) == "", qt.Equals, test.batch)
+		})
+	}
+}
