--- a/hitchmeasure/measure.go
+++ b/hitchmeasure/measure.go
@@ -129,6 +129,7 @@
 		{"control", "Control traffic of a router at several sizes of the fleet.", Control},
 		{"store-calls", "Growth of the key-value service's calls with the fleet.", StoreCalls},
 		{"membership", "Time until a dead router is known to all, and a new one.", Membership},
+		{"zone-loss", "Turns lost while all routers and engines of a zone end at once.", ZoneLoss},
 		{"rolling-restart", "Turns cut while every router is replaced in turn.", RollingRestart},
 	}
 }
