--- a/hitchmeasure/atmostonce.go
+++ b/hitchmeasure/atmostonce.go
@@ -48,8 +48,8 @@
 // against the services' own records. Value is the number of broken promises.
 func AtMostOnce(ctx context.Context, s Settings) (r Result, err error) {
 	s = s.WithDefaults()
-	fleet := &hitchdev.Fleet{Deployment: s.deployment(), Log: s.Log}
-	if err := fleet.Start(ctx); err != nil {
+	fleet, err := s.startFleet(ctx, s.deployment())
+	if err != nil {
 		return r, err
 	}
 	defer stopFleet(ctx, fleet)
--- a/hitchmeasure/coldstart.go
+++ b/hitchmeasure/coldstart.go
@@ -23,10 +23,10 @@
 // engines that were given more than they bear and fell over.
 func ColdStart(ctx context.Context, s Settings) (r Result, err error) {
 	s = s.WithDefaults()
-	d := s.deployment()
-	d.TokensPerSecond, d.PrefillPerSecond, d.ColdLimit = zoneShape.tokensPerSecond, zoneShape.prefillPerSecond, coldBears
-	fleet := &hitchdev.Fleet{Deployment: d, Log: s.Log}
-	if err := fleet.Start(ctx); err != nil {
+	d := zoneShape.apply(s.deployment())
+	d.ColdLimit = coldBears
+	fleet, err := s.startFleet(ctx, d)
+	if err != nil {
 		return r, err
 	}
 	defer stopFleet(ctx, fleet)
--- a/hitchmeasure/config.go
+++ b/hitchmeasure/config.go
@@ -50,8 +50,8 @@
 // routers. Value is the longest, in seconds.
 func Config(ctx context.Context, s Settings) (r Result, err error) {
 	s = s.WithDefaults()
-	fleet := &hitchdev.Fleet{Deployment: s.deployment(), Log: s.Log}
-	if err := fleet.Start(ctx); err != nil {
+	fleet, err := s.startFleet(ctx, s.deployment())
+	if err != nil {
 		return r, err
 	}
 	defer stopFleet(ctx, fleet)
--- a/hitchmeasure/latency.go
+++ b/hitchmeasure/latency.go
@@ -25,8 +25,7 @@
 // median, in milliseconds.
 func Latency(ctx context.Context, s Settings) (r Result, err error) {
 	s = s.WithDefaults()
-	d := s.deployment()
-	d.TokensPerSecond, d.PrefillPerSecond = latencyShape.tokensPerSecond, latencyShape.prefillPerSecond
+	d := latencyShape.apply(s.deployment())
 	ours, err := fleetContender(ctx, s, d)
 	if err != nil {
 		return r, err
--- a/hitchmeasure/measure.go
+++ b/hitchmeasure/measure.go
@@ -134,6 +134,12 @@
 	}
 }
 
+// startFleet starts the fleet of a measurement.
+func (s Settings) startFleet(ctx context.Context, d hitchdev.Deployment) (*hitchdev.Fleet, error) {
+	fleet := &hitchdev.Fleet{Deployment: d, Log: s.Log}
+	return fleet, fleet.Start(ctx)
+}
+
 // deployment returns the deployment of a measurement.
 func (s Settings) deployment() hitchdev.Deployment {
 	d := hitchdev.Kustakvariet()
--- a/hitchmeasure/reuse.go
+++ b/hitchmeasure/reuse.go
@@ -70,7 +70,7 @@
 func contendersOf(ctx context.Context, s Settings, sh shape) ([]*contender, error) {
 	d := s.deployment()
 	d.CacheTokens = s.cacheTokens(sh)
-	d.TokensPerSecond, d.PrefillPerSecond = sh.tokensPerSecond, sh.prefillPerSecond
+	d = sh.apply(d)
 	ours, err := fleetContender(ctx, s, d)
 	if err != nil {
 		return nil, err
@@ -117,8 +117,8 @@
 
 // fleetContender starts a fleet with a caller of each organisation.
 func fleetContender(ctx context.Context, s Settings, d hitchdev.Deployment) (*contender, error) {
-	fleet := &hitchdev.Fleet{Deployment: d, Log: s.Log}
-	if err := fleet.Start(ctx); err != nil {
+	fleet, err := s.startFleet(ctx, d)
+	if err != nil {
 		return nil, err
 	}
 	return &contender{
--- a/hitchmeasure/rolling.go
+++ b/hitchmeasure/rolling.go
@@ -5,18 +5,15 @@
 	"fmt"
 	"sync"
 	"time"
-
-	"citronhitch.example/citronhitch/hitchdev"
 )
 
 // RollingRestart replaces every router in turn by a graceful shutdown under load.
 // Value is the number of turns that were cut, crossed or had no answer.
 func RollingRestart(ctx context.Context, s Settings) (r Result, err error) {
 	s = s.WithDefaults()
-	d := s.deployment()
-	d.TokensPerSecond, d.PrefillPerSecond = zoneShape.tokensPerSecond, zoneShape.prefillPerSecond
-	fleet := &hitchdev.Fleet{Deployment: d, Log: s.Log}
-	if err := fleet.Start(ctx); err != nil {
+	d := zoneShape.apply(s.deployment())
+	fleet, err := s.startFleet(ctx, d)
+	if err != nil {
 		return r, err
 	}
 	defer stopFleet(ctx, fleet)
--- a/hitchmeasure/scale.go
+++ b/hitchmeasure/scale.go
@@ -111,11 +111,10 @@
 // with a share of requests for each router.
 func scaled(ctx context.Context, s Settings, routers int) (idle, busy sample, err error) {
 	s.Routers = routers
-	d := s.deployment()
-	d.TokensPerSecond, d.PrefillPerSecond = controlShape.tokensPerSecond, controlShape.prefillPerSecond
+	d := controlShape.apply(s.deployment())
 	before := heapBytes()
-	fleet := &hitchdev.Fleet{Deployment: d, Log: s.Log}
-	if err := fleet.Start(ctx); err != nil {
+	fleet, err := s.startFleet(ctx, d)
+	if err != nil {
 		return idle, busy, err
 	}
 	defer stopFleet(ctx, fleet)
@@ -206,8 +205,8 @@
 // oneDeath kills a router, waits until no other counts it as live, and starts one
 // more.
 func oneDeath(ctx context.Context, s Settings) (detected, joined float64, falseDeaths int, err error) {
-	fleet := &hitchdev.Fleet{Deployment: s.deployment(), Log: s.Log}
-	if err := fleet.Start(ctx); err != nil {
+	fleet, err := s.startFleet(ctx, s.deployment())
+	if err != nil {
 		return 0, 0, 0, err
 	}
 	defer stopFleet(ctx, fleet)
--- a/hitchmeasure/surge.go
+++ b/hitchmeasure/surge.go
@@ -24,10 +24,10 @@
 // 95 in 100.
 func Surge(ctx context.Context, s Settings) (r Result, err error) {
 	s = s.WithDefaults()
-	d := s.deployment()
-	d.TokensPerSecond, d.PrefillPerSecond, d.MaxRunning = surgeShape.tokensPerSecond, surgeShape.prefillPerSecond, surgeRunning
-	fleet := &hitchdev.Fleet{Deployment: d, Log: s.Log}
-	if err := fleet.Start(ctx); err != nil {
+	d := surgeShape.apply(s.deployment())
+	d.MaxRunning = surgeRunning
+	fleet, err := s.startFleet(ctx, d)
+	if err != nil {
 		return r, err
 	}
 	defer stopFleet(ctx, fleet)
--- a/hitchmeasure/workload.go
+++ b/hitchmeasure/workload.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"citronhitch.example/citronhitch/hitchclient"
+	"citronhitch.example/citronhitch/hitchdev"
 	"citronhitch.example/citronhitch/hitchfake"
 )
 
@@ -36,6 +37,12 @@
 	prefillPerSecond float64
 }
 
+// apply returns the deployment with engines of the shape's rates.
+func (sh shape) apply(d hitchdev.Deployment) hitchdev.Deployment {
+	d.TokensPerSecond, d.PrefillPerSecond = sh.tokensPerSecond, sh.prefillPerSecond
+	return d
+}
+
 // turn is one request of the load.
 type turn struct {
 	Chat         string
--- a/hitchmeasure/zoneexit.go
+++ b/hitchmeasure/zoneexit.go
@@ -22,10 +22,9 @@
 // after the accept the zone's engines still got new work, in seconds.
 func ZoneExit(ctx context.Context, s Settings) (r Result, err error) {
 	s = s.WithDefaults()
-	d := s.deployment()
-	d.TokensPerSecond, d.PrefillPerSecond = zoneShape.tokensPerSecond, zoneShape.prefillPerSecond
-	fleet := &hitchdev.Fleet{Deployment: d, Log: s.Log}
-	if err := fleet.Start(ctx); err != nil {
+	d := zoneShape.apply(s.deployment())
+	fleet, err := s.startFleet(ctx, d)
+	if err != nil {
 		return r, err
 	}
 	defer stopFleet(ctx, fleet)
--- a/hitchmeasure/zoneloss.go
+++ b/hitchmeasure/zoneloss.go
@@ -15,10 +15,9 @@
 // answer for.
 func ZoneLoss(ctx context.Context, s Settings) (r Result, err error) {
 	s = s.WithDefaults()
-	d := s.deployment()
-	d.TokensPerSecond, d.PrefillPerSecond = zoneShape.tokensPerSecond, zoneShape.prefillPerSecond
-	fleet := &hitchdev.Fleet{Deployment: d, Log: s.Log}
-	if err := fleet.Start(ctx); err != nil {
+	d := zoneShape.apply(s.deployment())
+	fleet, err := s.startFleet(ctx, d)
+	if err != nil {
 		return r, err
 	}
 	defer stopFleet(ctx, fleet)
