--- a/hitchbalance/balancer.go
+++ b/hitchbalance/balancer.go
@@ -27,6 +27,8 @@
 	ColdSlack  float64
 	// LoadFactor bounds an endpoint's load as a multiple of the mean.
 	LoadFactor float64
+	// HeartbeatMilliseconds is how often endpoints report to the store.
+	HeartbeatMilliseconds int
 }
 
 // Fleet is what a Balancer needs to know of the fleet.
@@ -53,7 +55,10 @@
 	byID      map[hitchfleet.EndpointID]*endpoint
 	byService map[hitchfleet.ServiceID][]*endpoint
 	outBy     map[hitchfleet.ServiceID][]*endpoint
-	byRef     map[hitchdigest.Ref]*endpoint
+	// gone are endpoints that left the fleet lately: some go on for seconds, and
+	// others may copy what they cache.
+	gone  []*endpoint
+	byRef map[hitchdigest.Ref]*endpoint
 	// chain, sound and suspect belong to the present Pick.
 	chain          []hitchfleet.Key
 	sound, suspect []*endpoint
@@ -92,8 +97,10 @@
 	shared     shared
 	health     health
 	cached     cachedParts
-	// joined is when this instance first heard of the endpoint.
+	// joined is when this instance first heard of the endpoint, and goneAt when it
+	// heard that it is gone.
 	joined time.Time
+	goneAt time.Time
 	cold   coldGate
 }
 
@@ -125,11 +132,25 @@
 	for _, e := range f.Out {
 		b.outBy[e.Service] = append(b.outBy[e.Service], b.byID[e.ID])
 	}
+	b.keepGone(now, old)
 	for _, list := range b.byService {
 		slices.SortFunc(list, func(x, y *endpoint) int { return compareIDs(x.ID, y.ID) })
 	}
 }
 
+// keepGone notes which endpoints have left the fleet and forgets those that left
+// long ago.
+func (b *Balancer) keepGone(now time.Time, old map[hitchfleet.EndpointID]*endpoint) {
+	heartbeat := time.Duration(b.limits.HeartbeatMilliseconds) * time.Millisecond
+	b.gone = slices.DeleteFunc(b.gone, func(e *endpoint) bool { return now.Sub(e.goneAt) >= goneSourceLife })
+	for id, e := range old {
+		if b.byID[id] == nil && e.health.leftInOrder(now, heartbeat) {
+			e.goneAt = now
+			b.gone = append(b.gone, e)
+		}
+	}
+}
+
 // Observe takes in what an endpoint says of its load.
 func (b *Balancer) Observe(now time.Time, id hitchfleet.EndpointID, l Load) {
 	b.mu.Lock()
--- a/hitchbalance/balancer_test.go
+++ b/hitchbalance/balancer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -139,6 +140,36 @@
 	qt.Assert(t, third.Source.ID, qt.Equals, hitchfleet.EndpointID(""))
 }
 
+// TestAnEngineThatLeavesWithoutAWordIsTheSource replays engines whose entries are
+// removed. One that answered until then goes on for a while and is copied from; one
+// that was silent before has crashed.
+func TestAnEngineThatLeavesWithoutAWordIsTheSource(t *testing.T) {
+	const heartbeat = 1200
+	tests := map[string]struct {
+		result            Result
+		removedAt, pickAt int
+		isSource          bool
+	}{
+		"answered until then": {ResultOK, 1000, 1500, true},
+		"long gone":           {ResultOK, 1000, 6000, false},
+		"silent before":       {ResultOK, 3600, 4000, false},
+		"broke off":           {ResultLost, 600, 1500, false},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			f := fleet(1, 9)
+			b := balancers(f)[0]
+			b.SetLimits(Limits{LoadFactor: 2, HeartbeatMilliseconds: heartbeat})
+			first := pick(t, b, start, prompt(77))
+			b.Settle(at(10), first, test.result)
+			f.Endpoints = slices.DeleteFunc(f.Endpoints, func(e hitchfleet.Endpoint) bool { return e.ID == first.Endpoint.ID })
+			b.SetFleet(at(test.removedAt), f)
+			second := pick(t, b, at(test.pickAt), prompt(77))
+			qt.Assert(t, second.Source.ID == first.Endpoint.ID, qt.Equals, test.isSource)
+		})
+	}
+}
+
 // TestAHotPromptSpreads replays a hot key: all requests have the same prompt.
 // At most three in a hundred come to an engine beyond the bound that all
 // instances keep together.
--- a/hitchbalance/cache.go
+++ b/hitchbalance/cache.go
@@ -1,6 +1,7 @@
 package hitchbalance
 
 import (
+	"iter"
 	"slices"
 	"time"
 
@@ -54,16 +55,13 @@
 	var best uint64
 	depth := has
 	own := hitchfleet.Score(key, chosen.key)
-	for _, e := range b.byID {
-		if e == chosen || e.Service != chosen.Service || e.health.isSuspect(now) || slices.Contains(b.outBy[e.Service], e) {
-			continue
-		}
+	for e := range b.sources(now, chosen) {
 		n := e.cached.depth(chain, now)
 		if n > depth || n == depth && n > has && e.cached.byKey[chain[n-1]].After(usedAt) {
 			used, usedAt, depth = e, e.cached.byKey[chain[n-1]], n
 		}
 		score := hitchfleet.Score(key, e.key)
-		if (score > own || e.joined.Before(chosen.joined)) && score > best {
+		if e.goneAt.IsZero() && (score > own || e.joined.Before(chosen.joined)) && score > best {
 			ranked, best = e, score
 		}
 	}
@@ -76,3 +74,26 @@
 		return hitchfleet.Endpoint{}
 	}
 }
+
+// goneSourceLife is how long an endpoint that has left the fleet is asked for
+// what it caches. Some leave without a word and end their work first.
+const goneSourceLife = 4 * time.Second
+
+// sources returns the endpoints from which the chosen one may copy.
+func (b *Balancer) sources(now time.Time, chosen *endpoint) iter.Seq[*endpoint] {
+	mayBe := func(e *endpoint) bool {
+		return e != chosen && e.Service == chosen.Service && !e.health.isSuspect(now)
+	}
+	return func(yield func(*endpoint) bool) {
+		for _, e := range b.byID {
+			if mayBe(e) && !slices.Contains(b.outBy[e.Service], e) && !yield(e) {
+				return
+			}
+		}
+		for _, e := range b.gone {
+			if mayBe(e) && now.Sub(e.goneAt) < goneSourceLife && !yield(e) {
+				return
+			}
+		}
+	}
+}
--- a/hitchedge/edge.go
+++ b/hitchedge/edge.go
@@ -91,13 +91,17 @@
 		return
 	}
 	e.seeds.Store(&s.Seeds)
-	e.balancer.SetLimits(balancerLimits(s.Bounds))
+	e.balancer.SetLimits(balancerLimits(s))
 	e.Log.Info("settings reloaded", "Path", path, "Seeds", len(s.Seeds), "ColdFactor", s.Bounds.ColdFactor, "LoadFactor", s.Bounds.LoadFactor)
 }
 
 // balancerLimits returns the bounds of placement.
-func balancerLimits(b hitchplatform.Bounds) hitchbalance.Limits {
-	return hitchbalance.Limits{ColdFactor: b.ColdFactor, ColdSlack: b.ColdSlack, LoadFactor: b.LoadFactor}
+func balancerLimits(s hitchplatform.Settings) hitchbalance.Limits {
+	b := s.Bounds
+	return hitchbalance.Limits{
+		ColdFactor: b.ColdFactor, ColdSlack: b.ColdSlack, LoadFactor: b.LoadFactor,
+		HeartbeatMilliseconds: s.HeartbeatMilliseconds,
+	}
 }
 
 // Run serves until ctx ends, or fails if an address can't be listened on.
@@ -144,7 +148,7 @@
 	e.isReady = make(chan struct{})
 	e.store.Addr = s.StoreAddr
 	e.seeds.Store(&s.Seeds)
-	e.balancer.SetLimits(balancerLimits(s.Bounds))
+	e.balancer.SetLimits(balancerLimits(s))
 	e.gateway = &hitchingress.Gateway{
 		Self:       s.Self,
 		Protocol:   hitchplatform.Protocol(),
