--- a/hitchbalance/balancer.go
+++ b/hitchbalance/balancer.go
@@ -59,9 +59,14 @@
 	// others may copy what they cache.
 	gone  []*endpoint
 	byRef map[hitchdigest.Ref]*endpoint
-	// chain, sound and suspect belong to the present Pick.
-	chain          []hitchfleet.Key
-	sound, suspect []*endpoint
+	paths map[hitchfleet.AvailabilityZone]*path
+	// chain and byTier belong to the present Pick.
+	chain  []hitchfleet.Key
+	byTier [tiers][]*endpoint
+	// beliefs are the changes that wait to be told.
+	beliefs []Belief
+	// tickets counts the picks.
+	tickets uint64
 	// news are the cached prefixes for the next report.
 	news []hitchdigest.Cached
 	// learnedAt is when a digest came last.
@@ -96,6 +101,8 @@
 	ownThen    int
 	shared     shared
 	health     health
+	path       *path
+	waits      waits
 	cached     cachedParts
 	// joined is when this instance first heard of the endpoint, and goneAt when it
 	// heard that it is gone.
@@ -119,7 +126,7 @@
 		if state == nil || state.Born != e.Born || state.Addr != e.Addr {
 			state = &endpoint{key: e.Key(), ref: hitchdigest.RefOf(e.ID), joined: now}
 		}
-		state.Endpoint = e
+		state.Endpoint, state.path = e, b.pathTo(e.Zone)
 		if f.Table != nil {
 			b.limitCold(state, f.Table.Service(e.Service))
 		}
@@ -138,6 +145,17 @@
 	}
 }
 
+// pathTo returns what is known of the way to a zone.
+func (b *Balancer) pathTo(zone hitchfleet.AvailabilityZone) *path {
+	if b.paths == nil {
+		b.paths = make(map[hitchfleet.AvailabilityZone]*path)
+	}
+	if b.paths[zone] == nil {
+		b.paths[zone] = &path{}
+	}
+	return b.paths[zone]
+}
+
 // keepGone notes which endpoints have left the fleet and forgets those that left
 // long ago.
 func (b *Balancer) keepGone(now time.Time, old map[hitchfleet.EndpointID]*endpoint) {
@@ -171,9 +189,10 @@
 	ResultFailed
 	// ResultRefused means that the endpoint said that it didn't run the request.
 	ResultRefused
-	// ResultUnreachable means that no connection could be made.
-	ResultUnreachable
-	// ResultLost means that the connection broke or went silent.
+	// ResultSilent means that no connection could be made in time, or that no byte
+	// came: the endpoint is stuck or the way to it is cut.
+	ResultSilent
+	// ResultLost means that the endpoint refused or broke the connection.
 	ResultLost
 	// ResultAbandoned means that the caller left or its time was over.
 	ResultAbandoned
@@ -181,19 +200,37 @@
 
 // String returns the result's name as it stands in logs.
 func (r Result) String() string {
-	return [...]string{"OK", "Failed", "Refused", "Unreachable", "Lost", "Abandoned"}[r]
+	return [...]string{"OK", "Failed", "Refused", "Silent", "Lost", "Abandoned"}[r]
 }
 
 // Settle ends what Pick began.
 func (b *Balancer) Settle(now time.Time, p Pick, r Result) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	e := b.byID[p.Endpoint.ID]
-	if e == nil || e.Born != p.Endpoint.Born {
+	e := b.endpointOf(p)
+	if e == nil {
 		return
 	}
 	e.own = max(e.own-1, 0)
-	e.health.settle(now, r)
+	switch r {
+	case ResultOK, ResultFailed, ResultRefused:
+		b.answered(now, e, p.ticket)
+	case ResultSilent:
+		b.fail(now, p.sentAt, e)
+		b.failPath(now, p.sentAt, e)
+	case ResultLost:
+		b.fail(now, p.sentAt, e)
+	}
+	e.waits.end(p.ticket)
+}
+
+// endpointOf returns the endpoint of a pick, or nil if it has left or started
+// anew since.
+func (b *Balancer) endpointOf(p Pick) *endpoint {
+	if e := b.byID[p.Endpoint.ID]; e != nil && e.Born == p.Endpoint.Born {
+		return e
+	}
+	return nil
 }
 
 // load estimates the requests of all instances at the endpoint: the last digest's
--- a/hitchbalance/balancer_test.go
+++ b/hitchbalance/balancer_test.go
@@ -67,7 +67,7 @@
 }
 
 func pick(t *testing.T, b *Balancer, now time.Time, p Prompt) Pick {
-	got, refusal := b.Pick(now, Request{Service: "llm", Prompt: p})
+	got, refusal := b.Pick(now, Request{Service: "llm", Prompt: p, MayRepeat: true})
 	qt.Assert(t, refusal, qt.Equals, NotRefused)
 	return got
 }
@@ -237,7 +237,7 @@
 	}
 	for i := range engines / 2 {
 		e := b.byID[engine(i).ID]
-		e.health.settle(at(100), ResultLost)
+		e.health.fail(at(100), start)
 		e.own = 0
 	}
 	scattered := 0
@@ -288,7 +288,7 @@
 	qt.Assert(t, pick(t, b, at(499), prompt(77)).Endpoint.ID, qt.Not(qt.Equals), first.Endpoint.ID)
 	again := pick(t, b, at(500), prompt(77))
 	qt.Assert(t, again.Endpoint.ID, qt.Equals, first.Endpoint.ID)
-	b.Settle(at(500), again, ResultUnreachable)
+	b.Settle(at(500), again, ResultSilent)
 	qt.Assert(t, pick(t, b, at(1499), prompt(77)).Endpoint.ID, qt.Not(qt.Equals), first.Endpoint.ID)
 	b.Settle(at(1500), pick(t, b, at(1500), prompt(77)), ResultOK)
 	qt.Assert(t, b.byID[first.Endpoint.ID].health.broken, qt.Equals, 0)
--- a/hitchbalance/cache.go
+++ b/hitchbalance/cache.go
@@ -82,7 +82,7 @@
 // sources returns the endpoints from which the chosen one may copy.
 func (b *Balancer) sources(now time.Time, chosen *endpoint) iter.Seq[*endpoint] {
 	mayBe := func(e *endpoint) bool {
-		return e != chosen && e.Service == chosen.Service && !e.health.isSuspect(now)
+		return e != chosen && e.Service == chosen.Service && !e.health.isResting(now, true) && !e.path.isResting(now, true)
 	}
 	return func(yield func(*endpoint) bool) {
 		for _, e := range b.byID {
--- a/hitchbalance/pick.go
+++ b/hitchbalance/pick.go
@@ -1,7 +1,6 @@
 package hitchbalance
 
 import (
-	"slices"
 	"time"
 
 	"citronhitch.example/citronhitch/hitchfleet"
@@ -20,19 +19,19 @@
 	ByOverflow
 	// ByLoad is the endpoint with the least load.
 	ByLoad
-	// BySuspect is an endpoint that failed lately, as no other is left.
-	BySuspect
 )
 
 // String returns the reason's name as it stands in logs.
 func (w Why) String() string {
-	return [...]string{"Cache", "Affinity", "Overflow", "Load", "Suspect"}[w]
+	return [...]string{"Cache", "Affinity", "Overflow", "Load"}[w]
 }
 
 // Pick is an endpoint for a request.
 type Pick struct {
 	Endpoint hitchfleet.Endpoint
 	Why      Why
+	// Tier is the endpoint's; no better one had an endpoint left.
+	Tier Tier
 	// Load is the estimate that decided, in requests.
 	Load float64
 	// LoadAt is when the estimate was last told by others.
@@ -42,6 +41,8 @@
 	// Source is an engine that likely caches what the chosen one lacks of the
 	// prompt; its ID is empty if there is none.
 	Source hitchfleet.Endpoint
+	ticket uint64
+	sentAt time.Time
 	// Unread counts the prompt's tokens that the engine isn't known to cache.
 	Unread int
 }
@@ -97,14 +98,12 @@
 func (b *Balancer) Pick(now time.Time, r Request) (Pick, Refusal) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	all := b.byService[r.Service]
-	open, refusal := b.open(now, all, r.Tried)
+	open, best, mean, refusal := b.open(now, r)
 	if refusal != NotRefused {
 		return Pick{}, refusal
 	}
-	mean := b.mean(now, open)
 	e, why := b.choose(now, open, r, mean)
-	p := Pick{Endpoint: e.Endpoint, Why: why, Load: b.load(now, e), LoadAt: later(b.learnedAt, e.reportedAt), Mean: mean}
+	p := Pick{Endpoint: e.Endpoint, Why: why, Tier: best, Load: b.load(now, e), LoadAt: later(b.learnedAt, e.reportedAt), Mean: mean}
 	if key, ok := r.Prompt.Affinity(); ok {
 		p.Source = b.source(now, e, key, b.chain)
 		p.Unread = r.Prompt.unread(e.cached.depth(b.chain, now))
@@ -115,46 +114,14 @@
 		e.cold.take()
 	}
 	e.own++
+	b.tickets++
+	p.ticket, p.sentAt = b.tickets, now
+	e.waits = append(e.waits, wait{ticket: p.ticket, sentAt: now})
+	e.health.begin(now)
+	e.path.begin(now)
 	return p, NotRefused
 }
 
-// open returns the endpoints that may get a request, those that failed lately
-// only if no other is left.
-func (b *Balancer) open(now time.Time, all []*endpoint, tried []hitchfleet.EndpointID) ([]*endpoint, Refusal) {
-	sound, suspect := b.sound[:0], b.suspect[:0]
-	refusal := NoEndpoint
-	for _, e := range all {
-		switch {
-		case slices.Contains(tried, e.ID):
-			refusal = max(refusal, AllTried)
-		case now.Before(e.ColdUntil) && !e.cold.allows(now):
-			refusal = AllCold
-		case e.health.isSuspect(now):
-			suspect = append(suspect, e)
-		default:
-			sound = append(sound, e)
-		}
-	}
-	b.sound, b.suspect = sound, suspect
-	switch {
-	case len(sound) > 0:
-		return sound, NotRefused
-	case len(suspect) > 0:
-		return suspect, NotRefused
-	default:
-		return nil, refusal
-	}
-}
-
-// mean returns the mean load of endpoints.
-func (b *Balancer) mean(now time.Time, all []*endpoint) float64 {
-	sum := 0.0
-	for _, e := range all {
-		sum += b.load(now, e)
-	}
-	return sum / float64(max(len(all), 1))
-}
-
 // choose returns the endpoint for a request among the open ones.
 func (b *Balancer) choose(now time.Time, open []*endpoint, r Request, mean float64) (*endpoint, Why) {
 	if key, ok := r.Prompt.Affinity(); ok {
--- a/hitchbalance/request.go
+++ b/hitchbalance/request.go
@@ -60,4 +60,8 @@
 	Zone hitchfleet.AvailabilityZone
 	// Tried are the endpoints that the request was sent to before.
 	Tried []hitchfleet.EndpointID
+	// MayRepeat tells that the request may run more than once.
+	MayRepeat bool
+	// LostZones are the zones that the request found no way to before.
+	LostZones []hitchfleet.AvailabilityZone
 }
--- a/hitchforward/failure.go
+++ b/hitchforward/failure.go
@@ -1,7 +1,9 @@
 package hitchforward
 
 import (
+	"errors"
 	"fmt"
+	"net"
 	"sync/atomic"
 
 	"citronhitch.example/citronhitch/hitchfleet"
@@ -62,6 +64,20 @@
 // Unwrap returns the cause.
 func (f *Failure) Unwrap() error { return f.Err }
 
+// IsSilence tells whether nothing came in time, rather than that the endpoint
+// refused or broke the connection: the way to it may be cut.
+func (f *Failure) IsSilence() bool {
+	switch f.Kind {
+	case FailureSilent:
+		return true
+	case FailureUnsent, FailureCut:
+		var timeout net.Error
+		return errors.As(f.Err, &timeout) && timeout.Timeout()
+	default:
+		return false
+	}
+}
+
 // MayRetry tells whether an idempotent call may be tried again after the
 // failure.
 func (f *Failure) MayRetry() bool {
--- /dev/null
+++ b/hitchforward/failure_test.go
@@ -0,0 +1,34 @@
+package hitchforward
+
+import (
+	"context"
+	"net"
+	"os"
+	"syscall"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+func TestIsSilence(t *testing.T) {
+	dial := func(err error) error { return &net.OpError{Op: "dial", Net: "tcp", Err: err} }
+	tests := map[string]struct {
+		failure Failure
+		want    bool
+	}{
+		"no byte came":            {Failure{Kind: FailureSilent, Err: os.ErrDeadlineExceeded}, true},
+		"no connection in time":   {Failure{Kind: FailureUnsent, Err: dial(os.ErrDeadlineExceeded)}, true},
+		"bytes not acknowledged":  {Failure{Kind: FailureCut, Err: dial(os.NewSyscallError("read", syscall.ETIMEDOUT))}, true},
+		"connection refused":      {Failure{Kind: FailureUnsent, Err: dial(syscall.ECONNREFUSED)}, false},
+		"connection reset":        {Failure{Kind: FailureCut, Err: dial(syscall.ECONNRESET)}, false},
+		"the request's time over": {Failure{Kind: FailureTimeout, Err: context.DeadlineExceeded}, false},
+		"the caller left midway":  {Failure{Kind: FailureCallerGone, Err: os.ErrDeadlineExceeded}, false},
+		"busy without an error":   {Failure{Kind: FailureBusy}, false},
+		"closed here":             {Failure{Kind: FailureCut, Err: net.ErrClosed}, false},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			qt.Assert(t, test.failure.IsSilence(), qt.Equals, test.want)
+		})
+	}
+}
--- a/hitchingress/attempt.go
+++ b/hitchingress/attempt.go
@@ -33,11 +33,17 @@
 
 // attempt sends the request to an endpoint.
 func (g *Gateway) attempt(ctx context.Context, j *job, pick hitchbalance.Pick) (end attemptEnd) {
-	defer func() { g.Balancer.Settle(time.Now(), pick, end.result) }()
+	defer func() {
+		g.Balancer.Settle(time.Now(), pick, end.result)
+		g.logBeliefs()
+	}()
 	j.entry.pick(pick)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	sent := time.Now()
+	if usual, ok := j.learnt.patience.Expected(pick.Unread); ok {
+		g.Balancer.Expect(pick, sent.Add(usual))
+	}
 	x, err := g.Conns.Open(ctx, pick.Endpoint.Addr, g.message(j, pick), j.headUntil(sent), &j.evidence)
 	if err != nil {
 		if isSilent(err) {
@@ -46,6 +52,7 @@
 		return g.failed(j, pick, err)
 	}
 	defer x.Close()
+	g.Balancer.Answered(time.Now(), pick)
 	head := g.Protocol.Answer(x.Head.StatusCode, x.Head.Header)
 	if head.HasLoad {
 		g.Balancer.Observe(time.Now(), pick.Endpoint.ID, head.Load)
@@ -127,9 +134,13 @@
 		return end
 	}
 	f.Attempt, f.Endpoint = j.ID, pick.Endpoint.ID
+	if f.IsSilence() {
+		end.result = hitchbalance.ResultSilent
+		j.lostZones = append(j.lostZones, pick.Endpoint.Zone)
+	}
 	switch f.Kind {
 	case hitchforward.FailureUnsent:
-		end.outcome, end.result = hitchretry.Unsent, hitchbalance.ResultUnreachable
+		end.outcome = hitchretry.Unsent
 	case hitchforward.FailureCallerGone, hitchforward.FailureTimeout:
 		end.result = hitchbalance.ResultAbandoned
 	case hitchforward.FailureSilent:
@@ -146,7 +157,7 @@
 	end := attemptEnd{outcome: hitchretry.Refused, result: hitchbalance.ResultRefused}
 	if x.Head.StatusCode == http.StatusMisdirectedRequest {
 		// Another endpoint has the address now.
-		end.result = hitchbalance.ResultUnreachable
+		end.result = hitchbalance.ResultLost
 	}
 	j.evidence.Unsent()
 	if _, err := x.ReadAll(maxAnswerBytes); err != nil {
--- a/hitchingress/log.go
+++ b/hitchingress/log.go
@@ -37,10 +37,27 @@
 func (g *Gateway) logAttempt(j *job, p hitchbalance.Pick, end attemptEnd, d hitchretry.Decision) {
 	g.Metrics.failed(end)
 	g.Log.Info("attempt failed", "ID", j.ID, "Route", j.route.Name, "Attempt", j.entry.picks,
-		"Endpoint", p.Endpoint.ID, "Addr", p.Endpoint.Addr, "Why", p.Why, "Load", p.Load, "Mean", p.Mean,
+		"Endpoint", p.Endpoint.ID, "Addr", p.Endpoint.Addr, "Why", p.Why, "Tier", p.Tier, "Load", p.Load, "Mean", p.Mean,
 		"Unread", p.Unread, "Usual", j.learnt.patience.Usual(), "Result", end.result, "Outcome", end.outcome, "Events", j.stream.events, "Error", end.err, "Decision", d)
 }
 
+// logBeliefs writes a line for each endpoint or zone that rests or is back.
+func (g *Gateway) logBeliefs() {
+	for _, b := range g.Balancer.Beliefs() {
+		what := "endpoint"
+		if b.Endpoint == "" {
+			what = "zone"
+		}
+		now := time.Now()
+		if b.RestsUntil.IsZero() {
+			g.Log.Info(what+" is back", "Endpoint", b.Endpoint, "Zone", b.Zone)
+			continue
+		}
+		g.Log.Warn(what+" rests", "Endpoint", b.Endpoint, "Zone", b.Zone, "Failures", b.Failures,
+			"For", b.RestsUntil.Sub(now), "LastAnswer", age(now, b.AnsweredAt))
+	}
+}
+
 // logDone writes the line of a finished request.
 func (g *Gateway) logDone(j *job) {
 	now := time.Now()
@@ -55,7 +72,7 @@
 	}
 	g.Log.Info("request", "ID", j.ID, "Route", name, "Organisation", j.organisation,
 		"Table", j.entry.table, "Revision", j.entry.revision, "Attempts", j.entry.picks, "Endpoint", j.entry.last.Endpoint.ID,
-		"Why", j.entry.last.Why, "Source", j.entry.last.Source.ID, "Load", j.entry.last.Load, "Mean", j.entry.last.Mean,
+		"Why", j.entry.last.Why, "Tier", j.entry.last.Tier, "Source", j.entry.last.Source.ID, "Load", j.entry.last.Load, "Mean", j.entry.last.Mean,
 		"LoadAge", j.entry.loadAge(j.received),
 		"End", j.entry.end, "Status", j.entry.status, "Events", j.stream.events,
 		"First", firstAfter, "Took", now.Sub(j.received), "Error", j.entry.err)
@@ -64,8 +81,13 @@
 // loadAge returns how old the load was that decided the last pick, or 0 if there
 // was none.
 func (e *logEntry) loadAge(received time.Time) time.Duration {
-	if e.last.LoadAt.IsZero() {
+	return age(received, e.last.LoadAt)
+}
+
+// age returns how long ago something was, or 0 if it never was.
+func age(now, then time.Time) time.Duration {
+	if then.IsZero() {
 		return 0
 	}
-	return max(received.Sub(e.last.LoadAt), 0)
+	return max(now.Sub(then), 0)
 }
--- a/hitchingress/serve.go
+++ b/hitchingress/serve.go
@@ -47,8 +47,10 @@
 	retry    hitchretry.Request
 	evidence hitchoutcome.Evidence
 	tried    []hitchfleet.EndpointID
-	stream   stream
-	entry    logEntry
+	// lostZones are the zones that the request found no way to.
+	lostZones []hitchfleet.AvailabilityZone
+	stream    stream
+	entry     logEntry
 }
 
 // ServeHTTP serves one request of a caller.
@@ -150,6 +152,7 @@
 	for {
 		pick, refusal := g.Balancer.Pick(time.Now(), hitchbalance.Request{
 			Service: j.service, Prompt: j.Prompt, Zone: g.Self.Zone, Tried: j.tried,
+			MayRepeat: j.retry.MayRepeat, LostZones: j.lostZones,
 		})
 		if refusal != hitchbalance.NotRefused {
 			g.noEndpoint(j, refusal)
--- a/hitchretry/patience.go
+++ b/hitchretry/patience.go
@@ -15,6 +15,11 @@
 	waitFactor = 4
 	// waitWeight is the weight of a new wait in the moving averages.
 	waitWeight = 0.15
+	// overdueFactor is the multiple of the usual wait after which an answer is
+	// overdue.
+	overdueFactor = 7
+	// leastExpected is the shortest time within which an answer is expected.
+	leastExpected = 100 * time.Millisecond
 	// readFactor is the multiple of the usual time to read a prompt.
 	readFactor = 2
 	// leastRead is the smallest part of a prompt that tells how fast prompts are
@@ -67,6 +72,18 @@
 	return p.mean
 }
 
+// Expected returns within what time an answer comes unless the endpoint is stuck,
+// and false as long as nobody knows.
+func (p *Patience) Expected(unread int) (time.Duration, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	limit := max(leastExpected, overdueFactor*p.mean)
+	if unread < leastRead {
+		return limit, p.mean > 0
+	}
+	return limit + readFactor*p.perToken*time.Duration(unread), p.perToken > 0
+}
+
 // Limit returns how long to wait for a request whose prompt has tokens that the
 // endpoint must read, and false as long as nobody knows how long that takes.
 func (p *Patience) Limit(objective time.Duration, unread int) (time.Duration, bool) {
--- a/hitchretry/patience_test.go
+++ b/hitchretry/patience_test.go
@@ -67,3 +67,21 @@
 	}
 	qt.Assert(t, limit(&p) <= objective, qt.IsTrue)
 }
+
+func TestAnAnswerIsOverdueBeyondTheUsualWait(t *testing.T) {
+	var p Patience
+	_, ok := p.Expected(0)
+	qt.Assert(t, ok, qt.IsFalse)
+	for range 50 {
+		p.Observe(100*time.Millisecond, 0)
+	}
+	short, ok := p.Expected(0)
+	qt.Assert(t, ok, qt.IsTrue)
+	qt.Assert(t, short > 500*time.Millisecond && short < time.Second, qt.IsTrue)
+	_, ok = p.Expected(8000)
+	qt.Assert(t, ok, qt.IsFalse)
+	p.Observe(400*time.Millisecond, 8000)
+	long, ok := p.Expected(8000)
+	qt.Assert(t, ok, qt.IsTrue)
+	qt.Assert(t, long, qt.Equals, short+800*time.Millisecond)
+}
