--- a/hitchbalance/balancer.go
+++ b/hitchbalance/balancer.go
@@ -51,7 +51,7 @@
 	mu        sync.Mutex
 	limits    Limits
 	self      hitchfleet.InstanceID
-	instances []hitchfleet.Instance
+	ring      ring
 	byID      map[hitchfleet.EndpointID]*endpoint
 	byService map[hitchfleet.ServiceID][]*endpoint
 	outBy     map[hitchfleet.ServiceID][]*endpoint
@@ -116,7 +116,7 @@
 func (b *Balancer) SetFleet(now time.Time, f Fleet) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.self, b.instances = f.Self, f.Instances
+	b.self, b.ring = f.Self, ringOf(f.Instances)
 	old := b.byID
 	b.byID = make(map[hitchfleet.EndpointID]*endpoint, len(f.Endpoints))
 	b.byService = make(map[hitchfleet.ServiceID][]*endpoint)
@@ -128,7 +128,7 @@
 		}
 		state.Endpoint, state.path = e, b.pathTo(e.Zone)
 		if f.Table != nil {
-			b.limitCold(state, f.Table.Service(e.Service))
+			b.limitCold(now, state, f.Table.Service(e.Service))
 		}
 		b.byID[e.ID], b.byRef[state.ref] = state, state
 	}
--- a/hitchbalance/balancer_test.go
+++ b/hitchbalance/balancer_test.go
@@ -281,6 +281,43 @@
 	}
 }
 
+// TestARingNamesAsManySenders: as many instances send to each engine as may, also
+// if one of them isn't known to the others yet, and a leaver changes one sender.
+func TestARingNamesAsManySenders(t *testing.T) {
+	const n = 20
+	instances := fleet(66, 0).Instances
+	senders := func(r ring, key hitchfleet.Key) (out []hitchfleet.InstanceID) {
+		for _, i := range instances {
+			if r.has(i.Key(), key, n) {
+				out = append(out, i.ID)
+			}
+		}
+		return out
+	}
+	all, fewer := ringOf(instances), ringOf(instances[1:])
+	for i := range 50 {
+		key := engine(i).Key()
+		before := senders(all, key)
+		qt.Assert(t, before, qt.HasLen, n)
+		after := senders(fewer, key)
+		qt.Assert(t, len(after) >= n && len(after) <= n+1, qt.IsTrue)
+		qt.Assert(t, slices.DeleteFunc(before, func(id hitchfleet.InstanceID) bool { return slices.Contains(after, id) }), qt.HasLen, 0)
+	}
+	qt.Assert(t, ring(nil).has(1, 2, 1), qt.IsTrue)
+}
+
+// BenchmarkSetFleetCold has all engines of a large fleet in cold start.
+func BenchmarkSetFleetCold(b *testing.B) {
+	f := fleet(301, 3000)
+	for i := range f.Endpoints {
+		f.Endpoints[i].ColdUntil = at(5000)
+	}
+	var x Balancer
+	for b.Loop() {
+		x.SetFleet(start, f)
+	}
+}
+
 func TestABrokenEngineRestsTwiceAsLongEachTime(t *testing.T) {
 	b := balancers(fleet(1, 2))[0]
 	first := pick(t, b, start, prompt(77))
