--- a/hitchbalance/balancer.go
+++ b/hitchbalance/balancer.go
@@ -69,6 +69,11 @@
 	tickets uint64
 	// news are the cached prefixes for the next report.
 	news []hitchdigest.Cached
+	// urgent gets a value when news can't wait for the next report.
+	urgent chan struct{}
+	// cacheChanged is closed when what is known of caches changes; nil if nobody
+	// waits for that.
+	cacheChanged chan struct{}
 	// learnedAt is when a digest came last.
 	learnedAt time.Time
 }
@@ -222,6 +227,11 @@
 		b.fail(now, p.sentAt, e)
 	}
 	e.waits.end(p.ticket)
+	if r == ResultOK {
+		b.read(now, e, p)
+	} else {
+		b.unread(now, e, p.brings)
+	}
 }
 
 // endpointOf returns the endpoint of a pick, or nil if it has left or started
--- a/hitchbalance/balancer_test.go
+++ b/hitchbalance/balancer_test.go
@@ -320,6 +320,7 @@
 
 func TestABrokenEngineRestsTwiceAsLongEachTime(t *testing.T) {
 	b := balancers(fleet(1, 2))[0]
+	b.Settle(start, pick(t, b, start, prompt(77)), ResultOK)
 	first := pick(t, b, start, prompt(77))
 	b.Settle(start, first, ResultLost)
 	qt.Assert(t, pick(t, b, at(499), prompt(77)).Endpoint.ID, qt.Not(qt.Equals), first.Endpoint.ID)
--- a/hitchbalance/cache.go
+++ b/hitchbalance/cache.go
@@ -15,25 +15,100 @@
 // maxCachedParts bounds what is remembered for one engine.
 const maxCachedParts = 4096
 
-// cachedParts remembers which prefixes of prompts an engine has read for this
-// instance, with the time of the last request.
+// readLife is how long a part counts as being read if nobody says that it is.
+const readLife = 2 * time.Second
+
+// cachedPart is a prefix that an engine has cached or is reading.
+type cachedPart struct {
+	usedAt time.Time
+	// readUntil is until when the engine reads it at the latest; the zero time once
+	// it is read.
+	readUntil time.Time
+}
+
+// isRead tells whether the engine has read the part.
+func (p cachedPart) isRead(now time.Time) bool { return !now.Before(p.readUntil) }
+
+// cachedParts remembers which prefixes of prompts an engine has read or reads,
+// with the time of the last request.
 type cachedParts struct {
-	byKey map[hitchfleet.Key]time.Time
+	byKey map[hitchfleet.Key]cachedPart
 }
 
-func (c *cachedParts) put(chain []hitchfleet.Key, now time.Time) {
-	if c.byKey == nil || len(c.byKey) >= maxCachedParts {
-		c.byKey = make(map[hitchfleet.Key]time.Time)
-	}
+// begin notes that a request with a prompt goes to the engine, and returns the
+// prefixes that it is the first to bring.
+func (c *cachedParts) begin(chain []hitchfleet.Key, now time.Time) (first []hitchfleet.Key) {
 	for _, key := range chain {
-		c.byKey[key] = now
+		part, ok := c.byKey[key]
+		if !ok || now.Sub(part.usedAt) > cachedLife {
+			part.readUntil = now.Add(readLife)
+			first = append(first, key)
+		}
+		part.usedAt = now
+		c.put(key, part)
+	}
+	return first
+}
+
+// learn takes in what another instance says of a prefix.
+func (c *cachedParts) learn(key hitchfleet.Key, isRead bool, now time.Time) {
+	part, ok := c.byKey[key]
+	switch {
+	case isRead:
+		part.readUntil = time.Time{}
+	case !ok || now.Sub(part.usedAt) > cachedLife:
+		part.readUntil = now.Add(readLife)
+	}
+	part.usedAt = now
+	c.put(key, part)
+}
+
+// read notes that the engine has read prefixes, and tells whether that is news.
+func (c *cachedParts) read(keys []hitchfleet.Key, now time.Time) (isNews bool) {
+	for _, key := range keys {
+		if part, ok := c.byKey[key]; ok && !part.isRead(now) {
+			part.readUntil = time.Time{}
+			c.byKey[key] = part
+			isNews = true
+		}
 	}
+	return isNews
 }
 
-// depth returns how many prefixes of a chain the engine is known to cache.
+// drop forgets prefixes that the engine hasn't read, and tells whether there were
+// any.
+func (c *cachedParts) drop(keys []hitchfleet.Key, now time.Time) (isNews bool) {
+	for _, key := range keys {
+		if part, ok := c.byKey[key]; ok && !part.isRead(now) {
+			delete(c.byKey, key)
+			isNews = true
+		}
+	}
+	return isNews
+}
+
+func (c *cachedParts) put(key hitchfleet.Key, part cachedPart) {
+	if c.byKey == nil || len(c.byKey) >= maxCachedParts {
+		c.byKey = make(map[hitchfleet.Key]cachedPart)
+	}
+	c.byKey[key] = part
+}
+
+// depth returns how many prefixes of a chain the engine is known to cache or to
+// read.
 func (c *cachedParts) depth(chain []hitchfleet.Key, now time.Time) int {
 	for n := len(chain); n > 0; n-- {
-		if at, ok := c.byKey[chain[n-1]]; ok && now.Sub(at) <= cachedLife {
+		if part, ok := c.byKey[chain[n-1]]; ok && now.Sub(part.usedAt) <= cachedLife {
+			return n
+		}
+	}
+	return 0
+}
+
+// readDepth returns how many prefixes of a chain the engine is known to cache.
+func (c *cachedParts) readDepth(chain []hitchfleet.Key, now time.Time) int {
+	for n := len(chain); n > 0; n-- {
+		if part, ok := c.byKey[chain[n-1]]; ok && now.Sub(part.usedAt) <= cachedLife && part.isRead(now) {
 			return n
 		}
 	}
@@ -56,9 +131,9 @@
 	depth := has
 	own := hitchfleet.Score(key, chosen.key)
 	for e := range b.sources(now, chosen) {
-		n := e.cached.depth(chain, now)
-		if n > depth || n == depth && n > has && e.cached.byKey[chain[n-1]].After(usedAt) {
-			used, usedAt, depth = e, e.cached.byKey[chain[n-1]], n
+		n := e.cached.readDepth(chain, now)
+		if n > depth || n == depth && n > has && e.cached.byKey[chain[n-1]].usedAt.After(usedAt) {
+			used, usedAt, depth = e, e.cached.byKey[chain[n-1]].usedAt, n
 		}
 		score := hitchfleet.Score(key, e.key)
 		if e.goneAt.IsZero() && (score > own || e.joined.Before(chosen.joined)) && score > best {
--- a/hitchbalance/health_test.go
+++ b/hitchbalance/health_test.go
@@ -12,6 +12,7 @@
 // TestOneRequestTestsAnEngine has many requests want an engine whose rest is over.
 func TestOneRequestTestsAnEngine(t *testing.T) {
 	b := balancers(fleet(1, 2))[0]
+	b.Settle(start, pick(t, b, start, prompt(77)), ResultOK)
 	first := pick(t, b, start, prompt(77))
 	b.Settle(start, first, ResultLost)
 	test := pick(t, b, at(500), prompt(77))
@@ -45,6 +46,7 @@
 // when nothing else tested it.
 func TestWhatMayNotBeRepeatedTestsLast(t *testing.T) {
 	b := balancers(fleet(1, 2))[0]
+	b.Settle(start, pick(t, b, start, prompt(77)), ResultOK)
 	first := pick(t, b, start, prompt(77))
 	b.Settle(start, first, ResultLost)
 	once := Request{Service: "llm", Prompt: prompt(77)}
--- a/hitchbalance/pick.go
+++ b/hitchbalance/pick.go
@@ -41,6 +41,13 @@
 	// Source is an engine that likely caches what the chosen one lacks of the
 	// prompt; its ID is empty if there is none.
 	Source hitchfleet.Endpoint
+	// Awaits is the prefix of the prompt that the engine reads for another request
+	// just now; 0 if there is none. Sent at once, it would be read twice.
+	Awaits hitchfleet.Key
+	// brings are the prefixes that the request is the first to bring.
+	brings []hitchfleet.Key
+	// isLong tells that reading them takes long enough for others to know.
+	isLong bool
 	ticket uint64
 	sentAt time.Time
 	// Unread counts the prompt's tokens that the engine isn't known to cache.
@@ -106,9 +113,7 @@
 	p := Pick{Endpoint: e.Endpoint, Why: why, Tier: best, Load: b.load(now, e), LoadAt: later(b.learnedAt, e.reportedAt), Mean: mean}
 	if key, ok := r.Prompt.Affinity(); ok {
 		p.Source = b.source(now, e, key, b.chain)
-		p.Unread = r.Prompt.unread(e.cached.depth(b.chain, now))
-		b.tell(e, b.chain, now)
-		e.cached.put(b.chain, now)
+		b.begin(now, e, &p, r.Prompt)
 	}
 	if now.Before(e.ColdUntil) {
 		e.cold.take()
--- a/hitchbalance/share.go
+++ b/hitchbalance/share.go
@@ -23,9 +23,7 @@
 func (b *Balancer) Report() hitchdigest.Report {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	n := min(len(b.news), maxReported)
-	r := hitchdigest.Report{From: b.self, Cached: b.news[:n:n]}
-	b.news = b.news[n:]
+	r := hitchdigest.Report{From: b.self, Cached: b.takeNews()}
 	for _, e := range b.byID {
 		e.shared.reportedOwn = e.own
 		if e.own > 0 {
@@ -45,20 +43,89 @@
 			e.shared.inFlight, e.shared.at = int(l.InFlight), now
 		}
 	}
-	for _, c := range d.Cached {
+	b.learnCached(now, d.Cached)
+}
+
+// LearnNews takes in what another instance says of caches.
+func (b *Balancer) LearnNews(now time.Time, n hitchdigest.News) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if n.From != b.self {
+		b.learnCached(now, n.Cached)
+	}
+}
+
+func (b *Balancer) learnCached(now time.Time, cached []hitchdigest.Cached) {
+	for _, c := range cached {
 		if e := b.byRef[c.Endpoint]; e != nil {
-			e.cached.put([]hitchfleet.Key{c.Prefix}, now)
+			e.cached.learn(c.Prefix, c.IsRead, now)
 		}
 	}
+	if len(cached) > 0 {
+		b.wake()
+	}
+}
+
+// Urgent returns a channel that gets a value when there are news that others
+// should know at once.
+func (b *Balancer) Urgent() <-chan struct{} {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.urgent == nil {
+		b.urgent = make(chan struct{}, 1)
+	}
+	return b.urgent
+}
+
+// News returns what others should know at once.
+func (b *Balancer) News() hitchdigest.News {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return hitchdigest.News{From: b.self, Cached: b.takeNews()}
+}
+
+// takeNews returns the oldest news, as many as a datagram holds.
+func (b *Balancer) takeNews() []hitchdigest.Cached {
+	n := min(len(b.news), maxReported)
+	out := b.news[:n:n]
+	b.news = b.news[n:]
+	return out
+}
+
+// Hurry has Urgent's channel get a value.
+func (b *Balancer) Hurry() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.hurry()
+}
+
+// hurry says that there are news that others should know at once.
+func (b *Balancer) hurry() {
+	select {
+	case b.urgent <- struct{}{}:
+	default:
+	}
 }
 
 // tell notes which prefixes a request brings to an engine, for the next report.
 func (b *Balancer) tell(e *endpoint, chain []hitchfleet.Key, now time.Time) {
 	for _, key := range chain {
-		if now.Sub(e.cached.byKey[key]) < cachedRefresh || len(b.news) >= maxNews {
-			continue
+		if part := e.cached.byKey[key]; now.Sub(part.usedAt) >= cachedRefresh {
+			b.say(e, key, now.Sub(part.usedAt) <= cachedLife && part.isRead(now))
+		}
+	}
+}
+
+// say notes what the next report says of a prefix.
+func (b *Balancer) say(e *endpoint, key hitchfleet.Key, isRead bool) {
+	for i, c := range b.news {
+		if c.Endpoint == e.ref && c.Prefix == key {
+			b.news[i].IsRead = isRead
+			return
 		}
-		b.news = append(b.news, hitchdigest.Cached{Endpoint: e.ref, Prefix: key})
+	}
+	if len(b.news) < maxNews {
+		b.news = append(b.news, hitchdigest.Cached{Endpoint: e.ref, Prefix: key, IsRead: isRead})
 	}
 }
 
--- a/hitchdigest/aggregator.go
+++ b/hitchdigest/aggregator.go
@@ -50,10 +50,30 @@
 	}
 	a.reports[r.From] = heldReport{loads: r.Loads, until: now.Add(reportLife)}
 	for _, c := range r.Cached {
-		if len(a.cached) < maxHeld {
-			a.cached = append(a.cached, heldCached{c, now.Add(cachedRepeat)})
+		a.hold(c, now.Add(cachedRepeat))
+	}
+}
+
+// TakeNews takes in news, which digests repeat.
+func (a *Aggregator) TakeNews(now time.Time, n News) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, c := range n.Cached {
+		a.hold(c, now.Add(cachedRepeat))
+	}
+}
+
+// hold keeps what is said of a prefix, in place of what was said before.
+func (a *Aggregator) hold(c Cached, until time.Time) {
+	for i, held := range a.cached {
+		if held.Endpoint == c.Endpoint && held.Prefix == c.Prefix {
+			a.cached[i] = heldCached{c, until}
+			return
 		}
 	}
+	if len(a.cached) < maxHeld {
+		a.cached = append(a.cached, heldCached{c, until})
+	}
 }
 
 // Digests returns what to send to every instance now, in datagrams of about a
--- a/hitchdigest/message.go
+++ b/hitchdigest/message.go
@@ -34,11 +34,12 @@
 	InFlight uint16
 }
 
-// Cached says that an engine has read a prefix of a prompt.
+// Cached says that an engine has read a prefix of a prompt, or reads it.
 type Cached struct {
 	_        struct{} `cbor:",toarray"`
 	Endpoint Ref
 	Prefix   hitchfleet.Key
+	IsRead   bool
 }
 
 // Report is what one instance tells a hub.
@@ -72,11 +73,20 @@
 	Cached []Cached
 }
 
-// Packet is one datagram: a report or a digest.
+// News says at once what requests that come meanwhile should know. Instances tell
+// the first hub, which tells everyone.
+type News struct {
+	_      struct{} `cbor:",toarray"`
+	From   hitchfleet.InstanceID
+	Cached []Cached
+}
+
+// Packet is one datagram: a report, a digest or news.
 type Packet struct {
 	_      struct{} `cbor:",toarray"`
 	Report *Report
 	Digest *Digest
+	News   *News
 }
 
 // Encode returns the packet's bytes.
--- a/hitchedge/digest.go
+++ b/hitchedge/digest.go
@@ -50,11 +50,27 @@
 	for ctx.Err() == nil {
 		instances := e.neighbours(e.gateway.View())
 		wasIdle = e.shareOnce(socket, instances, wasIdle)
-		pause(ctx, min(max(time.Duration(len(instances))*sharePerInstance, leastSharePause), mostSharePause))
+		next := time.Now().Add(min(max(time.Duration(len(instances))*sharePerInstance, leastSharePause), mostSharePause))
+		e.shareNewsUntil(ctx, socket, instances, next)
 	}
 	return nil
 }
 
+// shareNewsUntil tells news as they come, until a time.
+func (e *Edge) shareNewsUntil(ctx context.Context, socket *net.UDPConn, instances []hitchfleet.Instance, until time.Time) {
+	ctx, cancel := context.WithDeadline(ctx, until)
+	defer cancel()
+	urgent := e.balancer.Urgent()
+	for ctx.Err() == nil {
+		select {
+		case <-urgent:
+			e.shareNews(socket, instances)
+			pause(ctx, newsPause(len(instances)))
+		case <-ctx.Done():
+		}
+	}
+}
+
 // shareOnce sends one report and, from a hub, one digest. It returns true if
 // there was nothing to report.
 func (e *Edge) shareOnce(socket *net.UDPConn, instances []hitchfleet.Instance, wasIdle bool) bool {
@@ -130,6 +146,9 @@
 	if p.Report != nil {
 		e.aggregator.Take(now, *p.Report)
 	}
+	if p.News != nil {
+		e.takeNews(*p.News)
+	}
 	if p.Digest != nil {
 		e.balancer.Learn(now, *p.Digest)
 		head := p.Digest.Head
--- a/hitchedge/edge.go
+++ b/hitchedge/edge.go
@@ -42,6 +42,7 @@
 	follower hitchview.Follower
 	peers    http.Client
 	// aggregator adds up the reports of the others while this instance is a hub.
+	newsRelay  newsRelay
 	aggregator hitchdigest.Aggregator
 	relays     relayCache
 	lastView   viewCounts
--- /dev/null
+++ b/hitchedge/news_test.go
@@ -0,0 +1,46 @@
+package hitchedge
+
+import (
+	"net"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"citronhitch.example/citronhitch/hitchdigest"
+	"citronhitch.example/citronhitch/hitchfleet"
+)
+
+// TestTheFirstHubRelaysNews: an instance tells the first hub only, and that one
+// tells everyone.
+func TestTheFirstHubRelaysNews(t *testing.T) {
+	listen := func() *net.UDPConn {
+		socket, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+		qt.Assert(t, err, qt.IsNil)
+		t.Cleanup(func() { _ = socket.Close() })
+		return socket
+	}
+	own, other := listen(), listen()
+	e := edge(hitchfleet.Instance{ID: "other", DatagramAddr: other.LocalAddr().String(), Zone: "b", LinkMegabits: 1})
+	e.Settings.Self.DatagramAddr = own.LocalAddr().String()
+	self := e.Settings.Self
+	self.LinkMegabits = 10
+	instances := append(e.neighbours(e.gateway.View()), self)
+	qt.Assert(t, hitchdigest.Hubs(instances)[0].ID, qt.Equals, self.ID)
+
+	cached := []hitchdigest.Cached{{Endpoint: 7, Prefix: 9, IsRead: true}}
+	e.newsRelay.add(hitchdigest.News{From: "third", Cached: cached})
+	e.shareNews(own, instances)
+	buf := make([]byte, maxDatagramBytes)
+	n, err := other.Read(buf)
+	qt.Assert(t, err, qt.IsNil)
+	p, err := hitchdigest.Decode(buf[:n])
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, p.News.Cached, qt.DeepEquals, cached)
+	qt.Assert(t, e.newsRelay.take(), qt.HasLen, 0)
+}
+
+func TestNewsPausesGrowWithTheRegion(t *testing.T) {
+	qt.Assert(t, newsPause(1), qt.Equals, leastNewsPause)
+	qt.Assert(t, newsPause(130), qt.Equals, 65*time.Millisecond)
+}
--- a/hitchingress/attempt.go
+++ b/hitchingress/attempt.go
@@ -180,6 +180,7 @@
 		return attemptEnd{outcome: hitchretry.Failed, result: hitchbalance.ResultFailed, answer: a}
 	}
 	j.evidence.Answered()
+	g.Balancer.Read(time.Now(), pick)
 	g.deliver(j, a)
 	return attemptEnd{isFinal: true, result: hitchbalance.ResultOK}
 }
--- a/hitchingress/log.go
+++ b/hitchingress/log.go
@@ -13,7 +13,8 @@
 	revision int64 // of the view
 	picks    int
 	last     hitchbalance.Pick
-	first    time.Time // of the first event
+	first    time.Time     // of the first event
+	held     time.Duration // while the prompt was read for another request
 	end      string
 	status   int
 	err      error
@@ -73,7 +74,7 @@
 	g.Log.Info("request", "ID", j.ID, "Route", name, "Organisation", j.organisation,
 		"Table", j.entry.table, "Revision", j.entry.revision, "Attempts", j.entry.picks, "Endpoint", j.entry.last.Endpoint.ID,
 		"Why", j.entry.last.Why, "Tier", j.entry.last.Tier, "Source", j.entry.last.Source.ID, "Load", j.entry.last.Load, "Mean", j.entry.last.Mean,
-		"LoadAge", j.entry.loadAge(j.received),
+		"LoadAge", j.entry.loadAge(j.received), "Held", j.entry.held,
 		"End", j.entry.end, "Status", j.entry.status, "Events", j.stream.events,
 		"First", firstAfter, "Took", now.Sub(j.received), "Error", j.entry.err)
 }
--- a/hitchingress/serve.go
+++ b/hitchingress/serve.go
@@ -24,6 +24,9 @@
 	defaultTimeout = 30 * time.Second
 	// comeBack is the mean time after which a refused caller may come back.
 	comeBack = 300 * time.Millisecond
+	// longestHold bounds how long a request waits while its prompt is read for
+	// another one.
+	longestHold = 2 * time.Second
 	// maxAnswerBytes bounds an answer that isn't streamed.
 	maxAnswerBytes = 16 << 20
 	// defaultBodyBytes bounds a body before a configuration is known.
@@ -158,6 +161,10 @@
 			g.noEndpoint(j, refusal)
 			return
 		}
+		if pick.Awaits != 0 && j.entry.held == 0 {
+			g.hold(ctx, j, pick)
+			continue
+		}
 		j.tried = append(j.tried, pick.Endpoint.ID)
 		done := g.attempt(ctx, j, pick)
 		if done.isFinal {
@@ -176,6 +183,26 @@
 	}
 }
 
+// hold keeps a request while the engine reads its prompt for another one, so that
+// the prompt isn't read twice. It goes on as soon as that is done, or fails.
+func (g *Gateway) hold(ctx context.Context, j *job, pick hitchbalance.Pick) {
+	now := time.Now()
+	ctx, cancel := context.WithDeadline(ctx, now.Add(min(longestHold, time.Until(j.until)/3)))
+	defer cancel()
+	for ctx.Err() == nil {
+		changed, isReading := g.Balancer.Await(time.Now(), pick)
+		if !isReading {
+			break
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+		}
+	}
+	j.entry.held = time.Since(now)
+	g.Balancer.Settle(time.Now(), pick, hitchbalance.ResultAbandoned)
+}
+
 // noEndpoint gives the final answer where no endpoint is left to try.
 func (g *Gateway) noEndpoint(j *job, refusal hitchbalance.Refusal) {
 	if j.stream.begun {
--- a/hitchingress/stream.go
+++ b/hitchingress/stream.go
@@ -48,6 +48,9 @@
 		if isFirst && (n > 0 || isSilent(x.Failure(ctx, err))) {
 			j.waited(sent)
 			isFirst = false
+			if n > 0 {
+				g.Balancer.Read(time.Now(), pick)
+			}
 		}
 		if n > 0 {
 			x.Extend(j.eventUntil(time.Now()))
