--- a/hitchdigest/hub.go
+++ b/hitchdigest/hub.go
@@ -23,25 +23,38 @@
 // rendezvous order, as a hub sends every change to all others. Instances that know
 // the same fleet name the same hubs.
 func Hubs(instances []hitchfleet.Instance) []hitchfleet.Instance {
-	order := slices.Clone(instances)
-	slices.SortFunc(order, func(a, b hitchfleet.Instance) int {
-		if byLink := cmp.Compare(b.LinkMegabits, a.LinkMegabits); byLink != 0 {
-			return byLink
-		}
-		if byScore := cmp.Compare(hitchfleet.Score(hubKey, b.Key()), hitchfleet.Score(hubKey, a.Key())); byScore != 0 {
-			return byScore
-		}
-		return cmp.Compare(a.ID, b.ID)
-	})
+	order := ranked(instances)
 	var hubs, rest []hitchfleet.Instance
-	for _, i := range order {
-		sameZone := slices.ContainsFunc(hubs, func(h hitchfleet.Instance) bool { return h.Zone == i.Zone })
+	for _, c := range order {
+		sameZone := slices.ContainsFunc(hubs, func(h hitchfleet.Instance) bool { return h.Zone == c.Zone })
 		if len(hubs) < hubCount && !sameZone {
-			hubs = append(hubs, i)
-		} else {
-			rest = append(rest, i)
+			hubs = append(hubs, c.Instance)
+		} else if len(rest) < hubCount {
+			rest = append(rest, c.Instance)
 		}
 	}
 	missing := min(max(hubCount-len(hubs), 0), len(rest))
 	return append(hubs, rest[:missing]...)
 }
+
+// candidate is an instance that may be a hub, with its place in the order.
+type candidate struct {
+	hitchfleet.Instance
+	score uint64
+}
+
+// ranked returns instances in the order in which they become hubs.
+func ranked(instances []hitchfleet.Instance) []candidate {
+	order := make([]candidate, len(instances))
+	for n, i := range instances {
+		order[n] = candidate{i, hitchfleet.Score(hubKey, i.Key())}
+	}
+	slices.SortFunc(order, func(a, b candidate) int {
+		return cmp.Or(
+			cmp.Compare(b.LinkMegabits, a.LinkMegabits),
+			cmp.Compare(b.score, a.score),
+			cmp.Compare(a.ID, b.ID),
+		)
+	})
+	return order
+}
--- a/hitchedge/digest.go
+++ b/hitchedge/digest.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"net"
-	"slices"
 	"time"
 
 	"citronhitch.example/citronhitch/hitchdigest"
@@ -24,12 +23,7 @@
 
 // isHub tells whether this instance is a hub in a view.
 func (e *Edge) isHub(v hitchview.View) bool {
-	return slices.ContainsFunc(hitchdigest.Hubs(e.neighbours(v)), func(i hitchfleet.Instance) bool { return i.ID == e.Settings.Self.ID })
-}
-
-// neighbours returns the instances of this one's region.
-func (e *Edge) neighbours(v hitchview.View) []hitchfleet.Instance {
-	return hitchdigest.InRegion(v.Instances(), e.Settings.Self.Region)
+	return regionOf(e.Settings.Self, v).hasHub(e.Settings.Self.ID)
 }
 
 // shareDigests tells the hubs what this instance has in flight, and everyone the
@@ -48,24 +42,28 @@
 	go e.readDatagrams(ctx, socket)
 	wasIdle := false
 	for ctx.Err() == nil {
-		instances := e.neighbours(e.gateway.View())
-		wasIdle = e.shareOnce(socket, instances, wasIdle)
-		next := time.Now().Add(min(max(time.Duration(len(instances))*sharePerInstance, leastSharePause), mostSharePause))
-		e.shareNewsUntil(ctx, socket, instances, next)
+		r := e.neighbours()
+		wasIdle = e.shareOnce(socket, r, wasIdle)
+		e.shareNewsUntil(ctx, socket, r, time.Now().Add(sharePause(len(r.instances))))
 	}
 	return nil
 }
 
+// sharePause returns the pause between two reports or digests.
+func sharePause(instances int) time.Duration {
+	return min(max(time.Duration(instances)*sharePerInstance, leastSharePause), mostSharePause)
+}
+
 // shareNewsUntil tells news as they come, until a time.
-func (e *Edge) shareNewsUntil(ctx context.Context, socket *net.UDPConn, instances []hitchfleet.Instance, until time.Time) {
+func (e *Edge) shareNewsUntil(ctx context.Context, socket *net.UDPConn, r *region, until time.Time) {
 	ctx, cancel := context.WithDeadline(ctx, until)
 	defer cancel()
 	urgent := e.balancer.Urgent()
 	for ctx.Err() == nil {
 		select {
 		case <-urgent:
-			e.shareNews(socket, instances)
-			pause(ctx, newsPause(len(instances)))
+			e.shareNews(socket, r)
+			pause(ctx, newsPause(len(r.instances)))
 		case <-ctx.Done():
 		}
 	}
@@ -73,16 +71,16 @@
 
 // shareOnce sends one report and, from a hub, one digest. It returns true if
 // there was nothing to report.
-func (e *Edge) shareOnce(socket *net.UDPConn, instances []hitchfleet.Instance, wasIdle bool) bool {
+func (e *Edge) shareOnce(socket *net.UDPConn, r *region, wasIdle bool) bool {
 	now := time.Now()
 	report := e.balancer.Report()
 	isIdle := len(report.Loads) == 0 && len(report.Cached) == 0
 	self := e.Settings.Self.ID
-	for _, hub := range hitchdigest.Hubs(instances) {
+	for _, hub := range r.hubs {
 		switch {
 		case hub.ID == self:
 			e.aggregator.Take(now, report)
-			e.sendDigests(socket, instances, now)
+			e.sendDigests(socket, r.instances, now)
 		case !isIdle || !wasIdle:
 			e.send(socket, hitchdigest.Packet{Report: &report}, hub)
 		}
--- a/hitchedge/directory.go
+++ b/hitchedge/directory.go
@@ -2,9 +2,11 @@
 
 import (
 	"cmp"
+	"math/rand/v2"
 	"slices"
 
 	"citronhitch.example/citronhitch/hitchfleet"
+	hitchplatform "citronhitch.example/citronhitch/platform"
 )
 
 // answerSeconds is how long callers keep an answer. It bounds how long they use
@@ -12,7 +14,8 @@
 const answerSeconds = 2.0
 
 // instancesFor returns the addresses of the instances for a caller, those in its
-// zone first.
+// zone first. Where there are more than callers take, each answer names others, so
+// that all get as many callers.
 func (e *Edge) instancesFor(_ hitchfleet.Region, zone hitchfleet.AvailabilityZone) ([]string, float64) {
 	if e.gateway.View().Table == nil {
 		return nil, 0
@@ -23,6 +26,10 @@
 	if e.gateway.IsReady() {
 		instances = append(instances, self)
 	}
+	if len(instances) > hitchplatform.MaxAddresses {
+		rand.Shuffle(len(instances), func(i, j int) { instances[i], instances[j] = instances[j], instances[i] })
+		instances = instances[:hitchplatform.MaxAddresses]
+	}
 	slices.SortFunc(instances, func(a, b hitchfleet.Instance) int {
 		if inA, inB := a.Zone == zone, b.Zone == zone; inA != inB {
 			if inA {
--- a/hitchedge/edge.go
+++ b/hitchedge/edge.go
@@ -41,9 +41,11 @@
 	gateway  *hitchingress.Gateway
 	follower hitchview.Follower
 	peers    http.Client
-	// aggregator adds up the reports of the others while this instance is a hub.
-	newsRelay  newsRelay
+	// aggregator adds up the reports of the others while this instance is a hub, and
+	// newsRelay holds their news.
 	aggregator hitchdigest.Aggregator
+	newsRelay  newsRelay
+	region     atomic.Pointer[region]
 	relays     relayCache
 	lastView   viewCounts
 	seeds      atomic.Pointer[[]string]
@@ -170,6 +172,7 @@
 // changed takes in a new view.
 func (e *Edge) changed(v hitchview.View) {
 	e.gateway.SetView(time.Now(), v)
+	e.region.Store(regionOf(e.Settings.Self, v))
 	e.logView(v)
 	if v.Table != nil {
 		e.ready.Do(func() { close(e.isReady) })
@@ -187,7 +190,7 @@
 func (e *Edge) logView(v hitchview.View) {
 	c := viewCounts{
 		Endpoints: len(v.Endpoints()), Leaving: len(v.Leaving()), ZonesOut: v.ZonesOut(),
-		Instances: len(v.Instances()), IsHub: e.isHub(v),
+		Instances: len(v.Instances()), IsHub: e.neighbours().hasHub(e.Settings.Self.ID),
 	}
 	if c == e.lastView {
 		return
--- a/hitchedge/edge_test.go
+++ b/hitchedge/edge_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -53,6 +54,29 @@
 	qt.Assert(t, addrs, qt.DeepEquals, []string{"10.0.0.3:80", "10.0.0.2:80"})
 }
 
+// TestTheDirectoryNamesAllInstancesOfALargeFleet: callers take 64 addresses, so
+// each answer names others.
+func TestTheDirectoryNamesAllInstancesOfALargeFleet(t *testing.T) {
+	const n, answers = 300, 400
+	var others []hitchfleet.Instance
+	for i := range n - 1 {
+		others = append(others, hitchfleet.Instance{ID: hitchfleet.InstanceID(fmt.Sprint("r", i)), Addr: fmt.Sprint("10.0.1.", i), Zone: hitchfleet.AvailabilityZone(fmt.Sprint(i % 3))})
+	}
+	e := edge(others...)
+	named := map[string]int{}
+	for range answers {
+		addrs, _ := e.instancesFor("", "0")
+		qt.Assert(t, addrs, qt.HasLen, hitchplatform.MaxAddresses)
+		for _, addr := range addrs {
+			named[addr]++
+		}
+	}
+	qt.Assert(t, named, qt.HasLen, n)
+	for addr, times := range named {
+		qt.Assert(t, times < 3*answers*hitchplatform.MaxAddresses/n, qt.IsTrue, qt.Commentf("%s: %d times", addr, times))
+	}
+}
+
 func TestAnInstanceThatKnowsNothingNamesNobody(t *testing.T) {
 	e := edge()
 	e.gateway.SetView(time.Now(), hitchview.View{})
--- a/hitchedge/news.go
+++ b/hitchedge/news.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"citronhitch.example/citronhitch/hitchdigest"
-	"citronhitch.example/citronhitch/hitchfleet"
 )
 
 // Pauses between two datagrams with news, so that the first hub of a region sends
@@ -48,23 +47,22 @@
 const maxNewsCached = 48
 
 // shareNews tells the first hub this instance's news, or everyone if this is it.
-func (e *Edge) shareNews(socket *net.UDPConn, instances []hitchfleet.Instance) {
+func (e *Edge) shareNews(socket *net.UDPConn, r *region) {
 	news := e.balancer.News()
-	hubs := hitchdigest.Hubs(instances)
-	if len(hubs) == 0 {
-		return
-	}
-	if hubs[0].ID != e.Settings.Self.ID {
-		if len(news.Cached) > 0 {
-			e.send(socket, hitchdigest.Packet{News: &news}, hubs[0])
-		}
-		return
+	switch {
+	case r.isFirstHub(e.Settings.Self.ID):
+		e.aggregator.TakeNews(time.Now(), news)
+		e.relayNews(socket, r, append(e.newsRelay.take(), news.Cached...))
+	case len(r.hubs) > 0 && len(news.Cached) > 0:
+		e.send(socket, hitchdigest.Packet{News: &news}, r.hubs[0])
 	}
-	e.aggregator.TakeNews(time.Now(), news)
-	cached := append(e.newsRelay.take(), news.Cached...)
+}
+
+// relayNews tells everyone.
+func (e *Edge) relayNews(socket *net.UDPConn, r *region, cached []hitchdigest.Cached) {
 	for len(cached) > 0 {
 		n := min(len(cached), maxNewsCached)
-		e.send(socket, hitchdigest.Packet{News: &hitchdigest.News{From: news.From, Cached: cached[:n]}}, instances...)
+		e.send(socket, hitchdigest.Packet{News: &hitchdigest.News{From: e.Settings.Self.ID, Cached: cached[:n]}}, r.instances...)
 		cached = cached[n:]
 	}
 }
@@ -73,8 +71,7 @@
 func (e *Edge) takeNews(n hitchdigest.News) {
 	now := time.Now()
 	e.balancer.LearnNews(now, n)
-	hubs := hitchdigest.Hubs(e.neighbours(e.gateway.View()))
-	if len(hubs) == 0 || hubs[0].ID != e.Settings.Self.ID {
+	if !e.neighbours().isFirstHub(e.Settings.Self.ID) {
 		return
 	}
 	e.aggregator.TakeNews(now, n)
--- a/hitchedge/news_test.go
+++ b/hitchedge/news_test.go
@@ -9,6 +9,7 @@
 
 	"citronhitch.example/citronhitch/hitchdigest"
 	"citronhitch.example/citronhitch/hitchfleet"
+	"citronhitch.example/citronhitch/hitchview"
 )
 
 // TestTheFirstHubRelaysNews: an instance tells the first hub only, and that one
@@ -25,12 +26,13 @@
 	e.Settings.Self.DatagramAddr = own.LocalAddr().String()
 	self := e.Settings.Self
 	self.LinkMegabits = 10
-	instances := append(e.neighbours(e.gateway.View()), self)
-	qt.Assert(t, hitchdigest.Hubs(instances)[0].ID, qt.Equals, self.ID)
+	v := e.gateway.View().Update(hitchview.InstanceMsg{Revision: 3, Instance: self})
+	r := regionOf(self, v)
+	qt.Assert(t, r.isFirstHub(self.ID), qt.IsTrue)
 
 	cached := []hitchdigest.Cached{{Endpoint: 7, Prefix: 9, IsRead: true}}
 	e.newsRelay.add(hitchdigest.News{From: "third", Cached: cached})
-	e.shareNews(own, instances)
+	e.shareNews(own, r)
 	buf := make([]byte, maxDatagramBytes)
 	n, err := other.Read(buf)
 	qt.Assert(t, err, qt.IsNil)
