--- a/hitchbalance/await.go
+++ b/hitchbalance/await.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"citronhitch.example/citronhitch/hitchdigest"
 	"citronhitch.example/citronhitch/hitchfleet"
 )
 
@@ -18,8 +19,8 @@
 	if p.Unread-prompt.unread(depth) >= leastAwaited && !isTest {
 		p.Awaits = b.chain[depth-1]
 	}
-	b.tell(e, b.chain, now)
-	p.brings = e.cached.begin(b.chain, now)
+	b.tell(e, prompt, now)
+	p.brings = e.cached.begin(b.chain, prompt, now)
 	p.isLong = len(p.brings) > 0 && p.Unread-prompt.unread(len(b.chain)) >= leastAwaited
 	if p.isLong {
 		b.hurry()
@@ -61,7 +62,7 @@
 	}
 	b.wake()
 	for _, key := range p.brings {
-		b.say(e, key, true)
+		b.say(hitchdigest.Cached{Endpoint: e.ref, Prefix: key, IsRead: true})
 	}
 	if p.isLong {
 		b.hurry()
--- a/hitchbalance/cache.go
+++ b/hitchbalance/cache.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"citronhitch.example/citronhitch/hitchdigest"
 	"citronhitch.example/citronhitch/hitchfleet"
 )
 
@@ -32,17 +33,19 @@
 // cachedParts remembers which prefixes of prompts an engine has read or reads,
 // with the time of the last request.
 type cachedParts struct {
-	byKey map[hitchfleet.Key]cachedPart
+	byKey   map[hitchfleet.Key]cachedPart
+	backlog backlog
 }
 
 // begin notes that a request with a prompt goes to the engine, and returns the
 // prefixes that it is the first to bring.
-func (c *cachedParts) begin(chain []hitchfleet.Key, now time.Time) (first []hitchfleet.Key) {
-	for _, key := range chain {
+func (c *cachedParts) begin(chain []hitchfleet.Key, prompt Prompt, now time.Time) (first []hitchfleet.Key) {
+	for i, key := range chain {
 		part, ok := c.byKey[key]
 		if !ok || now.Sub(part.usedAt) > cachedLife {
 			part.readUntil = now.Add(readLife)
 			first = append(first, key)
+			c.backlog.add(key, prompt.Parts[i].Tokens, part.readUntil)
 		}
 		part.usedAt = now
 		c.put(key, part)
@@ -51,16 +54,18 @@
 }
 
 // learn takes in what another instance says of a prefix.
-func (c *cachedParts) learn(key hitchfleet.Key, isRead bool, now time.Time) {
-	part, ok := c.byKey[key]
+func (c *cachedParts) learn(news hitchdigest.Cached, now time.Time) {
+	part, ok := c.byKey[news.Prefix]
 	switch {
-	case isRead:
+	case news.IsRead:
 		part.readUntil = time.Time{}
+		c.backlog.remove(news.Prefix)
 	case !ok || now.Sub(part.usedAt) > cachedLife:
 		part.readUntil = now.Add(readLife)
+		c.backlog.add(news.Prefix, news.Tokens, part.readUntil)
 	}
 	part.usedAt = now
-	c.put(key, part)
+	c.put(news.Prefix, part)
 }
 
 // read notes that the engine has read prefixes, and tells whether that is news.
@@ -69,6 +74,7 @@
 		if part, ok := c.byKey[key]; ok && !part.isRead(now) {
 			part.readUntil = time.Time{}
 			c.byKey[key] = part
+			c.backlog.remove(key)
 			isNews = true
 		}
 	}
@@ -81,6 +87,7 @@
 	for _, key := range keys {
 		if part, ok := c.byKey[key]; ok && !part.isRead(now) {
 			delete(c.byKey, key)
+			c.backlog.remove(key)
 			isNews = true
 		}
 	}
--- a/hitchbalance/pick.go
+++ b/hitchbalance/pick.go
@@ -1,6 +1,7 @@
 package hitchbalance
 
 import (
+	"math"
 	"time"
 
 	"citronhitch.example/citronhitch/hitchfleet"
@@ -131,7 +132,7 @@
 func (b *Balancer) choose(now time.Time, open []*endpoint, r Request, mean float64) (*endpoint, Why) {
 	if key, ok := r.Prompt.Affinity(); ok {
 		b.chain = r.Prompt.chain(b.chain[:0])
-		return b.byAffinity(now, open, key, mean)
+		return b.byAffinity(now, open, key, r.SlackTokens, mean)
 	}
 	return b.leastLoaded(now, open, r.Zone), ByLoad
 }
@@ -140,13 +141,14 @@
 // within the load bound, of those that cache the prompt's shared parts if there
 // are any. An engine that joins so gets prompts as the load asks for it, and takes
 // none from engines that have them cached.
-func (b *Balancer) byAffinity(now time.Time, open []*endpoint, key hitchfleet.Key, mean float64) (*endpoint, Why) {
+func (b *Balancer) byAffinity(now time.Time, open []*endpoint, key hitchfleet.Key, slack int, mean float64) (*endpoint, Why) {
 	bound := b.loadBound(now, open[0].Service, len(open), mean)
+	mostBacklog := b.mostBacklog(now, open, slack)
 	var holder, first, within ranking
 	for _, e := range open {
 		score := hitchfleet.Score(key, e.key)
 		first.take(e, score)
-		if b.load(now, e) > bound {
+		if b.load(now, e) > bound || e.cached.backlog.tokens(now, b.chain) > mostBacklog {
 			continue
 		}
 		within.take(e, score)
@@ -166,6 +168,18 @@
 	}
 }
 
+// mostBacklog returns the backlog up to which an engine gets the present prompt.
+func (b *Balancer) mostBacklog(now time.Time, open []*endpoint, slack int) int {
+	if slack <= 0 {
+		return math.MaxInt
+	}
+	least := math.MaxInt
+	for _, e := range open {
+		least = min(least, e.cached.backlog.tokens(now, b.chain))
+	}
+	return least + slack
+}
+
 // ranking keeps the endpoint with the highest score.
 type ranking struct {
 	best  *endpoint
--- a/hitchbalance/request.go
+++ b/hitchbalance/request.go
@@ -62,6 +62,9 @@
 	Tried []hitchfleet.EndpointID
 	// MayRepeat tells that the request may run more than once.
 	MayRepeat bool
+	// SlackTokens is how much longer than another engine's the backlog of an engine
+	// may be for the prompt to stay there; 0 if nobody knows how fast engines read.
+	SlackTokens int
 	// LostZones are the zones that the request found no way to before.
 	LostZones []hitchfleet.AvailabilityZone
 }
--- a/hitchbalance/share.go
+++ b/hitchbalance/share.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"citronhitch.example/citronhitch/hitchdigest"
-	"citronhitch.example/citronhitch/hitchfleet"
 )
 
 // digestLife is how long the sums of a digest count.
@@ -58,7 +57,7 @@
 func (b *Balancer) learnCached(now time.Time, cached []hitchdigest.Cached) {
 	for _, c := range cached {
 		if e := b.byRef[c.Endpoint]; e != nil {
-			e.cached.learn(c.Prefix, c.IsRead, now)
+			e.cached.learn(c, now)
 		}
 	}
 	if len(cached) > 0 {
@@ -108,24 +107,30 @@
 }
 
 // tell notes which prefixes a request brings to an engine, for the next report.
-func (b *Balancer) tell(e *endpoint, chain []hitchfleet.Key, now time.Time) {
-	for _, key := range chain {
-		if part := e.cached.byKey[key]; now.Sub(part.usedAt) >= cachedRefresh {
-			b.say(e, key, now.Sub(part.usedAt) <= cachedLife && part.isRead(now))
+func (b *Balancer) tell(e *endpoint, prompt Prompt, now time.Time) {
+	for i, key := range b.chain {
+		part := e.cached.byKey[key]
+		if now.Sub(part.usedAt) < cachedRefresh {
+			continue
 		}
+		c := hitchdigest.Cached{Endpoint: e.ref, Prefix: key, IsRead: now.Sub(part.usedAt) <= cachedLife && part.isRead(now)}
+		if !c.IsRead {
+			c.Tokens = prompt.Parts[i].Tokens
+		}
+		b.say(c)
 	}
 }
 
 // say notes what the next report says of a prefix.
-func (b *Balancer) say(e *endpoint, key hitchfleet.Key, isRead bool) {
-	for i, c := range b.news {
-		if c.Endpoint == e.ref && c.Prefix == key {
-			b.news[i].IsRead = isRead
+func (b *Balancer) say(c hitchdigest.Cached) {
+	for i, old := range b.news {
+		if old.Endpoint == c.Endpoint && old.Prefix == c.Prefix {
+			b.news[i] = c
 			return
 		}
 	}
 	if len(b.news) < maxNews {
-		b.news = append(b.news, hitchdigest.Cached{Endpoint: e.ref, Prefix: key, IsRead: isRead})
+		b.news = append(b.news, c)
 	}
 }
 
--- a/hitchdigest/aggregator.go
+++ b/hitchdigest/aggregator.go
@@ -63,8 +63,12 @@
 	}
 }
 
-// hold keeps what is said of a prefix, in place of what was said before.
+// hold keeps what is said of a prefix, in place of what was said before. What is
+// being read is told by news only.
 func (a *Aggregator) hold(c Cached, until time.Time) {
+	if !c.IsRead {
+		return
+	}
 	for i, held := range a.cached {
 		if held.Endpoint == c.Endpoint && held.Prefix == c.Prefix {
 			a.cached[i] = heldCached{c, until}
--- a/hitchdigest/digest_test.go
+++ b/hitchdigest/digest_test.go
@@ -96,7 +96,7 @@
 
 func TestDigestRepeatsCachedPrefixesForAWhile(t *testing.T) {
 	var a Aggregator
-	a.Take(start, Report{From: "r1", Cached: []Cached{{Endpoint: 1, Prefix: 9}}})
+	a.Take(start, Report{From: "r1", Cached: []Cached{{Endpoint: 1, Prefix: 9, IsRead: true}}})
 	qt.Assert(t, a.Digests(start.Add(cachedRepeat), Head{})[0].Cached, qt.HasLen, 1)
 	qt.Assert(t, a.Digests(start.Add(cachedRepeat+time.Millisecond), Head{})[0].Cached, qt.HasLen, 0)
 }
@@ -108,7 +108,7 @@
 	r := Report{From: "r1"}
 	for i := range endpoints {
 		r.Loads = append(r.Loads, Load{Endpoint: RefOf(hitchfleet.EndpointID(fmt.Sprint(i))), InFlight: 100})
-		r.Cached = append(r.Cached, Cached{Endpoint: Ref(i), Prefix: hitchfleet.KeyOf(fmt.Sprint(i))})
+		r.Cached = append(r.Cached, Cached{Endpoint: Ref(i), Prefix: hitchfleet.KeyOf(fmt.Sprint(i)), IsRead: true})
 	}
 	a.Take(start, r)
 	total := 0
@@ -122,7 +122,7 @@
 }
 
 func TestPacketsComeBackAsTheyWere(t *testing.T) {
-	want := Packet{Report: &Report{From: "r1", Loads: []Load{{Endpoint: 1, InFlight: 2}}, Cached: []Cached{{Endpoint: 1, Prefix: 1 << 63}}}}
+	want := Packet{Report: &Report{From: "r1", Loads: []Load{{Endpoint: 1, InFlight: 2}}, Cached: []Cached{{Endpoint: 1, Prefix: 1 << 63, IsRead: true}}}}
 	b, err := want.Encode()
 	qt.Assert(t, err, qt.IsNil)
 	got, err := Decode(b)
--- a/hitchdigest/message.go
+++ b/hitchdigest/message.go
@@ -40,6 +40,8 @@
 	Endpoint Ref
 	Prefix   hitchfleet.Key
 	IsRead   bool
+	// Tokens is what the engine has to read, if it reads the prefix.
+	Tokens int
 }
 
 // Report is what one instance tells a hub.
--- a/hitchedge/digest.go
+++ b/hitchedge/digest.go
@@ -62,8 +62,7 @@
 	for ctx.Err() == nil {
 		select {
 		case <-urgent:
-			e.shareNews(socket, r)
-			pause(ctx, newsPause(len(r.instances)))
+			pause(ctx, e.shareNews(socket, r))
 		case <-ctx.Done():
 		}
 	}
--- a/hitchedge/news.go
+++ b/hitchedge/news.go
@@ -8,19 +8,28 @@
 	"citronhitch.example/citronhitch/hitchdigest"
 )
 
-// Pauses between two datagrams with news, so that the first hub of a region sends
-// at most 2,000 a second.
+// Limits of news.
 const (
-	newsPerInstance = 500 * time.Microsecond
-	leastNewsPause  = 5 * time.Millisecond
+	// leastNewsPause lies between two datagrams with news.
+	leastNewsPause = 5 * time.Millisecond
+	// Each prefix adds to the pause, the more the larger the region: the first hub
+	// sends at most about 200 KB of news a second, and in regions of more than 40
+	// instances each gets at most 5 KB.
+	newsPausePerInstance = 100 * time.Microsecond
+	mostNewsEntryPause   = 4 * time.Millisecond
+	// maxNewsCached bounds one datagram with news to about a kilobyte.
+	maxNewsCached = 48
 )
 
-// newsPause returns the pause between two datagrams with news.
-func newsPause(instances int) time.Duration {
-	return max(time.Duration(instances)*newsPerInstance, leastNewsPause)
+// newsPause returns the pause after a datagram with news to the instances of a
+// region.
+func newsPause(entries, instances int) time.Duration {
+	each := min(time.Duration(instances)*newsPausePerInstance, mostNewsEntryPause)
+	return max(time.Duration(entries)*each, leastNewsPause)
 }
 
-// newsRelay holds the news that the first hub has yet to tell everyone. The zero
+// newsRelay holds the news that the first hub has yet to tell everyone, the newest
+// as many as a datagram holds: what is older has likely been read by now. The zero
 // value is empty.
 type newsRelay struct {
 	mu      sync.Mutex
@@ -32,6 +41,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.pending = append(r.pending, n.Cached...)
+	r.pending = r.pending[max(len(r.pending)-maxNewsCached, 0):]
 }
 
 // take returns the news to relay.
@@ -43,28 +53,23 @@
 	return out
 }
 
-// maxNewsCached bounds one datagram with news to about a kilobyte.
-const maxNewsCached = 48
-
-// shareNews tells the first hub this instance's news, or everyone if this is it.
-func (e *Edge) shareNews(socket *net.UDPConn, r *region) {
+// shareNews tells the first hub this instance's news, or everyone if this is it,
+// and returns how long to wait before more.
+func (e *Edge) shareNews(socket *net.UDPConn, r *region) time.Duration {
 	news := e.balancer.News()
-	switch {
-	case r.isFirstHub(e.Settings.Self.ID):
-		e.aggregator.TakeNews(time.Now(), news)
-		e.relayNews(socket, r, append(e.newsRelay.take(), news.Cached...))
-	case len(r.hubs) > 0 && len(news.Cached) > 0:
-		e.send(socket, hitchdigest.Packet{News: &news}, r.hubs[0])
+	if !r.isFirstHub(e.Settings.Self.ID) {
+		if len(r.hubs) > 0 && len(news.Cached) > 0 {
+			e.send(socket, hitchdigest.Packet{News: &news}, r.hubs[0])
+		}
+		return leastNewsPause
 	}
-}
-
-// relayNews tells everyone.
-func (e *Edge) relayNews(socket *net.UDPConn, r *region, cached []hitchdigest.Cached) {
-	for len(cached) > 0 {
-		n := min(len(cached), maxNewsCached)
-		e.send(socket, hitchdigest.Packet{News: &hitchdigest.News{From: e.Settings.Self.ID, Cached: cached[:n]}}, r.instances...)
-		cached = cached[n:]
+	e.aggregator.TakeNews(time.Now(), news)
+	e.newsRelay.add(news)
+	news.Cached = e.newsRelay.take()
+	if len(news.Cached) > 0 {
+		e.send(socket, hitchdigest.Packet{News: &news}, r.instances...)
 	}
+	return newsPause(len(news.Cached), len(r.instances))
 }
 
 // takeNews takes in news, and relays them if this is the hub that does.
--- a/hitchedge/news_test.go
+++ b/hitchedge/news_test.go
@@ -42,7 +42,19 @@
 	qt.Assert(t, e.newsRelay.take(), qt.HasLen, 0)
 }
 
-func TestNewsPausesGrowWithTheRegion(t *testing.T) {
-	qt.Assert(t, newsPause(1), qt.Equals, leastNewsPause)
-	qt.Assert(t, newsPause(130), qt.Equals, 65*time.Millisecond)
+// TestNewsStayBelowTheirRate: however much there is to tell, an instance of a large
+// region gets a datagram of a kilobyte in a fifth of a second at most.
+func TestNewsStayBelowTheirRate(t *testing.T) {
+	var r newsRelay
+	for i := range 10 * maxNewsCached {
+		r.add(hitchdigest.News{Cached: []hitchdigest.Cached{{Prefix: hitchfleet.Key(i)}}})
+	}
+	told := r.take()
+	qt.Assert(t, told, qt.HasLen, maxNewsCached)
+	qt.Assert(t, told[maxNewsCached-1].Prefix, qt.Equals, hitchfleet.Key(10*maxNewsCached-1))
+	qt.Assert(t, newsPause(maxNewsCached, 390) >= 190*time.Millisecond, qt.IsTrue)
+	qt.Assert(t, newsPause(0, 390), qt.Equals, leastNewsPause)
+	b, err := hitchdigest.Packet{News: &hitchdigest.News{Cached: told}}.Encode()
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, len(b) <= 1100, qt.IsTrue, qt.Commentf("%d bytes", len(b)))
 }
--- a/hitchingress/serve.go
+++ b/hitchingress/serve.go
@@ -27,6 +27,9 @@
 	// longestHold bounds how long a request waits while its prompt is read for
 	// another one.
 	longestHold = 2 * time.Second
+	// slackShare is the part of the objective, as a divisor, that a prompt waits
+	// longer for an engine that caches it than it would elsewhere.
+	slackShare = 4
 	// maxAnswerBytes bounds an answer that isn't streamed.
 	maxAnswerBytes = 16 << 20
 	// defaultBodyBytes bounds a body before a configuration is known.
@@ -155,7 +158,8 @@
 	for {
 		pick, refusal := g.Balancer.Pick(time.Now(), hitchbalance.Request{
 			Service: j.service, Prompt: j.Prompt, Zone: g.Self.Zone, Tried: j.tried,
-			MayRepeat: j.retry.MayRepeat, LostZones: j.lostZones,
+			SlackTokens: j.slackTokens(),
+			MayRepeat:   j.retry.MayRepeat, LostZones: j.lostZones,
 		})
 		if refusal != hitchbalance.NotRefused {
 			g.noEndpoint(j, refusal)
@@ -183,6 +187,12 @@
 	}
 }
 
+// slackTokens returns what an engine reads in the part of the objective that a
+// prompt waits for its own engine.
+func (j *job) slackTokens() int {
+	return j.learnt.patience.Tokens(time.Duration(j.route.ObjectiveMilliseconds) * time.Millisecond / slackShare)
+}
+
 // hold keeps a request while the engine reads its prompt for another one, so that
 // the prompt isn't read twice. It goes on as soon as that is done, or fails.
 func (g *Gateway) hold(ctx context.Context, j *job, pick hitchbalance.Pick) {
--- a/hitchretry/patience.go
+++ b/hitchretry/patience.go
@@ -20,6 +20,9 @@
 	overdueFactor = 7
 	// leastExpected is the shortest time within which an answer is expected.
 	leastExpected = 100 * time.Millisecond
+	// fastestRise is the part, as a divisor, by which the shortest wait for a token
+	// rises with each sample, so that it follows slower endpoints.
+	fastestRise = 256
 	// readFactor is the multiple of the usual time to read a prompt.
 	readFactor = 2
 	// leastRead is the smallest part of a prompt that tells how fast prompts are
@@ -43,6 +46,8 @@
 	// each token of a prompt that had to be read.
 	mean     time.Duration
 	perToken time.Duration
+	// fastest is the shortest wait for each token, which rises slowly.
+	fastest time.Duration
 }
 
 // Observe takes in how long a request waited, whether it was answered or given
@@ -59,6 +64,10 @@
 		p.perToken = perToken
 	}
 	p.perToken = average(p.perToken, perToken)
+	p.fastest += p.fastest / fastestRise
+	if p.fastest == 0 || perToken < p.fastest {
+		p.fastest = perToken
+	}
 }
 
 func average(mean, sample time.Duration) time.Duration {
@@ -84,6 +93,17 @@
 	return limit + readFactor*p.perToken*time.Duration(unread), p.perToken > 0
 }
 
+// Tokens returns how many tokens of prompts an endpoint reads in a time without
+// other work, and 0 if nobody knows.
+func (p *Patience) Tokens(d time.Duration) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.fastest <= 0 {
+		return 0
+	}
+	return int(d / p.fastest)
+}
+
 // Limit returns how long to wait for a request whose prompt has tokens that the
 // endpoint must read, and false as long as nobody knows how long that takes.
 func (p *Patience) Limit(objective time.Duration, unread int) (time.Duration, bool) {
--- a/hitchretry/patience_test.go
+++ b/hitchretry/patience_test.go
@@ -85,3 +85,17 @@
 	qt.Assert(t, ok, qt.IsTrue)
 	qt.Assert(t, long, qt.Equals, short+800*time.Millisecond)
 }
+
+// TestTokensDontShrinkUnderLoad: how fast an endpoint reads doesn't depend on how
+// much waits there.
+func TestTokensDontShrinkUnderLoad(t *testing.T) {
+	var p Patience
+	qt.Assert(t, p.Tokens(time.Second), qt.Equals, 0)
+	p.Observe(250*time.Millisecond, 8000)
+	alone := p.Tokens(250 * time.Millisecond)
+	qt.Assert(t, alone > 7000 && alone <= 8100, qt.IsTrue, qt.Commentf("%d", alone))
+	for range 20 {
+		p.Observe(5*time.Second, 8000)
+	}
+	qt.Assert(t, p.Tokens(250*time.Millisecond) > alone*9/10, qt.IsTrue)
+}
