--- a/hitchbalance/pick.go
+++ b/hitchbalance/pick.go
@@ -89,29 +89,30 @@
 // there or come to it by rendezvous. Engines in zones that operators took out are
 // part of the mean that operators hold the fleet to, though they have no work;
 // engines that are lost aren't.
-func (b *Balancer) loadBound(now time.Time, service hitchfleet.ServiceID, open int, mean float64) float64 {
+func (b *Balancer) loadBound(now time.Time, service hitchfleet.ServiceID, c candidates) float64 {
 	factor := b.limits.LoadFactor
 	if factor <= 0 {
 		factor = defaultLoadFactor
 	}
-	sum := mean * float64(open)
-	for _, e := range b.outBy[service] {
+	out := b.outBy[service]
+	sum := c.mean * float64(c.counted)
+	for _, e := range out {
 		sum += b.load(now, e)
 	}
-	meanOfAll := sum / float64(max(open+len(b.outBy[service]), 1))
-	return min(affinityShare*factor*mean, factor*meanOfAll) + affinitySlack
+	meanOfAll := sum / float64(max(c.counted+len(out), 1))
+	return min(affinityShare*factor*c.mean, factor*meanOfAll) + affinitySlack
 }
 
 // Pick chooses an endpoint and counts the request there until Settle.
 func (b *Balancer) Pick(now time.Time, r Request) (Pick, Refusal) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	open, best, mean, refusal := b.open(now, r)
+	c, refusal := b.open(now, r)
 	if refusal != NotRefused {
 		return Pick{}, refusal
 	}
-	e, why := b.choose(now, open, r, mean)
-	p := Pick{Endpoint: e.Endpoint, Why: why, Tier: best, Load: b.load(now, e), LoadAt: later(b.learnedAt, e.reportedAt), Mean: mean}
+	e, why := b.choose(now, c.list, r, b.loadBound(now, r.Service, c))
+	p := Pick{Endpoint: e.Endpoint, Why: why, Tier: c.tier, Load: b.load(now, e), LoadAt: later(b.learnedAt, e.reportedAt), Mean: c.mean}
 	if key, ok := r.Prompt.Affinity(); ok {
 		p.Source = b.source(now, e, key, b.chain)
 		b.begin(now, e, &p, r.Prompt)
@@ -129,10 +130,10 @@
 }
 
 // choose returns the endpoint for a request among the open ones.
-func (b *Balancer) choose(now time.Time, open []*endpoint, r Request, mean float64) (*endpoint, Why) {
+func (b *Balancer) choose(now time.Time, open []*endpoint, r Request, bound float64) (*endpoint, Why) {
 	if key, ok := r.Prompt.Affinity(); ok {
 		b.chain = r.Prompt.chain(b.chain[:0])
-		return b.byAffinity(now, open, key, r.SlackTokens, mean)
+		return b.byAffinity(now, open, key, r.SlackTokens, bound)
 	}
 	return b.leastLoaded(now, open, r.Zone), ByLoad
 }
@@ -141,8 +142,7 @@
 // within the load bound, of those that cache the prompt's shared parts if there
 // are any. An engine that joins so gets prompts as the load asks for it, and takes
 // none from engines that have them cached.
-func (b *Balancer) byAffinity(now time.Time, open []*endpoint, key hitchfleet.Key, slack int, mean float64) (*endpoint, Why) {
-	bound := b.loadBound(now, open[0].Service, len(open), mean)
+func (b *Balancer) byAffinity(now time.Time, open []*endpoint, key hitchfleet.Key, slack int, bound float64) (*endpoint, Why) {
 	mostBacklog := b.mostBacklog(now, open, slack)
 	var holder, first, within ranking
 	for _, e := range open {
--- a/hitchbalance/tier.go
+++ b/hitchbalance/tier.go
@@ -52,9 +52,18 @@
 	}
 }
 
-// open returns the endpoints that may get a request, of the best tier, and the
-// mean load of all that don't rest.
-func (b *Balancer) open(now time.Time, r Request) (open []*endpoint, best Tier, mean float64, _ Refusal) {
+// candidates are the endpoints that may get a request.
+type candidates struct {
+	// list are those of the best tier.
+	list []*endpoint
+	tier Tier
+	// counted is the number of all that don't rest, and mean their mean load.
+	counted int
+	mean    float64
+}
+
+// open returns the endpoints that may get a request.
+func (b *Balancer) open(now time.Time, r Request) (c candidates, _ Refusal) {
 	for i := range b.byTier {
 		b.byTier[i] = b.byTier[i][:0]
 	}
@@ -70,21 +79,22 @@
 			b.byTier[t] = append(b.byTier[t], e)
 		}
 	}
-	sum, n := 0.0, 0
+	sum := 0.0
 	for t, list := range b.byTier {
-		if len(list) == 0 || Tier(t) == TierResting && n > 0 {
+		if len(list) == 0 || Tier(t) == TierResting && c.counted > 0 {
 			continue
 		}
-		if open == nil {
-			open, best = list, Tier(t)
+		if c.list == nil {
+			c.list, c.tier = list, Tier(t)
 		}
 		for _, e := range list {
 			sum += b.load(now, e)
-			n++
 		}
+		c.counted += len(list)
 	}
-	if n == 0 {
-		return nil, 0, 0, refusal
+	if c.counted == 0 {
+		return c, refusal
 	}
-	return open, best, sum / float64(n), NotRefused
+	c.mean = sum / float64(c.counted)
+	return c, NotRefused
 }
--- a/hitchdigest/aggregator.go
+++ b/hitchdigest/aggregator.go
@@ -15,7 +15,7 @@
 	reportLife = 1500 * time.Millisecond
 	// cachedRepeat is how long a digest repeats a cached prefix, as datagrams get
 	// lost.
-	cachedRepeat = time.Second
+	cachedRepeat = 600 * time.Millisecond
 	// maxLoads and maxCached bound one datagram to about a kilobyte.
 	maxLoads  = 120
 	maxCached = 24
