--- a/hitchdigest/message.go
+++ b/hitchdigest/message.go
@@ -64,6 +64,8 @@
 	HasStore bool
 	// ViewAddr is where the changes up to the revision are read.
 	ViewAddr string
+	// Silent are instances that the hub hasn't heard lately.
+	Silent []hitchfleet.InstanceID
 }
 
 // Digest is what a hub tells everyone.
--- a/hitchedge/digest.go
+++ b/hitchedge/digest.go
@@ -40,10 +40,9 @@
 	stop := context.AfterFunc(ctx, func() { _ = socket.Close() })
 	defer stop()
 	go e.readDatagrams(ctx, socket)
-	wasIdle := false
 	for ctx.Err() == nil {
 		r := e.neighbours()
-		wasIdle = e.shareOnce(socket, r, wasIdle)
+		e.shareOnce(socket, r)
 		e.shareNewsUntil(ctx, socket, r, time.Now().Add(sharePause(len(r.instances))))
 	}
 	return nil
@@ -68,23 +67,21 @@
 	}
 }
 
-// shareOnce sends one report and, from a hub, one digest. It returns true if
-// there was nothing to report.
-func (e *Edge) shareOnce(socket *net.UDPConn, r *region, wasIdle bool) bool {
+// shareOnce sends one report and, from a hub, one digest. Reports without content
+// say that this instance lives.
+func (e *Edge) shareOnce(socket *net.UDPConn, r *region) {
 	now := time.Now()
 	report := e.balancer.Report()
-	isIdle := len(report.Loads) == 0 && len(report.Cached) == 0
 	self := e.Settings.Self.ID
 	for _, hub := range r.hubs {
-		switch {
-		case hub.ID == self:
-			e.aggregator.Take(now, report)
-			e.sendDigests(socket, r.instances, now)
-		case !isIdle || !wasIdle:
+		if hub.ID != self {
 			e.send(socket, hitchdigest.Packet{Report: &report}, hub)
+			continue
 		}
+		e.hearing.Hear(now, self)
+		e.aggregator.Take(now, report)
+		e.sendDigests(socket, r.instances, now)
 	}
-	return isIdle
 }
 
 // sendDigests tells everyone the sums.
@@ -94,7 +91,9 @@
 		Revision: e.gateway.View().Revision,
 		HasStore: e.follower.HasStore(),
 		ViewAddr: e.Settings.Self.PeerAddr,
+		Silent:   e.hearing.Silent(now, instances),
 	}
+	e.liveness.Learn(now, head)
 	for _, d := range e.aggregator.Digests(now, head) {
 		e.balancer.Learn(now, d)
 		e.send(socket, hitchdigest.Packet{Digest: &d}, instances...)
@@ -141,6 +140,7 @@
 func (e *Edge) takePacket(p hitchdigest.Packet) {
 	now := time.Now()
 	if p.Report != nil {
+		e.hearing.Hear(now, p.Report.From)
 		e.aggregator.Take(now, *p.Report)
 	}
 	if p.News != nil {
@@ -149,6 +149,7 @@
 	if p.Digest != nil {
 		e.balancer.Learn(now, *p.Digest)
 		head := p.Digest.Head
+		e.liveness.Learn(now, head)
 		e.follower.Hear(hitchview.HubNews{Addr: head.ViewAddr, Revision: head.Revision, HasStore: head.HasStore})
 	}
 }
--- a/hitchedge/directory.go
+++ b/hitchedge/directory.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"math/rand/v2"
 	"slices"
+	"time"
 
 	"citronhitch.example/citronhitch/hitchfleet"
 	hitchplatform "citronhitch.example/citronhitch/platform"
@@ -14,7 +15,7 @@
 const answerSeconds = 2.0
 
 // instancesFor returns the addresses of the instances for a caller, those in its
-// zone first. Where there are more than callers take, each answer names others, so
+// zone first, without those that are silent. Where there are more than callers take, each answer names others, so
 // that all get as many callers.
 func (e *Edge) instancesFor(_ hitchfleet.Region, zone hitchfleet.AvailabilityZone) ([]string, float64) {
 	if e.gateway.View().Table == nil {
@@ -22,7 +23,10 @@
 	}
 	instances := e.gateway.View().Instances()
 	self := e.Settings.Self
-	instances = slices.DeleteFunc(instances, func(i hitchfleet.Instance) bool { return i.ID == self.ID })
+	now := time.Now()
+	instances = slices.DeleteFunc(instances, func(i hitchfleet.Instance) bool {
+		return i.ID == self.ID || e.liveness.IsSilent(now, i.ID)
+	})
 	if e.gateway.IsReady() {
 		instances = append(instances, self)
 	}
--- a/hitchedge/edge.go
+++ b/hitchedge/edge.go
@@ -45,12 +45,16 @@
 	// newsRelay holds their news.
 	aggregator hitchdigest.Aggregator
 	newsRelay  newsRelay
-	region     atomic.Pointer[region]
-	relays     relayCache
-	lastView   viewCounts
-	seeds      atomic.Pointer[[]string]
-	ready      sync.Once
-	isReady    chan struct{}
+	// hearing is what this instance hears while it is a hub, and liveness what the
+	// hubs say.
+	hearing  hitchdigest.Hearing
+	liveness hitchdigest.Liveness
+	region   atomic.Pointer[region]
+	relays   relayCache
+	lastView viewCounts
+	seeds    atomic.Pointer[[]string]
+	ready    sync.Once
+	isReady  chan struct{}
 }
 
 // Run runs an instance with the settings file until ctx ends, and then stops it
--- a/hitchedge/edge_test.go
+++ b/hitchedge/edge_test.go
@@ -17,6 +17,7 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/hashicorp/go-hclog"
 
+	"citronhitch.example/citronhitch/hitchdigest"
 	"citronhitch.example/citronhitch/hitchfleet"
 	"citronhitch.example/citronhitch/hitchroute"
 	"citronhitch.example/citronhitch/hitchview"
@@ -77,6 +78,18 @@
 	}
 }
 
+// TestTheDirectoryLeavesSilentInstancesOut replays an instance that freezes: its
+// lease has seconds left, but the hubs don't hear it.
+func TestTheDirectoryLeavesSilentInstancesOut(t *testing.T) {
+	e := edge(
+		hitchfleet.Instance{ID: "r1", Addr: "10.0.0.2:80", Zone: "a"},
+		hitchfleet.Instance{ID: "r2", Addr: "10.0.0.3:80", Zone: "b"},
+	)
+	e.liveness.Learn(time.Now(), hitchdigest.Head{From: "r1", Silent: []hitchfleet.InstanceID{"r2", "self"}})
+	addrs, _ := e.instancesFor("", "b")
+	qt.Assert(t, addrs, qt.DeepEquals, []string{"10.0.0.2:80", "10.0.0.1:80"})
+}
+
 func TestAnInstanceThatKnowsNothingNamesNobody(t *testing.T) {
 	e := edge()
 	e.gateway.SetView(time.Now(), hitchview.View{})
