--- a/hitchingress/hold_test.go
+++ b/hitchingress/hold_test.go
@@ -39,7 +39,7 @@
 				time.AfterFunc(100*time.Millisecond, func() { test.after(&b, reader, cancel) })
 				j := &job{until: time.Now().Add(test.time)}
 				(&Gateway{Balancer: &b}).hold(ctx, j, waiting)
-				qt.Assert(t, j.entry.held, qt.Equals, test.want)
+				qt.Assert(t, j.entry.heldUntil.Sub(j.entry.heldFrom), qt.Equals, test.want)
 			})
 		})
 	}
--- a/hitchingress/log.go
+++ b/hitchingress/log.go
@@ -13,11 +13,13 @@
 	revision int64 // of the view
 	picks    int
 	last     hitchbalance.Pick
-	first    time.Time     // of the first event
-	held     time.Duration // while the prompt was read for another request
-	end      string
-	status   int
-	err      error
+	first    time.Time // of the first event
+	// heldFrom and heldUntil are when the request waited while its prompt was read
+	// for another one.
+	heldFrom, heldUntil time.Time
+	end                 string
+	status              int
+	err                 error
 }
 
 // pick notes an endpoint that the request is sent to.
@@ -74,7 +76,7 @@
 	g.Log.Info("request", "ID", j.ID, "Route", name, "Organisation", j.organisation,
 		"Table", j.entry.table, "Revision", j.entry.revision, "Attempts", j.entry.picks, "Endpoint", j.entry.last.Endpoint.ID,
 		"Why", j.entry.last.Why, "Tier", j.entry.last.Tier, "Source", j.entry.last.Source.ID, "Load", j.entry.last.Load, "Mean", j.entry.last.Mean,
-		"LoadAge", j.entry.loadAge(j.received), "Held", j.entry.held,
+		"LoadAge", j.entry.loadAge(j.received), "Held", j.entry.heldUntil.Sub(j.entry.heldFrom),
 		"End", j.entry.end, "Status", j.entry.status, "Events", j.stream.events,
 		"First", firstAfter, "Took", now.Sub(j.received), "Error", j.entry.err)
 }
--- a/hitchingress/serve.go
+++ b/hitchingress/serve.go
@@ -25,8 +25,9 @@
 	// comeBack is the mean time after which a refused caller may come back.
 	comeBack = 300 * time.Millisecond
 	// longestHold bounds how long a request waits while its prompt is read for
-	// another one.
+	// another one, and holdShare the part of its time, as a divisor.
 	longestHold = 2 * time.Second
+	holdShare   = 3
 	// slackShare is the part of the objective, as a divisor, that a prompt waits
 	// longer for an engine that caches it than it would elsewhere.
 	slackShare = 4
@@ -165,7 +166,7 @@
 			g.noEndpoint(j, refusal)
 			return
 		}
-		if pick.Awaits != 0 && j.entry.held == 0 {
+		if pick.Awaits != 0 && j.entry.heldFrom.IsZero() {
 			g.hold(ctx, j, pick)
 			continue
 		}
@@ -197,7 +198,8 @@
 // the prompt isn't read twice. It goes on as soon as that is done, or fails.
 func (g *Gateway) hold(ctx context.Context, j *job, pick hitchbalance.Pick) {
 	now := time.Now()
-	ctx, cancel := context.WithDeadline(ctx, now.Add(min(longestHold, time.Until(j.until)/3)))
+	j.entry.heldFrom = now
+	ctx, cancel := context.WithDeadline(ctx, now.Add(min(longestHold, j.until.Sub(now)/holdShare)))
 	defer cancel()
 	for ctx.Err() == nil {
 		changed, isReading := g.Balancer.Await(time.Now(), pick)
@@ -209,8 +211,8 @@
 		case <-ctx.Done():
 		}
 	}
-	j.entry.held = time.Since(now)
-	g.Balancer.Settle(time.Now(), pick, hitchbalance.ResultAbandoned)
+	j.entry.heldUntil = time.Now()
+	g.Balancer.Settle(j.entry.heldUntil, pick, hitchbalance.ResultAbandoned)
 }
 
 // noEndpoint gives the final answer where no endpoint is left to try.
--- a/hitchsoak/check.go
+++ b/hitchsoak/check.go
@@ -38,8 +38,9 @@
 
 // checker judges calls by what endpoints saw.
 type checker struct {
+	// start and end are those of the soak.
 	start  time.Time
-	length time.Duration
+	end    time.Time
 	plan   []Fault
 	ledger *hitchstandin.Ledger
 }
@@ -125,5 +126,5 @@
 // isRecovered tells whether a call began late enough after the last fault that it
 // must be served.
 func (c *checker) isRecovered(x call) bool {
-	return x.Begin.After(c.start.Add(c.length - quietEnd + recoverWithin))
+	return x.Begin.After(c.end.Add(recoverWithin - quietEnd))
 }
--- a/hitchsoak/soak.go
+++ b/hitchsoak/soak.go
@@ -88,8 +88,9 @@
 	if err := f.start(ctx, s); err != nil {
 		return Report{}, err
 	}
+	now := time.Now()
 	c := &checker{
-		start: time.Now(), length: s.length(), ledger: &f.ledger,
+		start: now, end: now.Add(s.length()), ledger: &f.ledger,
 		plan: NewPlan(s.Seed, s.length(), s.instances(), s.endpoints(), s.organisations()),
 	}
 	calls := s.run(ctx, f, c)
@@ -104,7 +105,7 @@
 
 // run lets callers call and faults strike, and returns the calls.
 func (s *Soak) run(ctx context.Context, f *fleet, c *checker) []call {
-	calling, stop := context.WithDeadline(ctx, c.start.Add(c.length))
+	calling, stop := context.WithDeadline(ctx, c.end)
 	defer stop()
 	var mu sync.Mutex
 	var calls []call
--- a/hitchsoak/soak_test.go
+++ b/hitchsoak/soak_test.go
@@ -89,7 +89,7 @@
 				ask(e, "attempt")
 			}
 			// Runs are noted with the real time, which lies before the faults' ends.
-			c := &checker{start: time.Now().Add(-seconds(8)), length: seconds(80), plan: test.plan, ledger: &ledger}
+			c := &checker{start: time.Now().Add(-seconds(8)), end: time.Now().Add(seconds(72)), plan: test.plan, ledger: &ledger}
 			test.call.Begin = c.start.Add(test.call.Begin.Sub(start))
 			test.call.End = test.call.Begin.Add(seconds(0.1))
 			got := ""
