--- a/hitchforward/exchange.go
+++ b/hitchforward/exchange.go
@@ -70,6 +70,9 @@
 
 // connect takes a kept connection or opens one.
 func (x *Exchange) connect(ctx context.Context, until time.Time) error {
+	if err := ctx.Err(); err != nil {
+		return err
+	}
 	if x.conn = x.pool.take(time.Now(), x.addr); x.conn != nil {
 		return nil
 	}
--- a/hitchforward/exchange_test.go
+++ b/hitchforward/exchange_test.go
@@ -208,3 +208,31 @@
 	p.Expire(time.Now().Add(5 * time.Second))
 	qt.Assert(t, p.idle, qt.HasLen, 0)
 }
+
+// TestNothingIsSentForACallerThatHasLeft: a kept connection is at hand, but the
+// caller left before the message is written.
+func TestNothingIsSentForACallerThatHasLeft(t *testing.T) {
+	e := serve(t, func(int64, *http.Request) (string, bool) {
+		return "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", true
+	})
+	var conns Conns
+	until := time.Now().Add(5 * time.Second)
+	x, err := conns.Open(context.Background(), e.addr, Message{Method: http.MethodGet, Target: "/", Host: "h"}, until, &hitchoutcome.Evidence{})
+	qt.Assert(t, err, qt.IsNil)
+	_, err = x.ReadAll(10)
+	qt.Assert(t, err, qt.IsNil)
+	x.Close()
+	ctx, leave := context.WithCancel(context.Background())
+	leave()
+	var ev hitchoutcome.Evidence
+	_, err = conns.Open(ctx, e.addr, Message{Method: http.MethodGet, Target: "/", Host: "h"}, until, &ev)
+	var f *Failure
+	qt.Assert(t, errors.As(err, &f), qt.IsTrue)
+	qt.Assert(t, f.Kind, qt.Equals, FailureUnsent)
+	qt.Assert(t, ev.Outcome(), qt.Equals, hitchoutcome.NotRun)
+	// The kept connection still works, and its next request is the second one.
+	x, err = conns.Open(context.Background(), e.addr, Message{Method: http.MethodGet, Target: "/", Host: "h"}, until, &hitchoutcome.Evidence{})
+	qt.Assert(t, err, qt.IsNil)
+	x.Close()
+	qt.Assert(t, e.requests.Load(), qt.Equals, int64(2))
+}
--- a/hitchingress/attempt.go
+++ b/hitchingress/attempt.go
@@ -141,6 +141,9 @@
 	switch f.Kind {
 	case hitchforward.FailureUnsent:
 		end.outcome = hitchretry.Unsent
+		if errors.Is(err, context.Canceled) {
+			end.result = hitchbalance.ResultAbandoned
+		}
 	case hitchforward.FailureCallerGone, hitchforward.FailureTimeout:
 		end.result = hitchbalance.ResultAbandoned
 	case hitchforward.FailureSilent:
--- a/hitchingress/gateway_test.go
+++ b/hitchingress/gateway_test.go
@@ -262,6 +262,35 @@
 	}
 }
 
+// TestACallerThatHasLeftIsNotRetried: nothing is sent, and no retry is taken from
+// the budget that all share.
+func TestACallerThatHasLeftIsNotRetried(t *testing.T) {
+	b := serve(t, good)
+	server := gateway(t, hitchroute.Route{Kind: hitchroute.Idempotent, MaxAttempts: 2}, b, b)
+	ctx, leave := context.WithCancel(context.Background())
+	leave()
+	r := httptest.NewRequestWithContext(ctx, http.MethodPost, "/x", strings.NewReader("body"))
+	r.Host = "h.example"
+	r.Header.Set("Id", "id-1")
+	r.Header.Set("Key", "k")
+	w := httptest.NewRecorder()
+	g := server.Config.Handler.(*Gateway)
+	g.ServeHTTP(w, r)
+	qt.Assert(t, w.Code, qt.Equals, http.StatusServiceUnavailable)
+	qt.Assert(t, b.hits.Load(), qt.Equals, int64(0))
+	retries := 0
+	for g.service("s").budget.Retry(time.Now()) {
+		retries++
+	}
+	other := gateway(t, hitchroute.Route{Kind: hitchroute.Idempotent}, b).Config.Handler.(*Gateway)
+	other.service("s").budget.First(time.Now())
+	want := 0
+	for other.service("s").budget.Retry(time.Now()) {
+		want++
+	}
+	qt.Assert(t, retries, qt.Equals, want)
+}
+
 func TestMetrics(t *testing.T) {
 	var m Metrics
 	now := time.Now()
--- a/hitchingress/serve.go
+++ b/hitchingress/serve.go
@@ -177,7 +177,7 @@
 		}
 		var decision hitchretry.Decision
 		j.retry, decision = j.retry.After(time.Now(), done.outcome)
-		if decision == hitchretry.Retry && !j.learnt.budget.Retry(time.Now()) {
+		if decision == hitchretry.Retry && (ctx.Err() != nil || !j.learnt.budget.Retry(time.Now())) {
 			decision = j.retry.WithoutRetry(done.outcome)
 		}
 		g.logAttempt(j, pick, done, decision)
