--- a/hitchretry/patience.go
+++ b/hitchretry/patience.go
@@ -86,11 +86,10 @@
 func (p *Patience) Expected(unread int) (time.Duration, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	limit := max(leastExpected, overdueFactor*p.mean)
-	if unread < leastRead {
-		return limit, p.mean > 0
+	if unread < leastRead && p.mean == 0 {
+		return 0, false
 	}
-	return limit + readFactor*p.perToken*time.Duration(unread), p.perToken > 0
+	return p.withReading(max(leastExpected, overdueFactor*p.mean), unread)
 }
 
 // Tokens returns how many tokens of prompts an endpoint reads in a time without
@@ -109,7 +108,12 @@
 func (p *Patience) Limit(objective time.Duration, unread int) (time.Duration, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	limit := max(time.Duration(objectiveShare*float64(objective)), waitFactor*p.mean)
+	return p.withReading(max(time.Duration(objectiveShare*float64(objective)), waitFactor*p.mean), unread)
+}
+
+// withReading adds the time to read a prompt to a limit, and returns false if it
+// has to be read and nobody knows how long that takes.
+func (p *Patience) withReading(limit time.Duration, unread int) (time.Duration, bool) {
 	if unread < leastRead {
 		return limit, true
 	}
--- a/hitchview/view.go
+++ b/hitchview/view.go
@@ -133,7 +133,6 @@
 }
 
 // update changes a view whose maps are its own.
-
 func (v View) update(msg Msg, keepUntil time.Time) View {
 	switch m := msg.(type) {
 	case TableMsg:
