--- a/hitchdigest/aggregator.go
+++ b/hitchdigest/aggregator.go
@@ -89,9 +89,14 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	loads, cached := a.sumLoads(now), a.currentCached(now)
-	var out []Digest
-	for len(out) == 0 || len(loads) > 0 || len(cached) > 0 {
-		d := Digest{HubStatus: status}
+	out := []Digest{{From: status.From, HubStatus: &status}}
+	if len(status.Silence.Instances) == 0 {
+		// The status is small, so that loads fit into the same datagram.
+		out[0].Loads, loads = splitAt(loads, maxLoadsPerDigest)
+		out[0].CachedPrefixes, cached = splitAt(cached, maxCachedPerDigest)
+	}
+	for len(loads) > 0 || len(cached) > 0 {
+		d := Digest{From: status.From}
 		d.Loads, loads = splitAt(loads, maxLoadsPerDigest)
 		d.CachedPrefixes, cached = splitAt(cached, maxCachedPerDigest)
 		out = append(out, d)
--- a/hitchdigest/digest_test.go
+++ b/hitchdigest/digest_test.go
@@ -29,7 +29,7 @@
 }
 
 func TestHubsAreFastAndInDifferentZones(t *testing.T) {
-	hubs := Hubs(fleet(60, 3, 6))
+	hubs := Hubs(Rank(fleet(60, 3, 6)))
 	qt.Assert(t, hubs, qt.HasLen, hubCount)
 	qt.Assert(t, hubs[0].Zone, qt.Not(qt.Equals), hubs[1].Zone)
 	for _, h := range hubs {
@@ -41,7 +41,8 @@
 	all := fleet(20, 4, 0)
 	reversed := slices.Clone(all)
 	slices.Reverse(reversed)
-	qt.Assert(t, Hubs(reversed), qt.DeepEquals, Hubs(all))
+	qt.Assert(t, Rank(reversed), qt.DeepEquals, Rank(all))
+	qt.Assert(t, Hubs(Rank(reversed)), qt.DeepEquals, Hubs(Rank(all)))
 }
 
 func TestEachRegionHasItsOwnHubs(t *testing.T) {
@@ -52,7 +53,7 @@
 	for _, region := range []hitchfleet.Region{"region-0", "region-1"} {
 		own := InRegion(all, region)
 		qt.Assert(t, own, qt.HasLen, 20)
-		for _, h := range Hubs(own) {
+		for _, h := range Hubs(Rank(own)) {
 			qt.Assert(t, h.Region, qt.Equals, region)
 		}
 	}
@@ -65,16 +66,16 @@
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
-			qt.Assert(t, Hubs(fleet(test.n, test.zones, 0)), qt.HasLen, test.want)
+			qt.Assert(t, Hubs(Rank(fleet(test.n, test.zones, 0))), qt.HasLen, test.want)
 		})
 	}
 }
 
 func TestRemovingOneHubKeepsTheOther(t *testing.T) {
 	all := fleet(20, 4, 0)
-	hubs := Hubs(all)
+	hubs := Hubs(Rank(all))
 	rest := slices.DeleteFunc(all, func(i hitchfleet.Instance) bool { return i.ID == hubs[0].ID })
-	qt.Assert(t, slices.ContainsFunc(Hubs(rest), func(i hitchfleet.Instance) bool { return i.ID == hubs[1].ID }), qt.IsTrue)
+	qt.Assert(t, slices.ContainsFunc(Hubs(Rank(rest)), func(i hitchfleet.Instance) bool { return i.ID == hubs[1].ID }), qt.IsTrue)
 }
 
 func TestDigestSumsUnexpiredReports(t *testing.T) {
--- /dev/null
+++ b/hitchdigest/election.go
@@ -0,0 +1,147 @@
+package hitchdigest
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"citronhitch.example/citronhitch/hitchfleet"
+)
+
+const (
+	// HubTimeout is how long a hub may send no status before the next instance in the
+	// ranking takes its place.
+	HubTimeout = 1200 * time.Millisecond
+	// watchersPerStep is the number of instances that start to watch the store at once
+	// when the hubs can't reach it, and again after each watcherStep until one of them
+	// can. The store may refuse some instances and serve the others.
+	watchersPerStep = 2
+	watcherStep     = time.Second
+)
+
+// Roles are the instances of a region with a special role.
+type Roles struct {
+	// Hubs are the hubs, the primary one first.
+	Hubs []hitchfleet.Instance
+	// Watchers watch the store in place of the hubs while these can't reach it.
+	Watchers []hitchfleet.Instance
+}
+
+// WatchesStore reports whether an instance watches the store.
+func (r Roles) WatchesStore(id hitchfleet.InstanceID) bool {
+	return contains(r.Hubs, id) || contains(r.Watchers, id)
+}
+
+func contains(instances []hitchfleet.Instance, id hitchfleet.InstanceID) bool {
+	return slices.ContainsFunc(instances, func(i hitchfleet.Instance) bool { return i.ID == id })
+}
+
+// Election decides which instances are hubs. All instances hear the hubs, so that they
+// agree on a successor without a call to each other or to the store. The zero value
+// has heard no hub. Its methods are safe for concurrent use.
+type Election struct {
+	mu sync.Mutex
+	// hubs are the instances that are or were hubs or sent a status.
+	hubs map[hitchfleet.InstanceID]hubRecord
+	// watcherCount is the number of watchers, and watchersGrownAt when it grew last.
+	watcherCount    int
+	watchersGrownAt time.Time
+}
+
+// hubRecord is what is known of a hub.
+type hubRecord struct {
+	// heardAt is when its last status arrived, or when it was first expected to be a
+	// hub.
+	heardAt          time.Time
+	hasStatus        bool
+	isStoreReachable bool
+}
+
+// RecordHubStatus records that a status of an instance arrived.
+func (e *Election) RecordHubStatus(now time.Time, status HubStatus) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.hubs == nil {
+		e.hubs = make(map[hitchfleet.InstanceID]hubRecord)
+	}
+	e.hubs[status.From] = hubRecord{heardAt: now, hasStatus: true, isStoreReachable: status.IsStoreReachable}
+}
+
+// Roles returns the roles in a region, given its instances in the order of Rank. The
+// instance itself counts as alive.
+func (e *Election) Roles(now time.Time, self hitchfleet.InstanceID, ranked []hitchfleet.Instance) Roles {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	alive := make([]hitchfleet.Instance, 0, len(ranked))
+	for _, i := range ranked {
+		if i.ID == self || !e.isLost(now, i.ID) {
+			alive = append(alive, i)
+		}
+	}
+	roles := Roles{Hubs: Hubs(alive)}
+	e.expectHubs(now, roles.Hubs)
+	count := e.countWatchers(now, roles.Hubs)
+	for _, i := range alive {
+		if len(roles.Watchers) < count && !contains(roles.Hubs, i.ID) {
+			roles.Watchers = append(roles.Watchers, i)
+		}
+	}
+	return roles
+}
+
+// isLost reports whether an instance that should have sent a status didn't.
+func (e *Election) isLost(now time.Time, id hitchfleet.InstanceID) bool {
+	record, ok := e.hubs[id]
+	return ok && now.Sub(record.heardAt) > HubTimeout
+}
+
+// expectHubs starts the timeout of instances that have become hubs.
+func (e *Election) expectHubs(now time.Time, hubs []hitchfleet.Instance) {
+	if e.hubs == nil {
+		e.hubs = make(map[hitchfleet.InstanceID]hubRecord)
+	}
+	for _, h := range hubs {
+		if _, ok := e.hubs[h.ID]; !ok {
+			e.hubs[h.ID] = hubRecord{heardAt: now}
+		}
+	}
+}
+
+// countWatchers returns how many further instances watch the store: more and more of
+// them while the hubs can't reach it, until one can.
+func (e *Election) countWatchers(now time.Time, hubs []hitchfleet.Instance) int {
+	if !e.hubsLackStore(hubs) {
+		e.watcherCount, e.watchersGrownAt = 0, time.Time{}
+		return 0
+	}
+	if now.Sub(e.watchersGrownAt) >= watcherStep && !e.anyReachesStore(now) {
+		e.watcherCount += watchersPerStep
+		e.watchersGrownAt = now
+	}
+	return e.watcherCount
+}
+
+// hubsLackStore reports whether some hub reported that it can't reach the store, and
+// none that it can.
+func (e *Election) hubsLackStore(hubs []hitchfleet.Instance) bool {
+	lacksStore := false
+	for _, h := range hubs {
+		record := e.hubs[h.ID]
+		if record.hasStatus && record.isStoreReachable {
+			return false
+		}
+		lacksStore = lacksStore || record.hasStatus
+	}
+	return lacksStore
+}
+
+// anyReachesStore reports whether any instance that sent a status lately reaches the
+// store.
+func (e *Election) anyReachesStore(now time.Time) bool {
+	for _, record := range e.hubs {
+		if record.hasStatus && record.isStoreReachable && now.Sub(record.heardAt) <= HubTimeout {
+			return true
+		}
+	}
+	return false
+}
--- a/hitchdigest/hub.go
+++ b/hitchdigest/hub.go
@@ -20,34 +20,15 @@
 	return slices.DeleteFunc(slices.Clone(instances), func(i hitchfleet.Instance) bool { return i.Region != region })
 }
 
-// Hubs returns the instances of a region that are hubs. It prefers those with the
-// fastest links, because a hub sends every change to all other instances, and
-// ranks equal links by rendezvous hashing. Instances with the same view of the
-// fleet choose the same hubs.
-func Hubs(instances []hitchfleet.Instance) []hitchfleet.Instance {
-	candidates := rankCandidates(instances)
-	var hubs, others []hitchfleet.Instance
-	for _, c := range candidates {
-		sameZone := slices.ContainsFunc(hubs, func(h hitchfleet.Instance) bool { return h.Zone == c.Zone })
-		if len(hubs) < hubCount && !sameZone {
-			hubs = append(hubs, c.Instance)
-		} else if len(others) < hubCount {
-			others = append(others, c.Instance)
-		}
+// Rank returns the instances of a region in the order in which they become hubs.
+// Those with the fastest links come first, because a hub sends every change to all
+// other instances; equal links are ranked by rendezvous hashing. Instances with the
+// same view of the fleet get the same order.
+func Rank(instances []hitchfleet.Instance) []hitchfleet.Instance {
+	type candidate struct {
+		hitchfleet.Instance
+		score uint64
 	}
-	missing := min(max(hubCount-len(hubs), 0), len(others))
-	return append(hubs, others[:missing]...)
-}
-
-// candidate is an instance that may become a hub, with its rendezvous score.
-type candidate struct {
-	hitchfleet.Instance
-	score uint64
-}
-
-// rankCandidates returns the instances in the order in which they are chosen as
-// hubs.
-func rankCandidates(instances []hitchfleet.Instance) []candidate {
 	ranked := make([]candidate, len(instances))
 	for n, i := range instances {
 		ranked[n] = candidate{i, hitchfleet.Score(hubRankingKey, i.Key())}
@@ -59,5 +40,25 @@
 			cmp.Compare(a.ID, b.ID),
 		)
 	})
-	return ranked
+	out := make([]hitchfleet.Instance, len(ranked))
+	for n, c := range ranked {
+		out[n] = c.Instance
+	}
+	return out
+}
+
+// Hubs returns the first ranked instances that are hubs, from different availability
+// zones if possible.
+func Hubs(ranked []hitchfleet.Instance) []hitchfleet.Instance {
+	var hubs, others []hitchfleet.Instance
+	for _, i := range ranked {
+		sameZone := slices.ContainsFunc(hubs, func(h hitchfleet.Instance) bool { return h.Zone == i.Zone })
+		if len(hubs) < hubCount && !sameZone {
+			hubs = append(hubs, i)
+		} else if len(others) < hubCount {
+			others = append(others, i)
+		}
+	}
+	missing := min(max(hubCount-len(hubs), 0), len(others))
+	return append(hubs, others[:missing]...)
 }
--- a/hitchdigest/liveness_test.go
+++ b/hitchdigest/liveness_test.go
@@ -1,6 +1,7 @@
 package hitchdigest
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -9,51 +10,81 @@
 	"citronhitch.example/citronhitch/hitchfleet"
 )
 
+const reportInterval = 200 * time.Millisecond
+
+// silenceAfter returns what a hub reports after a time in which only some of the
+// instances, given by index, sent reports.
+func silenceAfter(elapsed time.Duration, all []hitchfleet.Instance, reporting []int) (out Silence) {
+	var tracker ReportTracker
+	for d := time.Duration(0); d <= elapsed; d += reportInterval {
+		for _, i := range reporting {
+			tracker.RecordReport(start.Add(d), all[i].ID)
+		}
+		out = tracker.Silence(start.Add(d), all)
+	}
+	return out
+}
+
 func TestHubDetectsSilentInstances(t *testing.T) {
-	all := fleet(5, 1, 0)
 	tests := map[string]struct {
-		reporting []int // indexes of the instances that report every 200 ms
+		reporting []int // indexes of the instances that report
 		elapsed   time.Duration
 		want      []hitchfleet.InstanceID
+		majority  bool
 	}{
-		"all instances report":                           {[]int{0, 1, 2, 3, 4}, 3 * time.Second, nil},
-		"one instance hangs":                             {[]int{0, 1, 2, 4}, 1200 * time.Millisecond, []hitchfleet.InstanceID{"router-3"}},
-		"one instance is silent for exactly the timeout": {[]int{0, 1, 2, 4}, 1000 * time.Millisecond, nil},
-		"hub is cut off from most instances":             {[]int{0, 1}, 3 * time.Second, nil},
-		"two of five instances lose power together":      {[]int{0, 1, 2}, 3 * time.Second, []hitchfleet.InstanceID{"router-3", "router-4"}},
+		"all instances report":                           {[]int{0, 1, 2, 3, 4}, 3 * time.Second, nil, false},
+		"one instance hangs":                             {[]int{0, 1, 2, 4}, 1200 * time.Millisecond, []hitchfleet.InstanceID{"router-3"}, false},
+		"one instance is silent for exactly the timeout": {[]int{0, 1, 2, 4}, 1000 * time.Millisecond, nil, false},
+		"hub is cut off from most instances":             {[]int{0, 1}, 3 * time.Second, []hitchfleet.InstanceID{"router-2", "router-3", "router-4"}, true},
+		"two of five instances lose power together":      {[]int{0, 1, 2}, 3 * time.Second, []hitchfleet.InstanceID{"router-3", "router-4"}, false},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
-			var tracker ReportTracker
-			// An instance that never reported is not silent, because this hub may
-			// have just started.
-			qt.Assert(t, tracker.SilentInstances(start, all), qt.HasLen, 0)
-			for d := time.Duration(0); d <= test.elapsed; d += 200 * time.Millisecond {
-				for _, i := range test.reporting {
-					tracker.RecordReport(start.Add(d), all[i].ID)
-				}
-			}
-			qt.Assert(t, tracker.SilentInstances(start.Add(test.elapsed), all), qt.DeepEquals, test.want)
+			got := silenceAfter(test.elapsed, fleet(5, 1, 0), test.reporting)
+			qt.Assert(t, got.Instances, qt.DeepEquals, test.want)
+			qt.Assert(t, got.IsMajority, qt.Equals, test.majority)
 		})
 	}
 }
 
+// TestNoInstanceIsSilentAfterPause covers a hub that hung or was suspended: it received
+// no reports, although the others sent them.
+func TestNoInstanceIsSilentAfterPause(t *testing.T) {
+	all := fleet(5, 1, 0)
+	var tracker ReportTracker
+	tracker.Silence(start, all)
+	qt.Assert(t, tracker.Silence(start.Add(5*time.Second), all).Instances, qt.HasLen, 0)
+	qt.Assert(t, tracker.Silence(start.Add(5*time.Second+silenceTimeout), all).Instances, qt.HasLen, 0)
+}
+
+func TestSilenceIsBounded(t *testing.T) {
+	got := silenceAfter(2*time.Second, fleet(300, 5, 0), nil)
+	qt.Assert(t, got.Instances, qt.HasLen, maxSilentInstances)
+	qt.Assert(t, got.IsMajority, qt.IsTrue)
+	b, err := Packet{Digest: &Digest{HubStatus: &HubStatus{Silence: got}}}.Encode()
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, len(b) <= 1400, qt.IsTrue, qt.Commentf("%d bytes", len(b)))
+}
+
 func TestInstanceIsSilentIfAllHubsReportIt(t *testing.T) {
 	const id = "router-3"
-	silent := []hitchfleet.InstanceID{id}
+	silent := Silence{Instances: []hitchfleet.InstanceID{id}}
+	majority := Silence{Instances: silent.Instances, IsMajority: true}
 	tests := map[string]struct {
 		statuses []HubStatus
 		elapsed  time.Duration
 		want     bool
 	}{
 		"no hub status":                      {nil, 0, false},
-		"the only hub lists it":              {[]HubStatus{{From: "h1", SilentInstances: silent}}, 0, true},
-		"both hubs list it":                  {[]HubStatus{{From: "h1", SilentInstances: silent}, {From: "h2", SilentInstances: silent}}, 0, true},
-		"one of two hubs lists it":           {[]HubStatus{{From: "h1", SilentInstances: silent}, {From: "h2"}}, 0, false},
-		"hub no longer lists it":             {[]HubStatus{{From: "h1", SilentInstances: silent}, {From: "h1"}}, 0, false},
-		"hub status has expired":             {[]HubStatus{{From: "h1", SilentInstances: silent}}, silenceListTTL, false},
-		"hub lists another instance":         {[]HubStatus{{From: "h1", SilentInstances: []hitchfleet.InstanceID{"router-4"}}}, 0, false},
-		"statuses of both hubs have expired": {[]HubStatus{{From: "h2"}, {From: "h1", SilentInstances: silent}}, silenceListTTL, false},
+		"the only hub lists it":              {[]HubStatus{{From: "h1", Silence: silent}}, 0, true},
+		"both hubs list it":                  {[]HubStatus{{From: "h1", Silence: silent}, {From: "h2", Silence: silent}}, 0, true},
+		"one of two hubs lists it":           {[]HubStatus{{From: "h1", Silence: silent}, {From: "h2"}}, 0, false},
+		"hub no longer lists it":             {[]HubStatus{{From: "h1", Silence: silent}, {From: "h1"}}, 0, false},
+		"hub status has expired":             {[]HubStatus{{From: "h1", Silence: silent}}, silenceReportTTL, false},
+		"hub lists another instance":         {[]HubStatus{{From: "h1", Silence: Silence{Instances: []hitchfleet.InstanceID{"router-4"}}}}, 0, false},
+		"statuses of both hubs have expired": {[]HubStatus{{From: "h2"}, {From: "h1", Silence: silent}}, silenceReportTTL, false},
+		"the only hub hears few instances":   {[]HubStatus{{From: "h1", Silence: majority}}, 0, false},
+		"both hubs hear few instances":       {[]HubStatus{{From: "h1", Silence: majority}, {From: "h2", Silence: majority}}, 0, true},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -65,3 +96,68 @@
 		})
 	}
 }
+
+// TestSilentInstancesAreRemoved checks when hubs remove instances from the fleet that
+// crashed or lost power: their entries in the store have no lease.
+func TestSilentInstancesAreRemoved(t *testing.T) {
+	all := fleet(5, 1, 0)
+	tests := map[string]struct {
+		hubs      []hitchfleet.InstanceID
+		reporting []int
+		rewriteAt time.Duration // when a silent instance writes its entry anew; 0 if it doesn't
+		want      time.Duration // when the first instance is removed; 0 if none is
+	}{
+		"all report":                           {[]hitchfleet.InstanceID{"h1", "h2"}, []int{0, 1, 2, 3, 4}, 0, 0},
+		"one crashed":                          {[]hitchfleet.InstanceID{"h1", "h2"}, []int{0, 1, 2, 3}, 0, silenceTimeout + removalDelay},
+		"most lost power, two hubs are left":   {[]hitchfleet.InstanceID{"h1", "h2"}, []int{0, 1}, 0, silenceTimeout + removalDelay},
+		"most lost power, one hub is left":     {[]hitchfleet.InstanceID{"h1"}, []int{0}, 0, silenceTimeout + loneHubDelay + loneRemovalDelay},
+		"cut off from hubs, reaches the store": {[]hitchfleet.InstanceID{"h1", "h2"}, []int{0, 1, 2, 3}, 4 * time.Second, 4*time.Second + removalDelay},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			qt.Assert(t, firstRemoval(all, test.hubs, test.reporting, test.rewriteAt), qt.Satisfies, func(got time.Duration) bool {
+				return got >= test.want && got <= test.want+2*reportInterval
+			})
+		})
+	}
+}
+
+// firstRemoval returns after what time the first instance is to be removed, 0 if that
+// isn't within a minute.
+func firstRemoval(all []hitchfleet.Instance, hubs []hitchfleet.InstanceID, reporting []int, rewriteAt time.Duration) time.Duration {
+	var tracker ReportTracker
+	var liveness Liveness
+	var removals Removals
+	for d := time.Duration(0); d < time.Minute; d += reportInterval {
+		now := start.Add(d)
+		for _, i := range reporting {
+			tracker.RecordReport(now, all[i].ID)
+		}
+		silence := tracker.Silence(now, all)
+		for _, hub := range hubs {
+			liveness.RecordHubStatus(now, HubStatus{From: hub, Silence: silence})
+		}
+		due := removals.Due(now, &liveness, all, func(hitchfleet.InstanceID) (int64, bool) {
+			if rewriteAt > 0 && d >= rewriteAt {
+				return 2, true
+			}
+			return 1, true
+		})
+		if len(due) > 0 {
+			return d
+		}
+	}
+	return 0
+}
+
+// TestRemovalsNeedNoCallsForRemovedInstances checks that an instance whose entry is
+// already gone isn't removed again.
+func TestRemovalsNeedNoCallsForRemovedInstances(t *testing.T) {
+	var l Liveness
+	var removals Removals
+	for d := time.Duration(0); d < time.Minute; d += reportInterval {
+		l.RecordHubStatus(start.Add(d), HubStatus{From: "h1", Silence: Silence{Instances: []hitchfleet.InstanceID{"router-0"}}})
+		due := removals.Due(start.Add(d), &l, fleet(5, 1, 0), func(hitchfleet.InstanceID) (int64, bool) { return 0, false })
+		qt.Assert(t, due, qt.HasLen, 0, qt.Commentf(fmt.Sprint(d)))
+	}
+}
--- a/hitchdigest/message.go
+++ b/hitchdigest/message.go
@@ -61,7 +61,8 @@
 }
 
 // HubStatus is the status that a hub reports about itself, with the instances
-// that it considers silent.
+// that it receives no reports from. Instances that watch the store in place of a hub
+// send it too.
 type HubStatus struct {
 	_    struct{} `cbor:",toarray"`
 	From hitchfleet.InstanceID
@@ -71,15 +72,16 @@
 	IsStoreReachable bool
 	// ViewAddr is the address from which to read the changes up to Revision.
 	ViewAddr string
-	// SilentInstances lists the instances that sent the hub no report for
-	// silenceTimeout.
-	SilentInstances []hitchfleet.InstanceID
+	// Silence lists the instances that sent the hub no report.
+	Silence Silence
 }
 
 // Digest is the message that a hub sends to every instance.
 type Digest struct {
-	_         struct{} `cbor:",toarray"`
-	HubStatus HubStatus
+	_    struct{} `cbor:",toarray"`
+	From hitchfleet.InstanceID
+	// HubStatus is nil in all but one of the digests that are sent at a time.
+	HubStatus *HubStatus
 	// Loads are the sums over all instances. Endpoints without requests are left
 	// out.
 	Loads          []Load
--- a/hitchedge/cacheupdate.go
+++ b/hitchedge/cacheupdate.go
@@ -63,8 +63,8 @@
 func (e *Edge) sendCacheUpdates(socket *net.UDPConn, r *region) time.Duration {
 	update := e.balancer.TakeCacheUpdate()
 	if !r.isPrimaryHub(e.Settings.Self.ID) {
-		if len(r.hubs) > 0 && len(update.CachedPrefixes) > 0 {
-			e.send(socket, hitchdigest.Packet{CacheUpdate: &update}, r.hubs[0])
+		if len(r.roles.Hubs) > 0 && len(update.CachedPrefixes) > 0 {
+			e.send(socket, hitchdigest.Packet{CacheUpdate: &update}, r.roles.Hubs[0])
 		}
 		return minCacheUpdateInterval
 	}
--- a/hitchedge/digest.go
+++ b/hitchedge/digest.go
@@ -22,9 +22,10 @@
 	maxDatagramBytes        = 4096
 )
 
-// isHub reports whether this instance is a hub in a view.
-func (e *Edge) isHub(view hitchview.View) bool {
-	return regionOf(e.Settings.Self, view).isHub(e.Settings.Self.ID)
+// watchesStore reports whether this instance watches the store, as a hub or in place
+// of the hubs.
+func (e *Edge) watchesStore(hitchview.View) bool {
+	return e.currentRegion().roles.WatchesStore(e.Settings.Self.ID)
 }
 
 // exchangeDatagrams reports this instance's requests in flight to the hubs and
@@ -43,8 +44,9 @@
 	defer stop()
 	go e.readDatagrams(ctx, socket)
 	for ctx.Err() == nil {
-		r := e.currentRegion()
+		r := e.updateRoles(time.Now())
 		e.sendReportAndDigests(socket, r)
+		e.removeSilent(ctx, r)
 		e.sendCacheUpdatesUntil(ctx, socket, r, time.Now().Add(sendInterval(len(r.instances))))
 	}
 	return nil
@@ -76,7 +78,7 @@
 	now := time.Now()
 	report := e.balancer.Report()
 	self := e.Settings.Self.ID
-	for _, hub := range r.hubs {
+	for _, hub := range r.roles.Hubs {
 		if hub.ID != self {
 			e.send(socket, hitchdigest.Packet{Report: &report}, hub)
 			continue
@@ -85,18 +87,28 @@
 		e.aggregator.AddReport(now, report)
 		e.sendDigests(socket, r.instances, now)
 	}
+	if !r.isHub(self) && r.roles.WatchesStore(self) && e.follower.IsStoreReachable() {
+		status := e.hubStatus()
+		e.send(socket, hitchdigest.Packet{Digest: &hitchdigest.Digest{From: self, HubStatus: &status}}, r.instances...)
+	}
 }
 
-// sendDigests applies the current digests to this instance and sends them to the other
-// instances of the region.
-func (e *Edge) sendDigests(socket *net.UDPConn, instances []hitchfleet.Instance, now time.Time) {
-	status := hitchdigest.HubStatus{
+// hubStatus returns the status of this instance as a hub, without silent instances.
+func (e *Edge) hubStatus() hitchdigest.HubStatus {
+	return hitchdigest.HubStatus{
 		From:             e.Settings.Self.ID,
 		Revision:         e.gateway.View().Revision,
 		IsStoreReachable: e.follower.IsStoreReachable(),
 		ViewAddr:         e.Settings.Self.PeerAddr,
-		SilentInstances:  e.reportTimes.SilentInstances(now, instances),
 	}
+}
+
+// sendDigests applies the current digests to this instance and sends them to the other
+// instances of the region.
+func (e *Edge) sendDigests(socket *net.UDPConn, instances []hitchfleet.Instance, now time.Time) {
+	status := e.hubStatus()
+	status.Silence = e.reportTimes.Silence(now, instances)
+	e.election.RecordHubStatus(now, status)
 	e.liveness.RecordHubStatus(now, status)
 	for _, digest := range e.aggregator.Digests(now, status) {
 		e.balancer.ApplyDigest(now, digest)
@@ -151,11 +163,26 @@
 		e.handleCacheUpdate(*packet.CacheUpdate)
 	}
 	if packet.Digest != nil {
-		e.balancer.ApplyDigest(now, *packet.Digest)
-		status := packet.Digest.HubStatus
+		e.handleDigest(now, *packet.Digest)
+	}
+}
+
+// handleDigest applies a digest. One from an instance that isn't a hub as this
+// instance sees it has sums of only a few instances, so that only its status counts.
+func (e *Edge) handleDigest(now time.Time, digest hitchdigest.Digest) {
+	isHub := e.currentRegion().isHub(digest.From)
+	if isHub {
+		e.balancer.ApplyDigest(now, digest)
+	}
+	if digest.HubStatus == nil {
+		return
+	}
+	status := *digest.HubStatus
+	if isHub {
 		e.liveness.RecordHubStatus(now, status)
-		e.follower.RecordHubStatus(hitchview.HubStatus{Addr: status.ViewAddr, Revision: status.Revision, IsStoreReachable: status.IsStoreReachable})
 	}
+	e.election.RecordHubStatus(now, status)
+	e.follower.RecordHubStatus(hitchview.HubStatus{Addr: status.ViewAddr, Revision: status.Revision, IsStoreReachable: status.IsStoreReachable})
 }
 
 // sleep waits for the duration d, or until ctx ends.
--- a/hitchedge/edge.go
+++ b/hitchedge/edge.go
@@ -47,16 +47,20 @@
 	aggregator       hitchdigest.Aggregator
 	cacheUpdateRelay cacheUpdateRelay
 	// reportTimes records when instances last reported, while this instance is a hub.
-	// liveness holds which instances the hubs list as silent.
-	reportTimes     hitchdigest.ReportTracker
-	liveness        hitchdigest.Liveness
-	region          atomic.Pointer[region]
+	// liveness holds which instances the hubs list as silent, and removals since when.
+	reportTimes hitchdigest.ReportTracker
+	liveness    hitchdigest.Liveness
+	removals    hitchdigest.Removals
+	// isRemoving is set while entries of silent instances are removed from the store.
+	isRemoving atomic.Bool
+	election   hitchdigest.Election
+	regionMu   sync.Mutex // held while region changes
+	region     atomic.Pointer[region]
+	// viewChanged receives a value after changes of the view.
+	viewChanged     chan struct{}
 	peerUpdateCache peerUpdateCache
 	loggedView      viewSummary
 	seeds           atomic.Pointer[[]string]
-	// configuredOnce closes configured when the first configuration is known.
-	configuredOnce sync.Once
-	configured     chan struct{}
 }
 
 // Run runs an instance with the settings file at path until ctx ends, and then shuts
@@ -155,7 +159,7 @@
 // initialize creates and connects the components of the instance.
 func (e *Edge) initialize() {
 	settings := e.Settings
-	e.configured = make(chan struct{})
+	e.viewChanged = make(chan struct{}, 1)
 	e.store.Addr = settings.StoreAddr
 	e.seeds.Store(&settings.Seeds)
 	e.balancer.SetLimits(balancerLimits(settings))
@@ -171,7 +175,8 @@
 	feed := &hitchplatform.StoreFeed{Store: &e.store, Log: e.Log, Self: settings.Self.ID}
 	e.peerClient = newPeerClient()
 	e.follower.Snapshot, e.follower.Watch, e.follower.Probe = feed.Snapshot, feed.Watch, feed.Probe
-	e.follower.Pull, e.follower.Peers, e.follower.IsHub = e.fetchView, e.peerAddrs, e.isHub
+	e.follower.Pull, e.follower.Peers, e.follower.StartPeers = e.fetchView, e.peerAddrs, e.startPeers
+	e.follower.IsHub = e.watchesStore
 	e.follower.Log = e.Log
 	e.follower.OnChange = e.setView
 }
@@ -179,11 +184,16 @@
 // setView applies a new view of the fleet to the components that use it.
 func (e *Edge) setView(view hitchview.View) {
 	e.gateway.SetView(time.Now(), view)
-	e.region.Store(regionOf(e.Settings.Self, view))
+	e.updateRegion(view)
 	e.logView(view)
-	if view.Table != nil {
-		e.configuredOnce.Do(func() { close(e.configured) })
-	}
+	e.notifyRegistration()
+}
+
+// updateRegion replaces the region by that of a view.
+func (e *Edge) updateRegion(view hitchview.View) {
+	e.regionMu.Lock()
+	defer e.regionMu.Unlock()
+	e.setRegion(time.Now(), regionOf(e.Settings.Self, view))
 }
 
 // viewSummary holds the values of a view that are logged.
@@ -206,19 +216,6 @@
 		"ZonesOut", summary.ZonesOut, "Instances", summary.Instances, "IsHub", summary.IsHub)
 }
 
-// register keeps the instance's entry in the store from the first configuration until
-// ctx ends.
-func (e *Edge) register(ctx context.Context) {
-	select {
-	case <-e.configured:
-	case <-ctx.Done():
-		return
-	}
-	registration := e.store.Registration(e.Settings.Self)
-	registration.Log = e.Log
-	registration.Run(ctx)
-}
-
 // expireConns periodically closes expired idle connections to endpoints.
 func (e *Edge) expireConns(ctx context.Context) {
 	ticker := time.NewTicker(connExpiryInterval)
--- a/hitchedge/edge_test.go
+++ b/hitchedge/edge_test.go
@@ -85,7 +85,7 @@
 		hitchfleet.Instance{ID: "r1", Addr: "10.0.0.2:80", Zone: "a"},
 		hitchfleet.Instance{ID: "r2", Addr: "10.0.0.3:80", Zone: "b"},
 	)
-	e.liveness.RecordHubStatus(time.Now(), hitchdigest.HubStatus{From: "r1", SilentInstances: []hitchfleet.InstanceID{"r2", "self"}})
+	e.liveness.RecordHubStatus(time.Now(), hitchdigest.HubStatus{From: "r1", Silence: hitchdigest.Silence{Instances: []hitchfleet.InstanceID{"r2", "self"}}})
 	addrs, _ := e.directoryAddrs("", "b")
 	qt.Assert(t, addrs, qt.DeepEquals, []string{"10.0.0.2:80", "10.0.0.1:80"})
 }
@@ -136,6 +136,40 @@
 	qt.Assert(t, b.Revision, qt.Equals, int64(0))
 }
 
+// TestInstanceWithoutCurrentViewStartsNoOthers covers an instance that is cut off from
+// the store and the hubs: what it knows may be old.
+func TestInstanceWithoutCurrentViewStartsNoOthers(t *testing.T) {
+	sender := newEdge()
+	server := httptest.NewServer(http.HandlerFunc(sender.serveView))
+	defer server.Close()
+	_, err := newEdge().fetchView(t.Context(), strings.TrimPrefix(server.URL, "http://"), hitchview.View{})
+	qt.Assert(t, err, qt.ErrorIs, hitchview.ErrNoView)
+}
+
+func TestSeedsReadTheStoreThemselves(t *testing.T) {
+	e := newEdge()
+	e.seeds.Store(&[]string{"10.0.0.7:81"})
+	qt.Assert(t, e.startPeers(), qt.DeepEquals, []string{"10.0.0.7:81"})
+	e.seeds.Store(&[]string{"10.0.0.7:81", e.Settings.Self.PeerAddr})
+	qt.Assert(t, e.startPeers(), qt.HasLen, 0)
+}
+
+// TestDigestOfOtherThanHubCountsAsStatusOnly covers an instance that considers itself a
+// hub because it is cut off from the real ones: its sums lack most instances.
+func TestDigestOfOtherThanHubCountsAsStatusOnly(t *testing.T) {
+	hub := hitchfleet.Instance{ID: "hub", PeerAddr: "10.0.0.2:81", LinkMegabits: 10}
+	other := hitchfleet.Instance{ID: "other", PeerAddr: "10.0.0.3:81", LinkMegabits: 1}
+	e := newEdge(hub, other)
+	e.updateRegion(e.gateway.View())
+	e.Settings.Self.LinkMegabits = 0
+	silence := hitchdigest.Silence{Instances: []hitchfleet.InstanceID{"x"}}
+	for _, from := range []hitchfleet.InstanceID{"stranger", "hub"} {
+		status := hitchdigest.HubStatus{From: from, Silence: silence}
+		e.handlePacket(hitchdigest.Packet{Digest: &hitchdigest.Digest{From: from, HubStatus: &status}})
+		qt.Assert(t, e.liveness.IsSilent(time.Now(), "x"), qt.Equals, from == "hub")
+	}
+}
+
 func TestReloadUpdatesSeeds(t *testing.T) {
 	e := newEdge()
 	path := filepath.Join(t.TempDir(), "node.toml")
--- a/hitchedge/peerview.go
+++ b/hitchedge/peerview.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -33,6 +34,10 @@
 	}
 	revision, _ := strconv.ParseInt(r.URL.Query().Get("Revision"), 10, 64)
 	tableRevision, _ := strconv.ParseInt(r.URL.Query().Get("TableRevision"), 10, 64)
+	if revision == 0 && !e.follower.IsCurrent() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	if e.gateway.View().Revision <= revision {
 		w.WriteHeader(http.StatusNoContent)
 		return
@@ -71,6 +76,17 @@
 	return addrs[:min(len(addrs), maxPeersPerQuery)]
 }
 
+// startPeers returns the seeds from which to read the first view. A seed itself reads
+// the store, so that someone has a view when the whole fleet starts.
+func (e *Edge) startPeers() []string {
+	seeds := slices.Clone(*e.seeds.Load())
+	if slices.Contains(seeds, e.Settings.Self.PeerAddr) {
+		return nil
+	}
+	rand.Shuffle(len(seeds), func(i, j int) { seeds[i], seeds[j] = seeds[j], seeds[i] })
+	return seeds
+}
+
 // fetchView fetches the changes that the instance at addr has and the view lacks. The
 // batch is empty if there are none.
 func (e *Edge) fetchView(ctx context.Context, addr string, view hitchview.View) (batch hitchview.Batch, err error) {
@@ -94,6 +110,8 @@
 		var update hitchview.PeerUpdate
 		err = json.NewDecoder(res.Body).Decode(&update)
 		return update.Batch(time.Now()), err
+	case http.StatusServiceUnavailable:
+		return batch, hitchview.ErrNoView
 	default:
 		return batch, fmt.Errorf("unexpected status %d", res.StatusCode)
 	}
--- a/hitchview/follower.go
+++ b/hitchview/follower.go
@@ -31,9 +31,11 @@
 	// batchDelay is the pause after each watch call. Changes that follow each
 	// other closely are then read by a single call.
 	batchDelay = 150 * time.Millisecond
-	// hubTimeout is how long to wait for a hub's status before watching the store
-	// instead.
-	hubTimeout = 1200 * time.Millisecond
+	// minHubTimeout, hubTimeoutPerInstance and maxExtraHubTimeout determine how long to
+	// wait for a hub's status before watching the store instead; see hubTimeout.
+	minHubTimeout         = 1200 * time.Millisecond
+	hubTimeoutPerInstance = 10 * time.Millisecond
+	maxExtraHubTimeout    = 1800 * time.Millisecond
 )
 
 // Follower keeps a view up to date from the store or from a hub. A hub is an
@@ -52,8 +54,11 @@
 	// Peers returns the addresses of a few other instances to pull from while
 	// the store is unreachable.
 	Peers func(View) []string
-	// IsHub reports whether this instance is a hub in a view. If it is nil, the
-	// instance is always a hub.
+	// StartPeers returns the addresses of instances from which to read the first view,
+	// or none if the store is to be read at once. It may be nil.
+	StartPeers func() []string
+	// IsHub reports whether this instance watches the store in a view, as a hub or in
+	// place of one. If it is nil, the instance always watches the store.
 	IsHub func(View) bool
 	// OnChange is called with each new view. Calls don't overlap.
 	OnChange func(View)
@@ -109,16 +114,17 @@
 
 // Run keeps the view up to date until the context is canceled.
 func (f *Follower) Run(ctx context.Context) {
+	hasView := f.startFromPeers(ctx)
 	var wg sync.WaitGroup
-	wg.Go(func() { f.applyChanges(ctx) })
+	wg.Go(func() { f.applyChanges(ctx, !hasView) })
 	wg.Go(func() { f.probeStore(ctx) })
 	wg.Wait()
 }
 
 // applyChanges applies changes from the store or from a hub until the context is
-// canceled.
-func (f *Follower) applyChanges(ctx context.Context) {
-	needsSnapshot, retryDelay := true, minRetryDelay
+// canceled. It reads a snapshot first if it needs one.
+func (f *Follower) applyChanges(ctx context.Context, needsSnapshot bool) {
+	retryDelay := minRetryDelay
 	for ctx.Err() == nil {
 		if !needsSnapshot && f.followsHub() {
 			f.followHub(ctx)
--- a/hitchview/follower_test.go
+++ b/hitchview/follower_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -10,6 +11,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"citronhitch.example/citronhitch/hitchfleet"
 	"citronhitch.example/citronhitch/hitchroute"
 )
 
@@ -140,73 +142,79 @@
 	})
 }
 
-// TestFollowerSwitchesFromHubToStore checks that a follower of a hub watches the
-// store immediately when the hub can't reach it, and after hubTimeout when the
-// hub sends no more status.
+// runHubFollower runs a follower that is no hub until isWatcher is set, with the view of
+// revision 11 pulled from a hub.
+func runHubFollower(t *testing.T, body func(t *testing.T, s *fakeStore, f *Follower, isWatcher *atomic.Bool)) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newFakeStore()
+		f := s.follower()
+		var isWatcher atomic.Bool
+		f.IsHub = func(View) bool { return isWatcher.Load() }
+		f.Pull = func(context.Context, string, View) (Batch, error) {
+			return Batch{Revision: 11, Messages: []Msg{TableMsg{11, hitchroute.NewTable(hitchroute.Config{Version: 11})}}}, nil
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() { defer close(done); f.Run(ctx) }()
+		defer func() { cancel(); <-done }()
+		time.Sleep(time.Second)
+		f.RecordHubStatus(HubStatus{Addr: "hub", Revision: 11, IsStoreReachable: true})
+		time.Sleep(100 * time.Millisecond)
+		qt.Assert(t, tableVersion(f), qt.Equals, int64(11))
+		body(t, s, f, &isWatcher)
+	})
+}
+
+// TestFollowerSwitchesFromHubToStore checks that a follower watches the store when the
+// hubs send no more status.
 func TestFollowerSwitchesFromHubToStore(t *testing.T) {
+	runHubFollower(t, func(t *testing.T, s *fakeStore, f *Follower, _ *atomic.Bool) {
+		watches := s.watches.Load()
+		s.revision.Store(12)
+		time.Sleep(2*hubTimeout(f.View()) + 100*time.Millisecond)
+		qt.Assert(t, tableVersion(f), qt.Equals, int64(12))
+		qt.Assert(t, s.watches.Load() > watches, qt.IsTrue)
+	})
+}
+
+// TestWatcherReadsStoreInPlaceOfHub checks that an instance that is to watch the store,
+// since it refuses the hubs, does so with the next status, and that the others follow
+// the hubs and make no calls.
+func TestWatcherReadsStoreInPlaceOfHub(t *testing.T) {
 	tests := map[string]struct {
-		lastStatus HubStatus
-		wait       time.Duration
+		isWatcher   bool
+		wantVersion int64
 	}{
-		"hub cannot reach the store": {HubStatus{Addr: "hub", Revision: 11}, 100 * time.Millisecond},
-		"hub sends no status":        {HubStatus{Addr: "hub", Revision: 11, IsStoreReachable: true}, 2*hubTimeout + 100*time.Millisecond},
+		"watcher":  {true, 12},
+		"follower": {false, 11},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				s := newFakeStore()
-				f := s.follower()
-				f.IsHub = func(View) bool { return false }
-				f.Pull = func(context.Context, string, View) (Batch, error) {
-					return Batch{Revision: 11, Messages: []Msg{TableMsg{11, hitchroute.NewTable(hitchroute.Config{Version: 11})}}}, nil
-				}
-				ctx, cancel := context.WithCancel(t.Context())
-				done := make(chan struct{})
-				go func() { defer close(done); f.Run(ctx) }()
-				defer func() { cancel(); <-done }()
-				time.Sleep(time.Second)
-				f.RecordHubStatus(HubStatus{Addr: "hub", Revision: 11, IsStoreReachable: true})
-				time.Sleep(100 * time.Millisecond)
-				qt.Assert(t, tableVersion(f), qt.Equals, int64(11))
+			runHubFollower(t, func(t *testing.T, s *fakeStore, f *Follower, isWatcher *atomic.Bool) {
 				watches := s.watches.Load()
-				f.RecordHubStatus(test.lastStatus)
 				s.revision.Store(12)
-				time.Sleep(test.wait)
-				qt.Assert(t, tableVersion(f), qt.Equals, int64(12))
-				qt.Assert(t, s.watches.Load() > watches, qt.IsTrue)
+				isWatcher.Store(test.isWatcher)
+				f.RecordHubStatus(HubStatus{Addr: "hub", Revision: 11})
+				time.Sleep(100 * time.Millisecond)
+				qt.Assert(t, tableVersion(f), qt.Equals, test.wantVersion)
+				qt.Assert(t, s.watches.Load() > watches, qt.Equals, test.isWatcher)
 			})
 		})
 	}
 }
 
-func TestRegistrationIsRenewedAndRevoked(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		var granted, renewed, revoked atomic.Int64
-		var leaseExpired atomic.Bool
-		r := &Registration{
-			Grant: func(context.Context, time.Duration) (int64, error) { return granted.Add(1), nil },
-			Renew: func(context.Context, int64) error {
-				renewed.Add(1)
-				if leaseExpired.CompareAndSwap(true, false) {
-					return ErrLeaseExpired
-				}
-				return nil
-			},
-			Revoke: func(_ context.Context, lease int64) error { revoked.Store(lease); return nil },
+// TestHubTimeoutGrowsWithFleet checks that a large fleet leaves the hubs' successors the
+// time to take over before all instances turn to the store, and that a small fleet
+// isn't without changes for long.
+func TestHubTimeoutGrowsWithFleet(t *testing.T) {
+	view := func(n int) View {
+		v := View{}
+		for i := range n {
+			v = v.Update(InstanceMsg{1, hitchfleet.Instance{ID: hitchfleet.InstanceID(fmt.Sprint(i))}})
 		}
-		ctx, cancel := context.WithCancel(t.Context())
-		done := make(chan struct{})
-		go func() { defer close(done); r.Run(ctx) }()
-		time.Sleep(LeaseTTL)
-		synctest.Wait()
-		qt.Assert(t, granted.Load(), qt.Equals, int64(1))
-		qt.Assert(t, renewed.Load(), qt.Equals, int64(3))
-		leaseExpired.Store(true)
-		time.Sleep(LeaseTTL)
-		synctest.Wait()
-		qt.Assert(t, granted.Load(), qt.Equals, int64(2))
-		cancel()
-		<-done
-		qt.Assert(t, revoked.Load(), qt.Equals, int64(2))
-	})
+		return v
+	}
+	qt.Assert(t, hubTimeout(view(8)) < 1300*time.Millisecond, qt.IsTrue)
+	qt.Assert(t, hubTimeout(view(195)), qt.Equals, 3*time.Second)
+	qt.Assert(t, hubTimeout(view(400)), qt.Equals, 3*time.Second)
 }
--- a/hitchview/hub.go
+++ b/hitchview/hub.go
@@ -15,9 +15,9 @@
 // hubState holds the latest status of the hubs. The zero value has none.
 type hubState struct {
 	mu sync.Mutex
-	// lastSeen is when each hub last reported that it can reach the store, by
-	// address.
-	lastSeen map[string]time.Time
+	// heardAt is when the last status of any hub arrived, or when the instance started
+	// with the view of another one.
+	heardAt time.Time
 	// addr is the address of the hub with the newest revision.
 	addr     string
 	revision int64
@@ -34,20 +34,11 @@
 	return h.statusCh
 }
 
-// recordStatus records a hub's status. A hub that can't reach the store may still
-// have newer changes than this instance, so its revision counts, but it isn't
-// recorded as a live hub.
+// recordStatus records a hub's status.
 func (h *hubState) recordStatus(now time.Time, status HubStatus) {
 	statusCh := h.statusReceived()
 	h.mu.Lock()
-	if h.lastSeen == nil {
-		h.lastSeen = make(map[string]time.Time)
-	}
-	if status.IsStoreReachable {
-		h.lastSeen[status.Addr] = now
-	} else {
-		delete(h.lastSeen, status.Addr)
-	}
+	h.heardAt = now
 	if status.Revision > h.revision {
 		h.revision, h.addr = status.Revision, status.Addr
 	}
@@ -58,18 +49,18 @@
 	}
 }
 
-// hasLiveHub reports whether a hub that can reach the store sent a status within
-// hubTimeout.
-func (h *hubState) hasLiveHub(now time.Time) bool {
+// expectStatus makes the follower wait for the first status as long as for any other.
+func (h *hubState) expectStatus(now time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	for addr, at := range h.lastSeen {
-		if now.Sub(at) < hubTimeout {
-			return true
-		}
-		delete(h.lastSeen, addr)
-	}
-	return false
+	h.heardAt = now
+}
+
+// hasLiveHub reports whether a status arrived within the timeout.
+func (h *hubState) hasLiveHub(now time.Time, timeout time.Duration) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return !h.heardAt.IsZero() && now.Sub(h.heardAt) < timeout
 }
 
 // newestRevision returns the newest revision that a hub reported and that hub's
@@ -90,7 +81,8 @@
 }
 
 // RecordHubStatus records the status of a hub and switches from the store to the
-// hub if it is available.
+// hub. Hubs that can't reach the store are followed too: then other instances watch it
+// and send their status.
 func (f *Follower) RecordHubStatus(status HubStatus) {
 	f.hubs.recordStatus(f.now(), status)
 	if f.followsHub() {
@@ -98,20 +90,33 @@
 	}
 }
 
-// followsHub reports whether changes are read from a hub: this instance is not a
-// hub itself, and there is a live one.
+// followsHub reports whether changes are read from a hub: this instance doesn't watch
+// the store itself, and there is a live hub.
 func (f *Follower) followsHub() bool {
 	v := f.View()
 	if f.IsHub == nil || v.Table == nil || f.IsHub(v) {
 		return false
 	}
-	return f.hubs.hasLiveHub(f.now())
+	return f.hubs.hasLiveHub(f.now(), hubTimeout(v))
+}
+
+// hubTimeout returns how long to wait for a status of a hub before watching the store
+// instead. In a large fleet that allows for the time in which other instances take the
+// place of the hubs, so that the instances don't all turn to the store.
+func hubTimeout(v View) time.Duration {
+	return minHubTimeout + min(time.Duration(len(v.instances))*hubTimeoutPerInstance, maxExtraHubTimeout)
+}
+
+// IsCurrent reports whether the view is kept up to date by the store or by a hub.
+func (f *Follower) IsCurrent() bool {
+	v := f.View()
+	return v.Table != nil && (f.IsStoreReachable() || f.hubs.hasLiveHub(f.now(), hubTimeout(v)))
 }
 
 // followHub waits for the next hub status and pulls the changes that the view
 // lacks.
 func (f *Follower) followHub(ctx context.Context) {
-	timer := time.NewTimer(hubTimeout)
+	timer := time.NewTimer(hubTimeout(f.View()))
 	defer timer.Stop()
 	select {
 	case <-f.hubs.statusReceived():
--- a/hitchview/registration.go
+++ b/hitchview/registration.go
@@ -2,80 +2,94 @@
 
 import (
 	"context"
-	"errors"
+	"math/rand/v2"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
+
+	"citronhitch.example/citronhitch/hitchfleet"
 )
 
 // Delays and timeouts of a registration.
 const (
-	// LeaseTTL is how long other instances still see an instance that crashed.
-	LeaseTTL = 3 * time.Second
-	// renewInterval allows for two failed renewals within LeaseTTL.
-	renewInterval = 900 * time.Millisecond
-	// registerRetryDelay is the delay after a failed call.
-	registerRetryDelay = 200 * time.Millisecond
+	// minRegisterDelay and maxRegisterDelay bound the backoff after a failed call.
+	minRegisterDelay = 200 * time.Millisecond
+	maxRegisterDelay = 2 * time.Second
 	// deregisterTimeout bounds the call that removes the entry at shutdown.
 	deregisterTimeout = time.Second
 )
 
-// ErrLeaseExpired means that a lease expired before it was renewed.
-var ErrLeaseExpired = errors.New("hitchview: lease expired")
-
-// Registration keeps an instance's entry in the store under a lease, so that the
-// store removes the entry if the instance crashes.
+// Registration keeps an instance's entry in the store. The entry has no lease, so
+// that it costs no calls while nothing changes, also during an outage of the store.
+// Hubs remove the entry of an instance that falls silent; the instance writes it
+// again once it sees that in its view.
 type Registration struct {
-	// Grant creates a lease and writes the entry under it.
-	Grant func(ctx context.Context, ttl time.Duration) (lease int64, err error)
-	// Renew extends the lease. It returns ErrLeaseExpired if a new lease is
-	// needed.
-	Renew func(ctx context.Context, lease int64) error
-	// Revoke ends the lease and removes the entry.
-	Revoke func(ctx context.Context, lease int64) error
+	Self hitchfleet.Instance
+	// View returns the current view.
+	View func() View
+	// Changed receives a value after each change of the view.
+	Changed <-chan struct{}
+	// Put writes the entry and returns the store revision of the write.
+	Put func(ctx context.Context, self hitchfleet.Instance) (revision int64, err error)
+	// Remove removes the entry.
+	Remove func(ctx context.Context, self hitchfleet.InstanceID) error
 	Log    hclog.Logger
+
+	// writtenRevision is the store revision of the last write; an older view can't
+	// show it.
+	writtenRevision int64
 }
 
-// Run keeps the entry in the store until the context is canceled, and then
-// removes it.
+// Run keeps the entry in the store until the context is canceled, and then removes
+// it.
 func (r *Registration) Run(ctx context.Context) {
-	var lease int64
+	delay := minRegisterDelay
 	for ctx.Err() == nil {
-		wait := renewInterval
-		newLease, err := r.renewOrGrant(ctx, lease)
-		if err != nil && ctx.Err() == nil {
-			r.log().Warn("registration failed", "Lease", lease, "Error", err)
-			wait = registerRetryDelay
+		if !r.needsWrite() {
+			delay = minRegisterDelay
+			r.waitForChange(ctx)
+			continue
+		}
+		revision, err := r.Put(ctx, r.Self)
+		if err != nil {
+			r.log().Warn("registration failed", "Error", err)
+			sleep(ctx, delay/2+rand.N(delay))
+			delay = min(2*delay, maxRegisterDelay)
+			continue
 		}
-		lease = newLease
-		sleep(ctx, wait)
+		r.writtenRevision = revision
+		r.log().Info("registered", "Revision", revision)
 	}
-	if lease == 0 {
-		return
+	r.deregister(ctx)
+}
+
+// needsWrite reports whether the view shows that the entry is missing or outdated.
+func (r *Registration) needsWrite() bool {
+	v := r.View()
+	if v.Table == nil || v.Revision < r.writtenRevision {
+		return false
 	}
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), deregisterTimeout)
-	defer cancel()
-	if err := r.Revoke(ctx, lease); err != nil {
-		r.log().Warn("deregistration failed", "Lease", lease, "Error", err)
+	registered, ok := v.registered(r.Self.ID)
+	return !ok || registered != r.Self
+}
+
+func (r *Registration) waitForChange(ctx context.Context) {
+	select {
+	case <-r.Changed:
+	case <-ctx.Done():
 	}
 }
 
-// renewOrGrant renews the lease, or grants one if lease is 0. It returns the
-// current lease, or 0 if there is none.
-func (r *Registration) renewOrGrant(ctx context.Context, lease int64) (int64, error) {
-	if lease == 0 {
-		lease, err := r.Grant(ctx, LeaseTTL)
-		if err != nil {
-			return 0, err
-		}
-		r.log().Info("registered", "Lease", lease)
-		return lease, nil
+// deregister removes the entry, if the store may have one.
+func (r *Registration) deregister(ctx context.Context) {
+	if _, ok := r.View().registered(r.Self.ID); !ok && r.writtenRevision == 0 {
+		return
 	}
-	err := r.Renew(ctx, lease)
-	if errors.Is(err, ErrLeaseExpired) {
-		return 0, err
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), deregisterTimeout)
+	defer cancel()
+	if err := r.Remove(ctx, r.Self.ID); err != nil {
+		r.log().Warn("deregistration failed", "Error", err)
 	}
-	return lease, err
 }
 
 // sleep waits for d or until the context is canceled.
--- /dev/null
+++ b/hitchview/registration_test.go
@@ -0,0 +1,145 @@
+package hitchview
+
+import (
+	"context"
+	"errors"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"citronhitch.example/citronhitch/hitchfleet"
+	"citronhitch.example/citronhitch/hitchroute"
+)
+
+// registrationHarness runs a registration against a store that counts the calls.
+type registrationHarness struct {
+	view          atomic.Pointer[View]
+	changed       chan struct{}
+	puts, removes atomic.Int64
+	isDown        atomic.Bool
+	revision      atomic.Int64
+}
+
+var registered = hitchfleet.Instance{ID: "self", Addr: "10.0.0.1:80"}
+
+func runRegistration(t *testing.T, body func(h *registrationHarness)) {
+	synctest.Test(t, func(t *testing.T) {
+		h := &registrationHarness{changed: make(chan struct{}, 1)}
+		h.revision.Store(10)
+		h.view.Store(&View{})
+		r := &Registration{
+			Self: registered, View: func() View { return *h.view.Load() }, Changed: h.changed,
+			Put: func(context.Context, hitchfleet.Instance) (int64, error) {
+				h.puts.Add(1)
+				if h.isDown.Load() {
+					return 0, errors.New("the store is unavailable")
+				}
+				return h.revision.Add(1), nil
+			},
+			Remove: func(context.Context, hitchfleet.InstanceID) error { h.removes.Add(1); return nil },
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() { defer close(done); r.Run(ctx) }()
+		defer func() { cancel(); <-done }()
+		body(h)
+	})
+}
+
+// setView sets the view, and lets the registration react.
+func (h *registrationHarness) setView(messages ...Msg) {
+	v := h.view.Load().Apply(Batch{Revision: h.revision.Load(), Messages: messages})
+	h.view.Store(&v)
+	select {
+	case h.changed <- struct{}{}:
+	default:
+	}
+	synctest.Wait()
+}
+
+var firstTable = TableMsg{1, hitchroute.NewTable(hitchroute.Config{Version: 1})}
+
+func TestEntryIsWrittenOnce(t *testing.T) {
+	runRegistration(t, func(h *registrationHarness) {
+		synctest.Wait()
+		qt.Assert(t, h.puts.Load(), qt.Equals, int64(0)) // no configuration yet
+		h.setView(firstTable)
+		qt.Assert(t, h.puts.Load(), qt.Equals, int64(1))
+		h.setView(InstanceMsg{11, registered})
+		time.Sleep(time.Minute)
+		qt.Assert(t, h.puts.Load(), qt.Equals, int64(1))
+	})
+}
+
+// TestRestartKeepsEntry covers an instance that restarts before its entry is removed.
+func TestRestartKeepsEntry(t *testing.T) {
+	runRegistration(t, func(h *registrationHarness) {
+		h.setView(firstTable, InstanceMsg{9, registered})
+		time.Sleep(time.Minute)
+		qt.Assert(t, h.puts.Load(), qt.Equals, int64(0))
+	})
+}
+
+func TestEntryIsWrittenAnew(t *testing.T) {
+	tests := map[string]Msg{
+		"a hub removed it":            InstanceRemovedMsg{12, registered.ID},
+		"it has another address":      InstanceMsg{12, hitchfleet.Instance{ID: registered.ID, Addr: "10.0.0.9:80"}},
+		"another program spoiled it":  InstanceRemovedMsg{13, registered.ID},
+		"it says that it is stopping": InstanceMsg{12, hitchfleet.Instance{ID: registered.ID, Addr: registered.Addr, Leaving: true}},
+	}
+	for name, msg := range tests {
+		t.Run(name, func(t *testing.T) {
+			runRegistration(t, func(h *registrationHarness) {
+				h.setView(firstTable)
+				h.setView(InstanceMsg{11, registered})
+				h.revision.Store(revisionOf(msg))
+				h.setView(msg)
+				qt.Assert(t, h.puts.Load(), qt.Equals, int64(2))
+			})
+		})
+	}
+}
+
+// TestViewOlderThanTheWriteChangesNothing covers a view that a hub updates seconds
+// after the entry was written.
+func TestViewOlderThanTheWriteChangesNothing(t *testing.T) {
+	runRegistration(t, func(h *registrationHarness) {
+		h.setView(firstTable)
+		h.revision.Store(10)
+		h.setView(firstTable)
+		time.Sleep(time.Minute)
+		qt.Assert(t, h.puts.Load(), qt.Equals, int64(1))
+	})
+}
+
+// TestRegistrationBacksOffDuringOutage covers many instances that start while the store
+// is unavailable.
+func TestRegistrationBacksOffDuringOutage(t *testing.T) {
+	runRegistration(t, func(h *registrationHarness) {
+		h.isDown.Store(true)
+		h.setView(firstTable)
+		time.Sleep(10 * time.Second)
+		calls := h.puts.Load()
+		qt.Assert(t, calls >= 4 && calls <= 13, qt.IsTrue, qt.Commentf("%d calls", calls))
+		h.isDown.Store(false)
+		time.Sleep(2 * maxRegisterDelay)
+		h.setView(InstanceMsg{11, registered})
+		calls = h.puts.Load()
+		time.Sleep(time.Minute)
+		qt.Assert(t, h.puts.Load(), qt.Equals, calls)
+	})
+}
+
+func TestShutdownRemovesEntry(t *testing.T) {
+	var h *registrationHarness
+	runRegistration(t, func(running *registrationHarness) {
+		h = running
+		h.setView(firstTable)
+	})
+	qt.Assert(t, h.removes.Load(), qt.Equals, int64(1))
+	runRegistration(t, func(running *registrationHarness) { h = running })
+	qt.Assert(t, h.removes.Load(), qt.Equals, int64(0))
+}
