Retries within the fleet's slack; errors leave retries to lost requests; older engines are cache sources after a restart

Now an attempt that reached no endpoint needs no budget, retries after an error may use half of it, and each instance may use its share of the slack that the settings allow the fleet, which was decoded and never read. The former three retries a window for each instance broke that bound in a large fleet with little traffic (585 against 430). After a restart of all instances, prompts for which a new engine comes first were prefilled there, since no instance knew which engine was older. Engines' start times say so. Instances that start repeated their request to a seed without a view each 50 ms, 4,600 requests a second of 195 instances. Seeds now hold a request until they have a view (0.3 s at most); without a response from any seed the store is read after 0.2 to 0.5 s rather than 0.8 s. Callers refused for lack of a configuration returned after 0.3 s on the mean, also when the store had been unavailable for seconds, and were refused again. They now return after twice the time that the outage has lasted.

The line of a finished request now says how many of its tokens were unread.

Ruled out for 2: the engines' lists of cached prefixes (a probe for each engine, and each delays the engine's work).

--- a/hitchadmit/budget.go
+++ b/hitchadmit/budget.go
@@ -15,8 +15,10 @@
 	budgetWindow  = 10 * time.Second
 	budgetBuckets = 10
 	// minRetries are allowed in each window regardless of the ratio, so that a
-	// route with little traffic can retry.
+	// route with little traffic can retry. It applies to budgets without a slack.
 	minRetries = 3
+	// optionalShare is the part of the budget that optional retries may use.
+	optionalShare = 0.5
 )
 
 // RetryBudget limits the retries of a route or an endpoint to a fraction of its
@@ -34,6 +36,19 @@
 	mu      sync.Mutex
 	clock   monotonicClock
 	buckets [budgetBuckets]retryBucket
+	// slack is the number of retries allowed in each window in addition to the ratio,
+	// if hasSlack is set.
+	slack    float64
+	hasSlack bool
+}
+
+// SetSlack sets how many retries are allowed in each window in addition to the ratio,
+// which may be a fraction: the share of this instance in a slack that holds for the
+// whole fleet.
+func (b *RetryBudget) SetSlack(retries float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.slack, b.hasSlack = retries, true
 }
 
 type retryBucket struct {
@@ -50,11 +65,18 @@
 }
 
 // TryRetry counts a retry and returns true if the budget allows one more.
-func (b *RetryBudget) TryRetry(now time.Time) bool {
+func (b *RetryBudget) TryRetry(now time.Time) bool { return b.tryRetry(now, 1) }
+
+// TryOptionalRetry is like TryRetry but leaves a part of the budget for other retries.
+// It is for requests that already have a response, although an error.
+func (b *RetryBudget) TryOptionalRetry(now time.Time) bool { return b.tryRetry(now, optionalShare) }
+
+// tryRetry counts a retry and returns true if a share of the budget allows one more.
+func (b *RetryBudget) tryRetry(now time.Time, share float64) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	monotonic := b.clock.advanceAtMost(now, budgetWindow)
-	if !b.allowsRetryAt(monotonic) {
+	if !b.allowsRetryAt(monotonic, share) {
 		return false
 	}
 	b.currentBucket(monotonic).retries++
@@ -66,10 +88,10 @@
 func (b *RetryBudget) AllowsRetry(now time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.allowsRetryAt(b.clock.advanceAtMost(now, budgetWindow))
+	return b.allowsRetryAt(b.clock.advanceAtMost(now, budgetWindow), 1)
 }
 
-func (b *RetryBudget) allowsRetryAt(monotonic time.Time) bool {
+func (b *RetryBudget) allowsRetryAt(monotonic time.Time, share float64) bool {
 	firstAttempts, retries := 0, 0
 	for i := range b.buckets {
 		if monotonic.Before(b.buckets[i].deadline) {
@@ -81,7 +103,13 @@
 	if ratio <= 0 {
 		ratio = DefaultRetryRatio
 	}
-	return float64(retries+1) <= max(minRetries, ratio*float64(firstAttempts))
+	limit := ratio * float64(firstAttempts)
+	if b.hasSlack {
+		limit += b.slack
+	} else {
+		limit = max(minRetries, limit)
+	}
+	return float64(retries+1) <= share*limit
 }
 
 // currentBucket returns the bucket of the time now, and resets it if it holds
--- a/hitchbalance/balancer_test.go
+++ b/hitchbalance/balancer_test.go
@@ -141,6 +141,42 @@
 	qt.Assert(t, third.CacheSource.ID, qt.Equals, hitchfleet.EndpointID(""))
 }
 
+// TestOlderEngineIsTheCacheSourceAfterRestart simulates instances that all restart after
+// engines have joined the fleet. They know no cache, but the prompts that the new engines
+// come first for are still cached by the older ones.
+func TestOlderEngineIsTheCacheSourceAfterRestart(t *testing.T) {
+	f := fleet(1, 12)
+	const dayStart = 1_700_000_000_000
+	for i := range f.Endpoints {
+		f.Endpoints[i].Born = dayStart + int64(i)
+	}
+	older := f
+	older.Endpoints = slices.Clone(f.Endpoints[:8])
+	for i := range f.Endpoints[8:] {
+		f.Endpoints[8+i].Born = dayStart + 20_000
+	}
+	before, restarted := balancers(older)[0], balancers(f)[0]
+	copied, prefilled := 0, 0
+	for shared := range uint64(200) {
+		prompt := Prompt{Parts: []Part{{ID: 100 + shared, Tokens: 8000}, {ID: 1 << 20, Tokens: 500}}}
+		at := at(int(shared) * 10)
+		holder := pick(t, before, at, prompt)
+		before.Finish(at, holder, ResultOK)
+		p := pick(t, restarted, at, prompt)
+		restarted.Finish(at, p, ResultOK)
+		switch {
+		case p.Endpoint.ID == holder.Endpoint.ID:
+			qt.Assert(t, p.CacheSource.ID, qt.Equals, hitchfleet.EndpointID(""))
+		case p.CacheSource.ID == holder.Endpoint.ID:
+			copied++
+		default:
+			prefilled++
+		}
+	}
+	qt.Assert(t, copied > 40, qt.IsTrue, qt.Commentf("%d", copied))
+	qt.Assert(t, prefilled, qt.Equals, 0)
+}
+
 // TestRemovedEngineIsTheCacheSource simulates engines whose entries are removed
 // unannounced. One that responded until then still serves for a while, and its cache
 // is copied. One that gave no response before has crashed.
--- a/hitchbalance/cache.go
+++ b/hitchbalance/cache.go
@@ -129,7 +129,7 @@
 // qualifies. It prefers the engine that is known to have the longest prefix cached.
 // If none is known, as in an instance that has just started, it returns the first
 // engine in the prompt's rendezvous order among those that come before the chosen
-// one in it or joined the fleet earlier.
+// one in it or joined the fleet before it.
 func (b *Balancer) cacheSource(now time.Time, chosen *endpoint, key hitchfleet.Key, prefixKeys []hitchfleet.Key) hitchfleet.Endpoint {
 	ownDepth := chosen.cache.knownDepth(prefixKeys, now)
 	if ownDepth == len(prefixKeys) {
@@ -146,7 +146,7 @@
 			cached, usedAt, depth = e, e.cache.byKey[prefixKeys[n-1]].usedAt, n
 		}
 		score := hitchfleet.Score(key, e.key)
-		if e.removedAt.IsZero() && (score > own || e.firstSeen.Before(chosen.firstSeen)) && score > best {
+		if e.removedAt.IsZero() && (score > own || e.joinedBefore(chosen)) && score > best {
 			likely, best = e, score
 		}
 	}
@@ -160,6 +160,20 @@
 	}
 }
 
+// minBornGapMilliseconds is how much earlier than another engine an engine must have
+// started to count as the older one. Engines that started together have the same
+// prompts.
+const minBornGapMilliseconds = 1000
+
+// joinedBefore reports whether an engine joined the fleet before another one. The
+// engines' start times say so also to an instance that itself started after both.
+func (e *endpoint) joinedBefore(other *endpoint) bool {
+	if e.Born > 0 && other.Born > 0 {
+		return other.Born-e.Born >= minBornGapMilliseconds
+	}
+	return e.firstSeen.Before(other.firstSeen)
+}
+
 // removedSourceTTL is how long engines may copy from the cache of an endpoint that
 // left the fleet. Some endpoints leave unannounced and finish their requests first.
 const removedSourceTTL = 4 * time.Second
--- a/hitchedge/edge.go
+++ b/hitchedge/edge.go
@@ -56,6 +56,9 @@
 	election   hitchdigest.Election
 	regionMu   sync.Mutex // held while region changes
 	region     atomic.Pointer[region]
+	// configuredOnce closes configured when the first configuration is known.
+	configuredOnce sync.Once
+	configured     chan struct{}
 	// viewChanged receives a value after changes of the view.
 	viewChanged     chan struct{}
 	peerUpdateCache peerUpdateCache
@@ -159,6 +162,7 @@
 // initialize creates and connects the components of the instance.
 func (e *Edge) initialize() {
 	settings := e.Settings
+	e.configured = make(chan struct{})
 	e.viewChanged = make(chan struct{}, 1)
 	e.store.Addr = settings.StoreAddr
 	e.seeds.Store(&settings.Seeds)
@@ -171,6 +175,8 @@
 		Log:        e.Log,
 		Metrics:    &e.metrics,
 		RetryRatio: settings.Bounds.RetryRatio,
+		RetrySlack: settings.Bounds.RetrySlack,
+		StartedAt:  time.Now(),
 	}
 	feed := &hitchplatform.StoreFeed{Store: &e.store, Log: e.Log, Self: settings.Self.ID}
 	e.peerClient = newPeerClient()
@@ -186,6 +192,9 @@
 	e.gateway.SetView(time.Now(), view)
 	e.updateRegion(view)
 	e.logView(view)
+	if view.Table != nil {
+		e.configuredOnce.Do(func() { close(e.configured) })
+	}
 	e.notifyRegistration()
 }
 
--- a/hitchedge/edge_test.go
+++ b/hitchedge/edge_test.go
@@ -146,6 +146,46 @@
 	qt.Assert(t, err, qt.ErrorIs, hitchview.ErrNoView)
 }
 
+// TestViewIsSentOnceItIsKnown covers a fleet that starts: many instances ask a seed that
+// has no view yet, and get it with their first request.
+func TestViewIsSentOnceItIsKnown(t *testing.T) {
+	sender := newEdge()
+	read := make(chan struct{})
+	sender.follower.StartPeers = nil
+	sender.follower.Snapshot = func(context.Context) (hitchview.Batch, error) {
+		<-read
+		return hitchview.Batch{Revision: 7, IsSnapshot: true, Messages: []hitchview.Msg{
+			hitchview.TableMsg{Revision: 6, Table: hitchroute.NewTable(hitchroute.Config{Version: 9})},
+		}}, nil
+	}
+	sender.follower.Watch = func(ctx context.Context, _ int64) (hitchview.Batch, error) {
+		<-ctx.Done()
+		return hitchview.Batch{}, ctx.Err()
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	var running sync.WaitGroup
+	running.Go(func() { sender.follower.Run(ctx) })
+	defer running.Wait()
+	defer cancel()
+	requests := make(chan struct{}, 20)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		requests <- struct{}{}
+		sender.serveView(w, r)
+	}))
+	defer server.Close()
+	var wg sync.WaitGroup
+	for range cap(requests) {
+		wg.Go(func() {
+			b, err := newEdge().fetchView(t.Context(), strings.TrimPrefix(server.URL, "http://"), hitchview.View{})
+			qt.Check(t, err, qt.IsNil)
+			qt.Check(t, b.Revision, qt.Equals, int64(7))
+		})
+	}
+	<-requests
+	close(read)
+	wg.Wait()
+}
+
 func TestSeedsReadTheStoreThemselves(t *testing.T) {
 	e := newEdge()
 	e.seeds.Store(&[]string{"10.0.0.7:81"})
--- a/hitchedge/peerview.go
+++ b/hitchedge/peerview.go
@@ -20,6 +20,10 @@
 // Limits of requests to other instances.
 const (
 	peerTimeout = 500 * time.Millisecond
+	// maxViewWait is how long an instance without a view delays its response to another
+	// one that starts. Without that delay a seed of a large fleet would spend its
+	// processor time on repeated requests instead of on its own start.
+	maxViewWait = 300 * time.Millisecond
 	// maxPeersPerQuery is the number of instances that are queried at a time.
 	maxPeersPerQuery = 3
 	// peerIdleTimeout is how long an idle connection to another instance is kept.
@@ -34,9 +38,12 @@
 	}
 	revision, _ := strconv.ParseInt(r.URL.Query().Get("Revision"), 10, 64)
 	tableRevision, _ := strconv.ParseInt(r.URL.Query().Get("TableRevision"), 10, 64)
-	if revision == 0 && !e.follower.IsCurrent() {
-		w.WriteHeader(http.StatusServiceUnavailable)
-		return
+	if revision == 0 {
+		e.waitForView(r.Context())
+		if !e.follower.IsCurrent() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
 	}
 	if e.gateway.View().Revision <= revision {
 		w.WriteHeader(http.StatusNoContent)
@@ -55,6 +62,16 @@
 	}
 }
 
+// waitForView waits until this instance has its first view, for at most maxViewWait.
+func (e *Edge) waitForView(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, maxViewWait)
+	defer cancel()
+	select {
+	case <-e.configured:
+	case <-ctx.Done():
+	}
+}
+
 // peerAddrs returns the addresses of up to maxPeersPerQuery other instances, from the
 // view and the seeds, in random order.
 func (e *Edge) peerAddrs(view hitchview.View) []string {
--- a/hitchingress/gateway.go
+++ b/hitchingress/gateway.go
@@ -33,8 +33,13 @@
 	Conns    *hitchforward.ConnPool
 	Log      hclog.Logger
 	Metrics  *Metrics
-	// RetryRatio limits a service's retries to this fraction of its requests.
+	// RetryRatio and RetrySlack limit the retries of all instances to a service, in the
+	// window of a retry budget, to RetryRatio times its requests plus RetrySlack.
 	RetryRatio float64
+	RetrySlack float64
+	// StartedAt is when the instance started, from which on it lacks a configuration
+	// until the first view.
+	StartedAt time.Time
 
 	view     atomic.Pointer[hitchview.View]
 	draining atomic.Bool
@@ -42,6 +47,8 @@
 
 	mu            sync.Mutex
 	serviceStates map[hitchfleet.ServiceID]*serviceState
+	// retrySlack is this instance's share of RetrySlack.
+	retrySlack float64
 }
 
 // serviceState holds the retry budget and the measured latency of a service.
@@ -61,6 +68,21 @@
 		Table:      view.Table,
 	})
 	g.view.Store(&view)
+	g.updateRetrySlack(len(view.Instances()))
+}
+
+// retrySlackShare is the part of RetrySlack that is used. The window of a retry budget
+// moves in steps of a tenth, so that a window in between may have a few more retries.
+const retrySlackShare = 0.8
+
+// updateRetrySlack sets this instance's share of the slack in a fleet of a size.
+func (g *Gateway) updateRetrySlack(instances int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.retrySlack = retrySlackShare * g.RetrySlack / float64(max(instances, 1))
+	for _, state := range g.serviceStates {
+		state.retryBudget.SetSlack(g.retrySlack)
+	}
 }
 
 // View returns the current view of the fleet, which is empty before the first
@@ -94,6 +116,7 @@
 	state := g.serviceStates[id]
 	if state == nil {
 		state = &serviceState{retryBudget: hitchadmit.RetryBudget{Ratio: g.RetryRatio}}
+		state.retryBudget.SetSlack(g.retrySlack)
 		g.serviceStates[id] = state
 	}
 	return state
--- a/hitchingress/gateway_test.go
+++ b/hitchingress/gateway_test.go
@@ -98,7 +98,7 @@
 	}
 	g := &Gateway{
 		Self: hitchfleet.Instance{ID: "router", Zone: "0"}, Protocol: protocol, Balancer: &hitchbalance.Balancer{},
-		Conns: &hitchforward.ConnPool{}, Log: hclog.NewNullLogger(), Metrics: &Metrics{}, RetryRatio: 1,
+		Conns: &hitchforward.ConnPool{}, Log: hclog.NewNullLogger(), Metrics: &Metrics{}, RetryRatio: 1, RetrySlack: 10,
 	}
 	g.SetView(time.Now(), view)
 	server := httptest.NewServer(g)
@@ -170,6 +170,41 @@
 	}
 }
 
+// TestRetryWithoutBudget covers an instance with few requests, whose budget allows no
+// retry, while endpoints are replaced. An attempt that reached no endpoint needs none.
+func TestRetryWithoutBudget(t *testing.T) {
+	unused, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	_ = unused.Close()
+	tests := map[string]struct {
+		first  *backend
+		status int
+	}{
+		"connection refused": {&backend{addr: unused.Addr().String()}, http.StatusOK},
+		"request refused":    {startBackend(t, notRunResponse), http.StatusServiceUnavailable},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			server := startGateway(t, hitchroute.Route{Kind: hitchroute.NonIdempotent, MaxAttempts: 1}, test.first, startBackend(t, okResponse))
+			g := server.Config.Handler.(*Gateway)
+			g.RetryRatio, g.RetrySlack = 0.001, 0
+			g.updateRetrySlack(1)
+			status, _, _, err := send(t, server, "k")
+			qt.Assert(t, err, qt.IsNil)
+			qt.Assert(t, status, qt.Equals, test.status)
+		})
+	}
+}
+
+// TestRetrySlackIsShared checks that each instance uses its share of the slack only.
+func TestRetrySlackIsShared(t *testing.T) {
+	g := &Gateway{Balancer: &hitchbalance.Balancer{}, RetrySlack: 430}
+	for n, want := range map[int]float64{1: 344, 8: 43, 172: 2} {
+		g.updateRetrySlack(n)
+		qt.Assert(t, g.retrySlack, qt.Equals, want)
+	}
+}
+
 func TestRefusalHasRetryAfter(t *testing.T) {
 	backend := startBackend(t, notRunResponse)
 	status, _, header, err := send(t, startGateway(t, hitchroute.Route{Kind: hitchroute.NonIdempotent, MaxAttempts: 1}, backend), "k")
--- a/hitchingress/log.go
+++ b/hitchingress/log.go
@@ -77,7 +77,7 @@
 	}
 	g.Log.Info("request", "ID", req.ID, "Route", name, "Organisation", req.organisation,
 		"Table", req.logEntry.tableVersion, "Revision", req.logEntry.viewRevision, "Attempts", req.logEntry.attempts, "Endpoint", req.logEntry.lastPick.Endpoint.ID,
-		"Why", req.logEntry.lastPick.Reason, "Tier", req.logEntry.lastPick.Tier, "Source", req.logEntry.lastPick.CacheSource.ID, "Load", req.logEntry.lastPick.Load, "Mean", req.logEntry.lastPick.MeanLoad,
+		"Why", req.logEntry.lastPick.Reason, "Tier", req.logEntry.lastPick.Tier, "Source", req.logEntry.lastPick.CacheSource.ID, "Unread", req.logEntry.lastPick.UncachedTokens, "Load", req.logEntry.lastPick.Load, "Mean", req.logEntry.lastPick.MeanLoad,
 		"LoadAge", req.logEntry.loadAge(req.receivedAt), "Held", req.logEntry.prefillWaitUntil.Sub(req.logEntry.prefillWaitFrom),
 		"End", req.logEntry.end, "Status", req.logEntry.status, "Events", req.stream.eventCount,
 		"First", timeToFirstEvent, "Took", now.Sub(req.receivedAt), "Error", req.logEntry.err)
--- a/hitchingress/serve.go
+++ b/hitchingress/serve.go
@@ -88,7 +88,7 @@
 func (g *Gateway) prepare(req *proxyRequest) *hitchoutcome.Refusal {
 	view := g.View()
 	if view.Table == nil {
-		return hitchoutcome.RefuseNotRun(hitchoutcome.ReasonStale, jitteredRetryTime(time.Now(), meanRetryAfter), "no configuration is known yet")
+		return hitchoutcome.RefuseNotRun(hitchoutcome.ReasonStale, g.returnTime(time.Now()), "no configuration is known yet")
 	}
 	req.logEntry.tableVersion, req.logEntry.viewRevision = view.Table.Version(), view.Revision
 	route, ok := view.Table.Route(req.original.Host, pathOf(req.original.RequestURI))
@@ -116,6 +116,12 @@
 	return nil
 }
 
+// returnTime returns when a caller that is refused for lack of a configuration should
+// return.
+func (g *Gateway) returnTime(now time.Time) time.Time {
+	return jitteredRetryTime(now, hitchretry.ReturnDelay(now.Sub(g.StartedAt)))
+}
+
 // authenticate finds the organisation of the request's API key, unless the route is
 // public.
 func (req *proxyRequest) authenticate(table *hitchroute.Table) *hitchoutcome.Refusal {
@@ -184,7 +190,7 @@
 		}
 		var decision hitchretry.Decision
 		req.retryState, decision = req.retryState.AfterAttempt(time.Now(), result.outcome)
-		if decision == hitchretry.Retry && (ctx.Err() != nil || !req.serviceState.retryBudget.TryRetry(time.Now())) {
+		if decision == hitchretry.Retry && (ctx.Err() != nil || !req.takeRetry(result.outcome)) {
 			decision = req.retryState.FinalDecision(result.outcome)
 		}
 		g.logFailedAttempt(req, pick, result, decision)
@@ -195,6 +201,22 @@
 	}
 }
 
+// takeRetry takes a retry from the service's budget. The budget limits what reaches
+// endpoints, so that none is needed after an attempt that reached none. A request that
+// an endpoint responded to with an error often fails everywhere, and leaves a part of
+// the budget to those without a response.
+func (req *proxyRequest) takeRetry(previous hitchretry.Outcome) bool {
+	budget := &req.serviceState.retryBudget
+	switch previous {
+	case hitchretry.Unsent:
+		return true
+	case hitchretry.Failed:
+		return budget.TryOptionalRetry(time.Now())
+	default:
+		return budget.TryRetry(time.Now())
+	}
+}
+
 // slackTokens returns the number of tokens that an engine prefills in the extra time
 // that a request may queue at an engine that caches its prompt.
 func (req *proxyRequest) slackTokens() int {
--- a/hitchview/start.go
+++ b/hitchview/start.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"time"
 )
 
@@ -13,10 +14,13 @@
 const (
 	// startRetryInterval is the pause before the same instances are asked again.
 	startRetryInterval = 50 * time.Millisecond
-	// startPatience is how long an instance that starts asks others that don't respond,
-	// and maxStartPatience how long it asks others that respond but have no view
+	// minStartPatience is how long an instance that starts asks others that don't
+	// respond, plus a random part of startPatienceSpread, so that a fleet whose seeds are
+	// down doesn't turn to the store at once.
+	minStartPatience    = 200 * time.Millisecond
+	startPatienceSpread = 300 * time.Millisecond
+	// maxStartPatience is how long it asks others that respond but have no view
 	// themselves.
-	startPatience    = 800 * time.Millisecond
 	maxStartPatience = 3 * time.Second
 )
 
@@ -28,7 +32,7 @@
 		return false
 	}
 	startedAt := f.now()
-	patience := startPatience
+	patience := minStartPatience + rand.N(startPatienceSpread)
 	for addrs := f.StartPeers(); len(addrs) > 0 && f.now().Sub(startedAt) < patience && ctx.Err() == nil; {
 		for _, addr := range addrs {
 			batch, err := f.Pull(ctx, addr, f.View())
--- a/hitchview/start_test.go
+++ b/hitchview/start_test.go
@@ -34,7 +34,7 @@
 			}, 2*time.Second + 2*startRetryInterval, 11,
 		},
 		"no instance responds": {
-			[]string{"seed"}, func(time.Duration) (Batch, error) { return Batch{}, errStoreDown }, startPatience + 2*startRetryInterval, 10,
+			[]string{"seed"}, func(time.Duration) (Batch, error) { return Batch{}, errStoreDown }, minStartPatience + startPatienceSpread + 2*startRetryInterval, 10,
 		},
 		"instances respond but never get a view": {
 			[]string{"seed"}, func(time.Duration) (Batch, error) { return Batch{}, ErrNoView }, maxStartPatience + 2*startRetryInterval, 10,
