Hubs send digests to instances that report without being listed

Change: hubs send digests to those that reported to them within 1.5 s, at the address that the report came from.

--- a/hitchedge/digest.go
+++ b/hitchedge/digest.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"slices"
 	"time"
 
 	"citronhitch.example/citronhitch/hitchdigest"
@@ -104,15 +105,16 @@
 }
 
 // sendDigests applies the current digests to this instance and sends them to the other
-// instances of the region.
+// instances of the region, and to those that report to this hub.
 func (e *Edge) sendDigests(socket *net.UDPConn, instances []hitchfleet.Instance, now time.Time) {
 	status := e.hubStatus()
 	status.Silence = e.reportTimes.Silence(now, instances)
 	e.election.RecordHubStatus(now, status)
 	e.liveness.RecordHubStatus(now, status)
+	recipients := slices.Concat(instances, e.unlisted.Instances(now, instances))
 	for _, digest := range e.aggregator.Digests(now, status) {
 		e.balancer.ApplyDigest(now, digest)
-		e.send(socket, hitchdigest.Packet{Digest: &digest}, instances...)
+		e.send(socket, hitchdigest.Packet{Digest: &digest}, recipients...)
 	}
 }
 
@@ -149,13 +151,15 @@
 			e.Log.Warn("failed to decode datagram", "From", from, "Error", err)
 			continue
 		}
-		e.handlePacket(packet)
+		e.handlePacket(packet, from.String())
 	}
 }
 
-func (e *Edge) handlePacket(packet hitchdigest.Packet) {
+// handlePacket handles a datagram that came from an address.
+func (e *Edge) handlePacket(packet hitchdigest.Packet, from string) {
 	now := time.Now()
 	if packet.Report != nil {
+		e.unlisted.RecordReport(now, packet.Report.From, from)
 		e.reportTimes.RecordReport(now, packet.Report.From)
 		e.aggregator.AddReport(now, *packet.Report)
 	}
--- a/hitchedge/edge.go
+++ b/hitchedge/edge.go
@@ -51,6 +51,8 @@
 	reportTimes hitchdigest.ReportTracker
 	liveness    hitchdigest.Liveness
 	removals    hitchdigest.Removals
+	// unlisted holds the instances that report to this hub but aren't in its view.
+	unlisted hitchdigest.Unlisted
 	// isRemoving is set while entries of silent instances are removed from the store.
 	isRemoving atomic.Bool
 	election   hitchdigest.Election
--- a/hitchedge/edge_test.go
+++ b/hitchedge/edge_test.go
@@ -205,7 +205,7 @@
 	silence := hitchdigest.Silence{Instances: []hitchfleet.InstanceID{"x"}}
 	for _, from := range []hitchfleet.InstanceID{"stranger", "hub"} {
 		status := hitchdigest.HubStatus{From: from, Silence: silence}
-		e.handlePacket(hitchdigest.Packet{Digest: &hitchdigest.Digest{From: from, HubStatus: &status}})
+		e.handlePacket(hitchdigest.Packet{Digest: &hitchdigest.Digest{From: from, HubStatus: &status}}, "10.0.0.2:82")
 		qt.Assert(t, e.liveness.IsSilent(time.Now(), "x"), qt.Equals, from == "hub")
 	}
 }
