A hub that hears few instances isn't credible; cuts between two zones remove nobody

After a loss of most instances a new hub that hadn't waited for reports yet made dead ones count as live for a second (TestMostInstancesLosePower), and without statuses two zones that excluded each other's hubs as silent never agreed again.

Ruled out: agreement of two hubs (both may be in the cut-off zone).

Change: a hub that hears less than half of the region isn't credible; its list counts only after 2.5 s without a credible one. Entries are removed after 5 s only if credible hubs of two zones agree, else after 30 s. A hub's list counts once it has waited for reports. Silent instances are skipped in the election, unless they send a status.

TestInstanceIsSilentIfAllHubsReportIt: "both hubs hear few instances" was true at once and now isn't, as both may be cut off; TestMostInstancesLosePower checks that such instances are left out after 2.5 s.

--- a/hitchdigest/election.go
+++ b/hitchdigest/election.go
@@ -67,14 +67,14 @@
 	e.hubs[status.From] = hubRecord{heardAt: now, hasStatus: true, isStoreReachable: status.IsStoreReachable}
 }
 
-// Roles returns the roles in a region, given its instances in the order of Rank. The
-// instance itself counts as alive.
-func (e *Election) Roles(now time.Time, self hitchfleet.InstanceID, ranked []hitchfleet.Instance) Roles {
+// Roles returns the roles in a region, given its instances in the order of Rank. Silent
+// instances get none, unless they send a status; the instance itself counts as alive.
+func (e *Election) Roles(now time.Time, self hitchfleet.InstanceID, ranked []hitchfleet.Instance, isSilent func(hitchfleet.InstanceID) bool) Roles {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	alive := make([]hitchfleet.Instance, 0, len(ranked))
 	for _, i := range ranked {
-		if i.ID == self || !e.isLost(now, i.ID) {
+		if i.ID == self || e.isHeard(now, i.ID) || !e.isLost(now, i.ID) && !isSilent(i.ID) {
 			alive = append(alive, i)
 		}
 	}
@@ -89,6 +89,12 @@
 	return roles
 }
 
+// isHeard reports whether an instance sent a status lately.
+func (e *Election) isHeard(now time.Time, id hitchfleet.InstanceID) bool {
+	record := e.hubs[id]
+	return record.hasStatus && now.Sub(record.heardAt) <= HubTimeout
+}
+
 // isLost reports whether an instance that should have sent a status didn't.
 func (e *Election) isLost(now time.Time, id hitchfleet.InstanceID) bool {
 	record, ok := e.hubs[id]
@@ -138,8 +144,8 @@
 // anyReachesStore reports whether any instance that sent a status lately reaches the
 // store.
 func (e *Election) anyReachesStore(now time.Time) bool {
-	for _, record := range e.hubs {
-		if record.hasStatus && record.isStoreReachable && now.Sub(record.heardAt) <= HubTimeout {
+	for id, record := range e.hubs {
+		if record.isStoreReachable && e.isHeard(now, id) {
 			return true
 		}
 	}
--- a/hitchdigest/election_test.go
+++ b/hitchdigest/election_test.go
@@ -9,6 +9,8 @@
 	"citronhitch.example/citronhitch/hitchfleet"
 )
 
+func noneSilent(hitchfleet.InstanceID) bool { return false }
+
 // hubScenario plays an election as a region's last instance sees it, of which the
 // others know no more.
 type hubScenario struct {
@@ -26,7 +28,7 @@
 // step lets all hubs and watchers that are up send a status, and returns the roles.
 func (s *hubScenario) step(now time.Time) Roles {
 	self := s.ranked[len(s.ranked)-1].ID
-	roles := s.election.Roles(now, self, s.ranked)
+	roles := s.election.Roles(now, self, s.ranked, noneSilent)
 	for _, hub := range roles.Hubs {
 		if !s.isDown[hub.ID] {
 			s.election.RecordHubStatus(now, HubStatus{From: hub.ID, IsStoreReachable: !s.lacksStore[hub.ID]})
@@ -37,7 +39,7 @@
 			s.election.RecordHubStatus(now, HubStatus{From: watcher.ID, IsStoreReachable: true})
 		}
 	}
-	return s.election.Roles(now, self, s.ranked)
+	return s.election.Roles(now, self, s.ranked, noneSilent)
 }
 
 // run plays a period from a time on and returns the roles at its end.
@@ -116,7 +118,7 @@
 	for _, hub := range Hubs(s.ranked) {
 		s.election.RecordHubStatus(start.Add(2*time.Second), HubStatus{From: hub.ID})
 	}
-	roles := s.election.Roles(start.Add(2*time.Second), "router-7", s.ranked)
+	roles := s.election.Roles(start.Add(2*time.Second), "router-7", s.ranked, noneSilent)
 	qt.Assert(t, roles.Watchers, qt.HasLen, watchersPerStep)
 	qt.Assert(t, roles.WatchesStore(roles.Watchers[0].ID), qt.IsTrue)
 	qt.Assert(t, roles.WatchesStore(roles.Hubs[0].ID), qt.IsTrue)
@@ -127,7 +129,7 @@
 func TestUnheardInstanceElectsItself(t *testing.T) {
 	ranked := Rank(fleet(20, 4, 4))
 	var e Election
-	e.Roles(start, ranked[0].ID, ranked)
-	roles := e.Roles(start.Add(time.Minute), ranked[0].ID, ranked)
+	e.Roles(start, ranked[0].ID, ranked, noneSilent)
+	roles := e.Roles(start.Add(time.Minute), ranked[0].ID, ranked, noneSilent)
 	qt.Assert(t, roles.Hubs[0].ID, qt.Equals, ranked[0].ID)
 }
--- a/hitchdigest/liveness.go
+++ b/hitchdigest/liveness.go
@@ -24,6 +24,8 @@
 	// IsMajority is set if more than half of the region's instances are silent. The hub
 	// may then be cut off from the others itself.
 	IsMajority bool
+	// IsSettled is set once the hub has waited for reports for silenceTimeout.
+	IsSettled bool
 }
 
 // ReportTracker tracks when a hub last received a report from each instance. The
@@ -32,6 +34,8 @@
 	mu         sync.Mutex
 	lastReport map[hitchfleet.InstanceID]time.Time
 	checkedAt  time.Time
+	// trackedSince is when the instance became a hub or resumed after a pause.
+	trackedSince time.Time
 }
 
 // RecordReport records a report from an instance.
@@ -53,6 +57,9 @@
 	defer t.mu.Unlock()
 	wasPaused := now.Sub(t.checkedAt) > silenceTimeout
 	t.checkedAt = now
+	if wasPaused {
+		t.trackedSince = now
+	}
 	lastReport := make(map[hitchfleet.InstanceID]time.Time, len(instances))
 	for _, i := range instances {
 		reportedAt, ok := t.lastReport[i.ID]
@@ -65,6 +72,7 @@
 		}
 	}
 	t.lastReport = lastReport
+	out.IsSettled = now.Sub(t.trackedSince) > silenceTimeout
 	out.IsMajority = 2*len(out.Instances) > len(instances)
 	slices.Sort(out.Instances)
 	out.Instances = out.Instances[:min(len(out.Instances), maxSilentInstances)]
@@ -73,17 +81,20 @@
 
 // Liveness combines the silence that the hubs report. The zero value has no reports.
 // Its methods are safe for concurrent use.
+//
+// A hub that hears most instances is credible. One that doesn't may be cut off itself,
+// or consider itself a hub because it is cut off from the real ones.
 type Liveness struct {
 	mu      sync.Mutex
 	reports []silenceReport
-	// loneSince is since when there is only one hub, which is silent about a majority;
-	// the zero time if that isn't so.
-	loneSince time.Time
+	// doubtfulSince is since when no credible hub reports; the zero time if one does.
+	doubtfulSince time.Time
 }
 
 // silenceReport is the latest silence that one hub reported.
 type silenceReport struct {
 	hub        hitchfleet.InstanceID
+	zone       hitchfleet.AvailabilityZone
 	receivedAt time.Time
 	silence    Silence
 }
@@ -91,38 +102,51 @@
 const (
 	// silenceReportTTL is how long a hub's silence counts.
 	silenceReportTTL = 1500 * time.Millisecond
-	// loneHubDelay is how long a single hub must have reported a silent majority before
-	// it counts. Until then the hub is more likely to be cut off itself.
-	loneHubDelay = 4 * time.Second
+	// doubtDelay is how long there must have been no credible hub before the others
+	// count. Most instances are then assumed down.
+	doubtDelay = 2500 * time.Millisecond
 )
 
-// RecordHubStatus records the silence in a hub's status.
+// RecordHubStatus records the silence in a hub's status, unless the hub has yet to wait
+// for reports.
 func (l *Liveness) RecordHubStatus(now time.Time, status HubStatus) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.reports = slices.DeleteFunc(l.reports, func(r silenceReport) bool {
 		return r.hub == status.From || now.Sub(r.receivedAt) >= silenceReportTTL
 	})
-	l.reports = append(l.reports, silenceReport{hub: status.From, receivedAt: now, silence: status.Silence})
-	switch isLone := len(l.reports) == 1 && status.Silence.IsMajority; {
-	case !isLone:
-		l.loneSince = time.Time{}
-	case l.loneSince.IsZero():
-		l.loneSince = now
+	if !status.Silence.IsSettled {
+		return
+	}
+	l.reports = append(l.reports, silenceReport{hub: status.From, zone: status.Zone, receivedAt: now, silence: status.Silence})
+	switch {
+	case l.hasCredible(now):
+		l.doubtfulSince = time.Time{}
+	case l.doubtfulSince.IsZero():
+		l.doubtfulSince = now
 	}
 }
 
-// IsSilent reports whether every hub with a current status lists the instance. If
-// only some hubs list it, they may be cut off from it themselves.
+// hasCredible reports whether a credible hub reported lately.
+func (l *Liveness) hasCredible(now time.Time) bool {
+	return slices.ContainsFunc(l.reports, func(r silenceReport) bool { return r.isCurrent(now) && !r.silence.IsMajority })
+}
+
+func (r silenceReport) isCurrent(now time.Time) bool { return now.Sub(r.receivedAt) < silenceReportTTL }
+
+// IsSilent reports whether every credible hub lists the instance. If only some of them
+// do, they may be cut off from it themselves. Without a credible hub, all others must
+// list it, and that only counts after doubtDelay.
 func (l *Liveness) IsSilent(now time.Time, id hitchfleet.InstanceID) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if !l.loneSince.IsZero() && now.Sub(l.loneSince) < loneHubDelay {
+	hasCredible := l.hasCredible(now)
+	if !hasCredible && (l.doubtfulSince.IsZero() || now.Sub(l.doubtfulSince) < doubtDelay) {
 		return false
 	}
 	isSilent := false
 	for _, r := range l.reports {
-		if now.Sub(r.receivedAt) >= silenceReportTTL {
+		if !r.isCurrent(now) || hasCredible && r.silence.IsMajority {
 			continue
 		}
 		if _, ok := slices.BinarySearch(r.silence.Instances, id); !ok {
@@ -133,18 +157,26 @@
 	return isSilent
 }
 
-// IsLone reports whether the silence is that of a majority, reported by one hub alone.
-func (l *Liveness) IsLone() bool {
+// IsConfirmed reports whether credible hubs of several availability zones report. A
+// single zone may be cut off from the silent instances.
+func (l *Liveness) IsConfirmed(now time.Time) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return !l.loneSince.IsZero()
+	zones := make(map[hitchfleet.AvailabilityZone]bool)
+	for _, r := range l.reports {
+		if r.isCurrent(now) && !r.silence.IsMajority {
+			zones[r.zone] = true
+		}
+	}
+	return len(zones) > 1
 }
 
 // Times after which a silent instance is removed from the fleet.
 const (
 	removalDelay = 5 * time.Second
-	// loneRemovalDelay applies while a single hub reports a silent majority.
-	loneRemovalDelay = 30 * time.Second
+	// unconfirmedRemovalDelay applies while the hubs of a single availability zone
+	// report, or none that hears most instances.
+	unconfirmedRemovalDelay = 30 * time.Second
 )
 
 // Removals decides which silent instances a hub removes from the fleet. The zero value
@@ -163,9 +195,9 @@
 // Due returns the instances that have been silent long enough. revisionOf returns the
 // store revision that wrote an instance's entry, and false if it has none.
 func (r *Removals) Due(now time.Time, l *Liveness, instances []hitchfleet.Instance, revisionOf func(hitchfleet.InstanceID) (int64, bool)) (due []hitchfleet.InstanceID) {
-	delay := removalDelay
-	if l.IsLone() {
-		delay = loneRemovalDelay
+	delay := unconfirmedRemovalDelay
+	if l.IsConfirmed(now) {
+		delay = removalDelay
 	}
 	silentSince := make(map[entryRevision]time.Time)
 	for _, i := range instances {
--- a/hitchdigest/liveness_test.go
+++ b/hitchdigest/liveness_test.go
@@ -68,8 +68,9 @@
 
 func TestInstanceIsSilentIfAllHubsReportIt(t *testing.T) {
 	const id = "router-3"
-	silent := Silence{Instances: []hitchfleet.InstanceID{id}}
-	majority := Silence{Instances: silent.Instances, IsMajority: true}
+	silent := Silence{Instances: []hitchfleet.InstanceID{id}, IsSettled: true}
+	majority := Silence{Instances: silent.Instances, IsMajority: true, IsSettled: true}
+	none := Silence{IsSettled: true}
 	tests := map[string]struct {
 		statuses []HubStatus
 		elapsed  time.Duration
@@ -78,13 +79,16 @@
 		"no hub status":                      {nil, 0, false},
 		"the only hub lists it":              {[]HubStatus{{From: "h1", Silence: silent}}, 0, true},
 		"both hubs list it":                  {[]HubStatus{{From: "h1", Silence: silent}, {From: "h2", Silence: silent}}, 0, true},
-		"one of two hubs lists it":           {[]HubStatus{{From: "h1", Silence: silent}, {From: "h2"}}, 0, false},
-		"hub no longer lists it":             {[]HubStatus{{From: "h1", Silence: silent}, {From: "h1"}}, 0, false},
+		"one of two hubs lists it":           {[]HubStatus{{From: "h1", Silence: silent}, {From: "h2", Silence: none}}, 0, false},
+		"hub no longer lists it":             {[]HubStatus{{From: "h1", Silence: silent}, {From: "h1", Silence: none}}, 0, false},
 		"hub status has expired":             {[]HubStatus{{From: "h1", Silence: silent}}, silenceReportTTL, false},
-		"hub lists another instance":         {[]HubStatus{{From: "h1", Silence: Silence{Instances: []hitchfleet.InstanceID{"router-4"}}}}, 0, false},
-		"statuses of both hubs have expired": {[]HubStatus{{From: "h2"}, {From: "h1", Silence: silent}}, silenceReportTTL, false},
+		"hub lists another instance":         {[]HubStatus{{From: "h1", Silence: Silence{Instances: []hitchfleet.InstanceID{"router-4"}, IsSettled: true}}}, 0, false},
+		"statuses of both hubs have expired": {[]HubStatus{{From: "h2", Silence: none}, {From: "h1", Silence: silent}}, silenceReportTTL, false},
 		"the only hub hears few instances":   {[]HubStatus{{From: "h1", Silence: majority}}, 0, false},
-		"both hubs hear few instances":       {[]HubStatus{{From: "h1", Silence: majority}, {From: "h2", Silence: majority}}, 0, true},
+		"both hubs hear few instances":       {[]HubStatus{{From: "h1", Silence: majority}, {From: "h2", Silence: majority}}, 0, false},
+		"a hub that has just started":        {[]HubStatus{{From: "h1", Silence: silent}, {From: "h2"}}, 0, true},
+		"a hub that is cut off lists it":     {[]HubStatus{{From: "h1", Silence: majority}, {From: "h2", Silence: none}}, 0, false},
+		"a hub that is cut off doesn't":      {[]HubStatus{{From: "h1", Silence: Silence{IsMajority: true, IsSettled: true}}, {From: "h2", Silence: silent}}, 0, true},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -100,31 +104,33 @@
 // TestSilentInstancesAreRemoved checks when hubs remove instances from the fleet that
 // crashed or lost power: their entries in the store have no lease.
 func TestSilentInstancesAreRemoved(t *testing.T) {
-	all := fleet(5, 1, 0)
+	const confirmed, unconfirmed = silenceTimeout + removalDelay, silenceTimeout + unconfirmedRemovalDelay
+	twoZones := []hitchfleet.AvailabilityZone{"a", "b"}
+	oneZone := []hitchfleet.AvailabilityZone{"a", "a"}
 	tests := map[string]struct {
-		hubs      []hitchfleet.InstanceID
+		hubZones  []hitchfleet.AvailabilityZone
 		reporting []int
 		rewriteAt time.Duration // when a silent instance writes its entry anew; 0 if it doesn't
 		want      time.Duration // when the first instance is removed; 0 if none is
 	}{
-		"all report":                           {[]hitchfleet.InstanceID{"h1", "h2"}, []int{0, 1, 2, 3, 4}, 0, 0},
-		"one crashed":                          {[]hitchfleet.InstanceID{"h1", "h2"}, []int{0, 1, 2, 3}, 0, silenceTimeout + removalDelay},
-		"most lost power, two hubs are left":   {[]hitchfleet.InstanceID{"h1", "h2"}, []int{0, 1}, 0, silenceTimeout + removalDelay},
-		"most lost power, one hub is left":     {[]hitchfleet.InstanceID{"h1"}, []int{0}, 0, silenceTimeout + loneHubDelay + loneRemovalDelay},
-		"cut off from hubs, reaches the store": {[]hitchfleet.InstanceID{"h1", "h2"}, []int{0, 1, 2, 3}, 4 * time.Second, 4*time.Second + removalDelay},
+		"all report":                           {twoZones, []int{0, 1, 2, 3, 4}, 0, 0},
+		"one crashed":                          {twoZones, []int{0, 1, 2, 3}, 0, confirmed},
+		"one crashed, hubs in one zone":        {oneZone, []int{0, 1, 2, 3}, 0, unconfirmed},
+		"one crashed, a single hub":            {oneZone[:1], []int{0, 1, 2, 3}, 0, unconfirmed},
+		"most lost power":                      {twoZones, []int{0, 1}, 0, unconfirmed + doubtDelay},
+		"cut off from hubs, reaches the store": {twoZones, []int{0, 1, 2, 3}, 4 * time.Second, 4*time.Second + removalDelay},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
-			qt.Assert(t, firstRemoval(all, test.hubs, test.reporting, test.rewriteAt), qt.Satisfies, func(got time.Duration) bool {
-				return got >= test.want && got <= test.want+2*reportInterval
-			})
+			got := firstRemoval(fleet(5, 1, 0), test.hubZones, test.reporting, test.rewriteAt)
+			qt.Assert(t, got >= test.want && got <= test.want+2*reportInterval, qt.IsTrue, qt.Commentf("%v, not %v", got, test.want))
 		})
 	}
 }
 
 // firstRemoval returns after what time the first instance is to be removed, 0 if that
-// isn't within a minute.
-func firstRemoval(all []hitchfleet.Instance, hubs []hitchfleet.InstanceID, reporting []int, rewriteAt time.Duration) time.Duration {
+// isn't within a minute. There is a hub in each of the given zones.
+func firstRemoval(all []hitchfleet.Instance, hubZones []hitchfleet.AvailabilityZone, reporting []int, rewriteAt time.Duration) time.Duration {
 	var tracker ReportTracker
 	var liveness Liveness
 	var removals Removals
@@ -134,8 +140,8 @@
 			tracker.RecordReport(now, all[i].ID)
 		}
 		silence := tracker.Silence(now, all)
-		for _, hub := range hubs {
-			liveness.RecordHubStatus(now, HubStatus{From: hub, Silence: silence})
+		for n, zone := range hubZones {
+			liveness.RecordHubStatus(now, HubStatus{From: hitchfleet.InstanceID(fmt.Sprint("h", n)), Zone: zone, Silence: silence})
 		}
 		due := removals.Due(now, &liveness, all, func(hitchfleet.InstanceID) (int64, bool) {
 			if rewriteAt > 0 && d >= rewriteAt {
@@ -156,7 +162,7 @@
 	var l Liveness
 	var removals Removals
 	for d := time.Duration(0); d < time.Minute; d += reportInterval {
-		l.RecordHubStatus(start.Add(d), HubStatus{From: "h1", Silence: Silence{Instances: []hitchfleet.InstanceID{"router-0"}}})
+		l.RecordHubStatus(start.Add(d), HubStatus{From: "h1", Silence: Silence{Instances: []hitchfleet.InstanceID{"router-0"}, IsSettled: true}})
 		due := removals.Due(start.Add(d), &l, fleet(5, 1, 0), func(hitchfleet.InstanceID) (int64, bool) { return 0, false })
 		qt.Assert(t, due, qt.HasLen, 0, qt.Commentf(fmt.Sprint(d)))
 	}
--- a/hitchdigest/message.go
+++ b/hitchdigest/message.go
@@ -66,6 +66,7 @@
 type HubStatus struct {
 	_    struct{} `cbor:",toarray"`
 	From hitchfleet.InstanceID
+	Zone hitchfleet.AvailabilityZone
 	// Revision is the newest store revision that the hub knows.
 	Revision int64
 	// IsStoreReachable reports whether the hub can reach the store.
--- a/hitchedge/digest.go
+++ b/hitchedge/digest.go
@@ -98,6 +98,7 @@
 func (e *Edge) hubStatus() hitchdigest.HubStatus {
 	return hitchdigest.HubStatus{
 		From:             e.Settings.Self.ID,
+		Zone:             e.Settings.Self.Zone,
 		Revision:         e.gateway.View().Revision,
 		IsStoreReachable: e.follower.IsStoreReachable(),
 		ViewAddr:         e.Settings.Self.PeerAddr,
--- a/hitchedge/region.go
+++ b/hitchedge/region.go
@@ -65,7 +65,8 @@
 // regionMu held.
 func (e *Edge) setRegion(now time.Time, r *region) *region {
 	old := e.currentRegion().roles
-	r = r.withRoles(e.election.Roles(now, e.Settings.Self.ID, r.ranked))
+	isSilent := func(id hitchfleet.InstanceID) bool { return e.liveness.IsSilent(now, id) }
+	r = r.withRoles(e.election.Roles(now, e.Settings.Self.ID, r.ranked, isSilent))
 	e.region.Store(r)
 	if !slices.Equal(old.Hubs, r.roles.Hubs) || len(old.Watchers) != len(r.roles.Watchers) {
 		e.Log.Info("hubs changed", "Hubs", instanceIDs(r.roles.Hubs), "Watchers", instanceIDs(r.roles.Watchers))
