hitchingress: one file a step of a request; what grows with the fleet

serve.go (330 lines) decided, waited, refused and wrote. prepare.go now finds route, organisation and body, run.go makes the attempts, response.go writes responses; functions and constants are moved and otherwise unchanged.

--- /dev/null
+++ b/hitchingress/response.go
@@ -0,0 +1,34 @@
+package hitchingress
+
+import (
+	"net/http"
+	"slices"
+
+	"citronhitch.example/citronhitch/hitchforward"
+)
+
+// maxResponseBytes limits the body of a response that isn't streamed.
+const maxResponseBytes = 16 << 20
+
+// unaryResponse is an endpoint's complete response that isn't streamed.
+type unaryResponse struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+// writeResponse writes an endpoint's complete response to the caller.
+func (g *Gateway) writeResponse(req *proxyRequest, response *unaryResponse) {
+	copyHeader(req.writer.Header(), response.header)
+	req.writer.WriteHeader(response.status)
+	_, err := req.writer.Write(response.body)
+	req.logEntry.setEnd("Answered", response.status, err)
+}
+
+// copyHeader copies the end-to-end header fields of a response, leaving out
+// hop-by-hop fields.
+func copyHeader(dst, src http.Header) {
+	for name, values := range hitchforward.EndToEndHeader(src) {
+		dst[name] = slices.Clone(values)
+	}
+}
--- /dev/null
+++ b/hitchingress/run.go
@@ -0,0 +1,129 @@
+package hitchingress
+
+import (
+	"context"
+	"time"
+
+	"citronhitch.example/citronhitch/hitchbalance"
+	"citronhitch.example/citronhitch/hitchoutcome"
+	"citronhitch.example/citronhitch/hitchretry"
+)
+
+// Times of a request's attempts.
+const (
+	// meanRetryAfter is the mean delay after which a refused caller may retry.
+	meanRetryAfter = 300 * time.Millisecond
+	// maxPrefillWait and prefillWaitDivisor limit how long a request waits for an engine
+	// that already prefills its prompt for another request: to maxPrefillWait, and to
+	// the request's remaining time divided by prefillWaitDivisor.
+	maxPrefillWait     = 2 * time.Second
+	prefillWaitDivisor = 3
+	// slackDivisor divides the latency objective. The quotient is how much longer a
+	// request may queue at an engine that caches its prompt than at another engine.
+	slackDivisor = 4
+)
+
+// runAttempts makes attempts until the request has its final response.
+func (g *Gateway) runAttempts(ctx context.Context, req *proxyRequest) {
+	ctx, cancel := context.WithDeadline(ctx, req.effectiveDeadline)
+	defer cancel()
+	req.serviceState = g.serviceState(req.service)
+	req.serviceState.retryBudget.RecordFirstAttempt(req.receivedAt)
+	for {
+		pick, refusal := g.Balancer.Pick(time.Now(), hitchbalance.Request{
+			Service: req.service, Prompt: req.Prompt, Zone: g.Self.Zone, Tried: req.triedEndpoints,
+			BacklogSlackTokens: req.slackTokens(),
+			IsRetrySafe:        req.retryState.IsRetrySafe, UnreachableZones: req.unreachableZones,
+		})
+		if refusal != hitchbalance.NotRefused {
+			g.finishWithoutEndpoint(req, refusal)
+			return
+		}
+		if pick.PendingPrefix != 0 && req.logEntry.prefillWaitFrom.IsZero() {
+			g.waitForPrefill(ctx, req, pick)
+			continue
+		}
+		req.triedEndpoints = append(req.triedEndpoints, pick.Endpoint.ID)
+		result := g.attempt(ctx, req, pick)
+		if result.isFinal {
+			return
+		}
+		var decision hitchretry.Decision
+		req.retryState, decision = req.retryState.AfterAttempt(time.Now(), result.outcome)
+		if decision == hitchretry.Retry && (ctx.Err() != nil || !req.takeRetry(result.outcome)) {
+			decision = req.retryState.FinalDecision(result.outcome)
+		}
+		g.logFailedAttempt(req, pick, result, decision)
+		if decision != hitchretry.Retry {
+			g.finishFailed(ctx, req, result, decision)
+			return
+		}
+	}
+}
+
+// takeRetry takes a retry from the service's budget. The budget limits what reaches
+// endpoints, so that none is needed after an attempt that reached none. A request that
+// an endpoint responded to with an error often fails everywhere, and leaves a part of
+// the budget to those without a response.
+func (req *proxyRequest) takeRetry(previous hitchretry.Outcome) bool {
+	budget := &req.serviceState.retryBudget
+	switch previous {
+	case hitchretry.Unsent:
+		return true
+	case hitchretry.Failed:
+		return budget.TryOptionalRetry(time.Now())
+	default:
+		return budget.TryRetry(time.Now())
+	}
+}
+
+// slackTokens returns the number of tokens that an engine prefills in the extra time
+// that a request may queue at an engine that caches its prompt.
+func (req *proxyRequest) slackTokens() int {
+	return req.serviceState.firstByteLatency.PrefillTokens(time.Duration(req.route.ObjectiveMilliseconds) * time.Millisecond / slackDivisor)
+}
+
+// waitForPrefill delays a request while the picked engine prefills the same prompt
+// for another request, so that the prompt isn't prefilled twice. It returns when
+// that prefill has completed or failed, or when the wait limit is reached.
+func (g *Gateway) waitForPrefill(ctx context.Context, req *proxyRequest, pick hitchbalance.Pick) {
+	now := time.Now()
+	req.logEntry.prefillWaitFrom = now
+	ctx, cancel := context.WithDeadline(ctx, now.Add(min(maxPrefillWait, req.effectiveDeadline.Sub(now)/prefillWaitDivisor)))
+	defer cancel()
+	for ctx.Err() == nil {
+		changed, isPending := g.Balancer.AwaitPrefill(time.Now(), pick)
+		if !isPending {
+			break
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+		}
+	}
+	req.logEntry.prefillWaitUntil = time.Now()
+	g.Balancer.Finish(req.logEntry.prefillWaitUntil, pick, hitchbalance.ResultAbandoned)
+}
+
+// finishWithoutEndpoint ends a request for which no endpoint is left to try.
+func (g *Gateway) finishWithoutEndpoint(req *proxyRequest, refusal hitchbalance.Refusal) {
+	if req.stream.headerSent {
+		req.abortStream("no endpoint to resume the stream: " + refusal.String())
+		return
+	}
+	g.writeRefusal(req, req.dispatchTracker.Refuse(hitchoutcome.ReasonNoEndpoint, jitteredRetryTime(time.Now(), meanRetryAfter), "%s", refusal))
+}
+
+// finishFailed ends a request after its last attempt has failed.
+func (g *Gateway) finishFailed(ctx context.Context, req *proxyRequest, result attemptResult, decision hitchretry.Decision) {
+	switch {
+	case req.stream.headerSent:
+		req.abortStream("stream ended before it was complete")
+	case decision == hitchretry.PassOn:
+		g.writeResponse(req, result.response)
+	case ctx.Err() != nil || !time.Now().Before(req.effectiveDeadline):
+		g.writeRefusal(req, req.dispatchTracker.Refuse(hitchoutcome.ReasonTimeout, jitteredRetryTime(time.Now(), meanRetryAfter), "the request's time is over"))
+	default:
+		g.writeRefusal(req, req.dispatchTracker.Refuse(hitchoutcome.ReasonEndpointLost, jitteredRetryTime(time.Now(), meanRetryAfter), "no endpoint gave a whole answer"))
+	}
+}
