hitchdigest: silent instances are listed by references of four bytes

Cause: a hub listed at most 64 silent instances by name, so that a datagram holds them. After a loss of more than 64 of 195 instances for good, directories would have named the others until the first ones were removed.

Change: references of four bytes, 200 of them. Test: TestLargeRegionLosesMostZones (117 of 195 instances), TestSilenceIsBounded (a status with 200 fits in 1,400 bytes).

--- a/hitchdigest/liveness.go
+++ b/hitchdigest/liveness.go
@@ -14,13 +14,13 @@
 
 // maxSilentInstances bounds a hub's list of silent instances, so that its status fits
 // in a datagram. The others follow once these have been removed from the fleet.
-const maxSilentInstances = 64
+const maxSilentInstances = 200
 
 // Silence lists the instances that a hub receives no reports from.
 type Silence struct {
 	_ struct{} `cbor:",toarray"`
 	// Instances is sorted, so that hubs with the same knowledge send the same list.
-	Instances []hitchfleet.InstanceID
+	Instances []InstanceRef
 	// IsMajority is set if more than half of the region's instances are silent. The hub
 	// may then be cut off from the others itself.
 	IsMajority bool
@@ -68,7 +68,7 @@
 		}
 		lastReport[i.ID] = reportedAt
 		if now.Sub(reportedAt) > silenceTimeout {
-			out.Instances = append(out.Instances, i.ID)
+			out.Instances = append(out.Instances, InstanceRefOf(i.ID))
 		}
 	}
 	t.lastReport = lastReport
@@ -144,12 +144,12 @@
 	if !hasCredible && (l.doubtfulSince.IsZero() || now.Sub(l.doubtfulSince) < doubtDelay) {
 		return false
 	}
-	isSilent := false
+	ref, isSilent := InstanceRefOf(id), false
 	for _, r := range l.reports {
 		if !r.isCurrent(now) || hasCredible && r.silence.IsMajority {
 			continue
 		}
-		if _, ok := slices.BinarySearch(r.silence.Instances, id); !ok {
+		if _, ok := slices.BinarySearch(r.silence.Instances, ref); !ok {
 			return false
 		}
 		isSilent = true
--- a/hitchdigest/liveness_test.go
+++ b/hitchdigest/liveness_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -10,6 +11,15 @@
 	"citronhitch.example/citronhitch/hitchfleet"
 )
 
+// refs returns the sorted references of instances.
+func refs(ids ...hitchfleet.InstanceID) (out []InstanceRef) {
+	for _, id := range ids {
+		out = append(out, InstanceRefOf(id))
+	}
+	slices.Sort(out)
+	return out
+}
+
 const reportInterval = 200 * time.Millisecond
 
 // silenceAfter returns what a hub reports after a time in which only some of the
@@ -41,7 +51,7 @@
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			got := silenceAfter(test.elapsed, fleet(5, 1, 0), test.reporting)
-			qt.Assert(t, got.Instances, qt.DeepEquals, test.want)
+			qt.Assert(t, got.Instances, qt.DeepEquals, refs(test.want...))
 			qt.Assert(t, got.IsMajority, qt.Equals, test.majority)
 		})
 	}
@@ -58,7 +68,7 @@
 }
 
 func TestSilenceIsBounded(t *testing.T) {
-	got := silenceAfter(2*time.Second, fleet(300, 5, 0), nil)
+	got := silenceAfter(2*time.Second, fleet(450, 5, 0), nil)
 	qt.Assert(t, got.Instances, qt.HasLen, maxSilentInstances)
 	qt.Assert(t, got.IsMajority, qt.IsTrue)
 	b, err := Packet{Digest: &Digest{HubStatus: &HubStatus{Silence: got}}}.Encode()
@@ -68,7 +78,7 @@
 
 func TestInstanceIsSilentIfAllHubsReportIt(t *testing.T) {
 	const id = "router-3"
-	silent := Silence{Instances: []hitchfleet.InstanceID{id}, IsSettled: true}
+	silent := Silence{Instances: refs(id), IsSettled: true}
 	majority := Silence{Instances: silent.Instances, IsMajority: true, IsSettled: true}
 	none := Silence{IsSettled: true}
 	tests := map[string]struct {
@@ -82,7 +92,7 @@
 		"one of two hubs lists it":           {[]HubStatus{{From: "h1", Silence: silent}, {From: "h2", Silence: none}}, 0, false},
 		"hub no longer lists it":             {[]HubStatus{{From: "h1", Silence: silent}, {From: "h1", Silence: none}}, 0, false},
 		"hub status has expired":             {[]HubStatus{{From: "h1", Silence: silent}}, silenceReportTTL, false},
-		"hub lists another instance":         {[]HubStatus{{From: "h1", Silence: Silence{Instances: []hitchfleet.InstanceID{"router-4"}, IsSettled: true}}}, 0, false},
+		"hub lists another instance":         {[]HubStatus{{From: "h1", Silence: Silence{Instances: refs("router-4"), IsSettled: true}}}, 0, false},
 		"statuses of both hubs have expired": {[]HubStatus{{From: "h2", Silence: none}, {From: "h1", Silence: silent}}, silenceReportTTL, false},
 		"the only hub hears few instances":   {[]HubStatus{{From: "h1", Silence: majority}}, 0, false},
 		"both hubs hear few instances":       {[]HubStatus{{From: "h1", Silence: majority}, {From: "h2", Silence: majority}}, 0, false},
@@ -162,7 +172,7 @@
 	var l Liveness
 	var removals Removals
 	for d := time.Duration(0); d < time.Minute; d += reportInterval {
-		l.RecordHubStatus(start.Add(d), HubStatus{From: "h1", Silence: Silence{Instances: []hitchfleet.InstanceID{"router-0"}, IsSettled: true}})
+		l.RecordHubStatus(start.Add(d), HubStatus{From: "h1", Silence: Silence{Instances: refs("router-0"), IsSettled: true}})
 		due := removals.Due(start.Add(d), &l, fleet(5, 1, 0), func(hitchfleet.InstanceID) (int64, bool) { return 0, false })
 		qt.Assert(t, due, qt.HasLen, 0, qt.Commentf(fmt.Sprint(d)))
 	}
--- a/hitchdigest/message.go
+++ b/hitchdigest/message.go
@@ -30,6 +30,14 @@
 	return EndpointRef(hitchfleet.KeyOf(string(id)))
 }
 
+// InstanceRef identifies an instance in four bytes.
+type InstanceRef uint32
+
+// InstanceRefOf returns the reference of an instance.
+func InstanceRefOf(id hitchfleet.InstanceID) InstanceRef {
+	return InstanceRef(hitchfleet.KeyOf(string(id)))
+}
+
 // Load is the number of requests in flight at an endpoint.
 type Load struct {
 	_        struct{} `cbor:",toarray"`
--- a/hitchdigest/region_test.go
+++ b/hitchdigest/region_test.go
@@ -200,6 +200,22 @@
 	qt.Assert(t, len(r.removed) > 0, qt.IsTrue)
 }
 
+// TestLargeRegionLosesMostZones covers the loss of three of five zones: the two that are
+// left leave all lost instances out within seconds.
+func TestLargeRegionLosesMostZones(t *testing.T) {
+	r := newSimRegion(195, 5)
+	r.run(3 * time.Second)
+	r.down(func(i *simInstance) bool { return i.Zone != "zone-0" && i.Zone != "zone-3" })
+	r.run(3*HubTimeout + silenceTimeout + doubtDelay)
+	for _, i := range r.instances {
+		for _, other := range r.instances {
+			if !i.isDown {
+				qt.Assert(t, i.liveness.IsSilent(r.now, other.ID), qt.Equals, other.isDown, qt.Commentf("%s as seen by %s", other.ID, i.ID))
+			}
+		}
+	}
+}
+
 // TestInstancesJoin covers machines that are added to a running fleet: only those that
 // become hubs change anything for the others.
 func TestInstancesJoin(t *testing.T) {
--- a/hitchedge/edge_test.go
+++ b/hitchedge/edge_test.go
@@ -8,6 +8,7 @@
 	"net/http/httptest"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -41,6 +42,15 @@
 	return e
 }
 
+// silentRefs returns the sorted references of instances.
+func silentRefs(ids ...hitchfleet.InstanceID) (out []hitchdigest.InstanceRef) {
+	for _, id := range ids {
+		out = append(out, hitchdigest.InstanceRefOf(id))
+	}
+	slices.Sort(out)
+	return out
+}
+
 func TestDirectoryListsCallersZoneFirst(t *testing.T) {
 	e := newEdge(
 		hitchfleet.Instance{ID: "r1", Addr: "10.0.0.2:80", Zone: "a"},
@@ -85,7 +95,7 @@
 		hitchfleet.Instance{ID: "r1", Addr: "10.0.0.2:80", Zone: "a"},
 		hitchfleet.Instance{ID: "r2", Addr: "10.0.0.3:80", Zone: "b"},
 	)
-	e.liveness.RecordHubStatus(time.Now(), hitchdigest.HubStatus{From: "r1", Silence: hitchdigest.Silence{Instances: []hitchfleet.InstanceID{"r2", "self"}, IsSettled: true}})
+	e.liveness.RecordHubStatus(time.Now(), hitchdigest.HubStatus{From: "r1", Silence: hitchdigest.Silence{Instances: silentRefs("r2", "self"), IsSettled: true}})
 	addrs, _ := e.directoryAddrs("", "b")
 	qt.Assert(t, addrs, qt.DeepEquals, []string{"10.0.0.2:80", "10.0.0.1:80"})
 }
@@ -202,7 +212,7 @@
 	e := newEdge(hub, other)
 	e.updateRegion(e.gateway.View())
 	e.Settings.Self.LinkMegabits = 0
-	silence := hitchdigest.Silence{Instances: []hitchfleet.InstanceID{"x"}, IsSettled: true}
+	silence := hitchdigest.Silence{Instances: silentRefs("x"), IsSettled: true}
 	for _, from := range []hitchfleet.InstanceID{"stranger", "hub"} {
 		status := hitchdigest.HubStatus{From: from, Silence: silence}
 		e.handlePacket(hitchdigest.Packet{Digest: &hitchdigest.Digest{From: from, HubStatus: &status}}, "10.0.0.2:82")
