KNOWN-RED: the load bound on a large fleet while a surge ends

Loads are known 0.2 to 1.1 s late in a fleet of 195, while the requests in flight fall by half each 1.5 s. Ruled out: requests that wait for a prefill and count as load (19 to 84 of 4,554 to 7,844), the first hubs lost.

test.sh prints KNOWN-RED.txt whenever it exists.

--- a/test.sh
+++ b/test.sh
@@ -25,9 +25,11 @@
 if [ -n "$rapid_pkgs" ]; then
   go test -race -count=1 -timeout=20m ${skip:+-skip "$skip"} $rapid_pkgs -rapid.seed="$rapid_seed" -rapid.nofailfile || status=1
 fi
-if [ -n "$skip" ]; then
-  echo "known failing tests (they don't affect the exit status):"
+if [ -f KNOWN-RED.txt ]; then
+  echo "known failures (they don't affect the exit status):"
   cat KNOWN-RED.txt
+fi
+if [ -n "$skip" ]; then
   go test -race -count=1 -run "$skip" ./... || true
 fi
 exit $status
