--- a/hitchdigest/region_test.go
+++ b/hitchdigest/region_test.go
@@ -216,6 +216,46 @@
 	}
 }
 
+// maxDirectoryDelay is how long directories of a large deployment may name an instance that
+// lost power.
+const maxDirectoryDelay = 8 * time.Second
+
+// TestFastInstancesLosePower covers the loss of all instances with fast links, which come
+// first in the ranking: the others leave them out in time.
+func TestFastInstancesLosePower(t *testing.T) {
+	r := newSimRegion(195, 5)
+	r.run(3 * time.Second)
+	r.down(func(i *simInstance) bool { return i.LinkMegabits == r.ranked[0].LinkMegabits })
+	r.run(maxDirectoryDelay)
+	for _, i := range r.instances {
+		for _, other := range r.instances {
+			if !i.isDown {
+				qt.Assert(t, i.liveness.IsSilent(r.now, other.ID), qt.Equals, other.isDown, qt.Commentf("%s as seen by %s", other.ID, i.ID))
+			}
+		}
+	}
+}
+
+// TestZoneIsCutOff covers a zone that reaches no other one and whose instances hear only
+// themselves: they go on naming all others for as long as a short cut lasts, and
+// neither side removes anyone.
+func TestZoneIsCutOff(t *testing.T) {
+	const alone = "zone-0"
+	r := newSimRegion(60, 5)
+	r.run(3 * time.Second)
+	r.isCut = func(from, to hitchfleet.AvailabilityZone) bool { return (from == alone) != (to == alone) }
+	for d := time.Duration(0); d < silenceTimeout+doubtDelay; d += simInterval {
+		r.run(simInterval)
+		for _, i := range r.instances {
+			for _, other := range r.instances {
+				if i.Zone == alone {
+					qt.Assert(t, i.liveness.IsSilent(r.now, other.ID), qt.IsFalse, qt.Commentf("%s omits %s after %v", i.ID, other.ID, d))
+				}
+			}
+		}
+	}
+}
+
 // TestInstancesJoin covers machines that are added to a running fleet: only those that
 // become hubs change anything for the others.
 func TestInstancesJoin(t *testing.T) {
--- a/hitchedge/cacheupdate_test.go
+++ b/hitchedge/cacheupdate_test.go
@@ -12,16 +12,18 @@
 	"citronhitch.example/citronhitch/hitchview"
 )
 
+// newTestSocket returns a socket on loopback that is closed after the test.
+func newTestSocket(t *testing.T) *net.UDPConn {
+	socket, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(func() { _ = socket.Close() })
+	return socket
+}
+
 // TestPrimaryHubRelaysCacheUpdates checks that the primary hub relays the update of
 // one instance to the others. Instances send updates to the primary hub only.
 func TestPrimaryHubRelaysCacheUpdates(t *testing.T) {
-	newSocket := func() *net.UDPConn {
-		socket, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
-		qt.Assert(t, err, qt.IsNil)
-		t.Cleanup(func() { _ = socket.Close() })
-		return socket
-	}
-	selfSocket, otherSocket := newSocket(), newSocket()
+	selfSocket, otherSocket := newTestSocket(t), newTestSocket(t)
 	e := newEdge(hitchfleet.Instance{ID: "other", DatagramAddr: otherSocket.LocalAddr().String(), Zone: "b", LinkMegabits: 1})
 	e.Settings.Self.DatagramAddr = selfSocket.LocalAddr().String()
 	self := e.Settings.Self
@@ -58,3 +60,23 @@
 	qt.Assert(t, err, qt.IsNil)
 	qt.Assert(t, len(b) <= 1100, qt.IsTrue, qt.Commentf("%d bytes", len(b)))
 }
+
+// TestDigestReachesUnlistedInstance checks that a hub sends its digest to an instance
+// that reports to it but has removed its entry, as one that is stopping.
+func TestDigestReachesUnlistedInstance(t *testing.T) {
+	hubSocket, stoppingSocket := newTestSocket(t), newTestSocket(t)
+	e := newEdge()
+	self := e.Settings.Self
+	self.DatagramAddr = hubSocket.LocalAddr().String()
+	r := regionOf(self, e.gateway.View().Update(hitchview.InstanceMsg{Revision: 3, Instance: self}))
+	qt.Assert(t, r.isPrimaryHub(self.ID), qt.IsTrue)
+	e.handlePacket(hitchdigest.Packet{Report: &hitchdigest.Report{From: "stopping"}}, stoppingSocket.LocalAddr().String())
+	e.sendReportAndDigests(hubSocket, r)
+	qt.Assert(t, stoppingSocket.SetReadDeadline(time.Now().Add(10*time.Second)), qt.IsNil)
+	buf := make([]byte, maxDatagramBytes)
+	n, err := stoppingSocket.Read(buf)
+	qt.Assert(t, err, qt.IsNil)
+	p, err := hitchdigest.Decode(buf[:n])
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, p.Digest.From, qt.Equals, self.ID)
+}
