hitchdigest: while no hub is heard, the number of instances tried doubles

After the loss of all 15 fast instances of 195 none of the first rounds had a live one, so that no hub told the others who was silent, and directories would have named the dead for more than the 8 s that are allowed.

Ruled out: skipping silent instances (it needs a hub that lists them).

Change: while no instance is heard, as many are hubs in addition as were lost before: 2, 4, 8. Instances that are heard end it.

--- a/hitchdigest/election.go
+++ b/hitchdigest/election.go
@@ -78,15 +78,35 @@
 			alive = append(alive, i)
 		}
 	}
-	roles := Roles{Hubs: Hubs(alive)}
-	e.expectHubs(now, roles.Hubs)
-	count := e.countWatchers(now, roles.Hubs)
-	for _, i := range alive {
-		if len(roles.Watchers) < count && !contains(roles.Hubs, i.ID) {
-			roles.Watchers = append(roles.Watchers, i)
+	hubs := Hubs(alive)
+	hubs = append(hubs, firstOthers(alive, hubs, e.countCandidates(now, ranked))...)
+	e.expectHubs(now, hubs)
+	return Roles{Hubs: hubs, Watchers: firstOthers(alive, hubs, e.updateWatchers(now, hubs))}
+}
+
+// firstOthers returns the first n instances that aren't among the hubs.
+func firstOthers(instances, hubs []hitchfleet.Instance, n int) (out []hitchfleet.Instance) {
+	for _, i := range instances {
+		if len(out) < n && !contains(hubs, i.ID) {
+			out = append(out, i)
+		}
+	}
+	return out
+}
+
+// countCandidates returns how many instances are hubs in addition while none is heard: as
+// many as were lost before. The number of those tried doubles each time, so that hubs are
+// found soon even if all instances at the top of the ranking are down.
+func (e *Election) countCandidates(now time.Time, ranked []hitchfleet.Instance) (lost int) {
+	for _, i := range ranked {
+		switch {
+		case e.isHeard(now, i.ID):
+			return 0
+		case e.isLost(now, i.ID):
+			lost++
 		}
 	}
-	return roles
+	return lost
 }
 
 // isHeard reports whether an instance sent a status lately.
@@ -113,9 +133,9 @@
 	}
 }
 
-// countWatchers returns how many further instances watch the store: more and more of
-// them while the hubs can't reach it, until one can.
-func (e *Election) countWatchers(now time.Time, hubs []hitchfleet.Instance) int {
+// updateWatchers updates the number of watchers and returns it: more and more of them
+// while the hubs can't reach the store, until one can.
+func (e *Election) updateWatchers(now time.Time, hubs []hitchfleet.Instance) int {
 	if !e.hubsLackStore(hubs) {
 		e.watcherCount, e.watchersGrownAt = 0, time.Time{}
 		return 0
