--- a/hitchdigest/election.go
+++ b/hitchdigest/election.go
@@ -9,9 +9,9 @@
 )
 
 const (
-	// HubTimeout is how long a hub may send no status before the next instance in the
+	// hubTimeout is how long a hub may send no status before the next instance in the
 	// ranking takes its place.
-	HubTimeout = 1200 * time.Millisecond
+	hubTimeout = 1200 * time.Millisecond
 	// watchersPerStep is the number of instances that start to watch the store at once
 	// when the hubs can't reach it, and again after each watcherStep until one of them
 	// can. The store may refuse some instances and serve the others.
@@ -112,13 +112,13 @@
 // isHeard reports whether an instance sent a status lately.
 func (e *Election) isHeard(now time.Time, id hitchfleet.InstanceID) bool {
 	record := e.hubs[id]
-	return record.hasStatus && now.Sub(record.heardAt) <= HubTimeout
+	return record.hasStatus && now.Sub(record.heardAt) <= hubTimeout
 }
 
 // isLost reports whether an instance that should have sent a status didn't.
 func (e *Election) isLost(now time.Time, id hitchfleet.InstanceID) bool {
 	record, ok := e.hubs[id]
-	return ok && now.Sub(record.heardAt) > HubTimeout
+	return ok && now.Sub(record.heardAt) > hubTimeout
 }
 
 // expectHubs starts the timeout of instances that have become hubs.
--- a/hitchdigest/region_test.go
+++ b/hitchdigest/region_test.go
@@ -138,7 +138,7 @@
 			r.run(20 * time.Second)
 			qt.Assert(t, r.removed, qt.HasLen, 0)
 			for _, i := range r.instances {
-				qt.Assert(t, r.now.Sub(i.heardAt) <= HubTimeout, qt.IsTrue, qt.Commentf("%s in %s", i.ID, i.Zone))
+				qt.Assert(t, r.now.Sub(i.heardAt) <= hubTimeout, qt.IsTrue, qt.Commentf("%s in %s", i.ID, i.Zone))
 				if i.Zone == cut[0] || i.Zone == cut[1] {
 					continue
 				}
@@ -163,7 +163,7 @@
 			r := newSimRegion(60, 5)
 			r.run(3 * time.Second)
 			r.down(func(i *simInstance) bool { return i.Zone == zone })
-			r.run(HubTimeout + silenceTimeout + 3*simInterval)
+			r.run(hubTimeout + silenceTimeout + 3*simInterval)
 			for _, i := range r.instances {
 				for _, other := range r.instances {
 					if !i.isDown {
@@ -188,7 +188,7 @@
 	r := newSimRegion(9, 3)
 	r.run(3 * time.Second)
 	r.down(func(i *simInstance) bool { return i.Zone != "zone-0" })
-	r.run(4*HubTimeout + silenceTimeout + doubtDelay)
+	r.run(4*hubTimeout + silenceTimeout + doubtDelay)
 	for _, i := range r.instances {
 		for _, other := range r.instances {
 			if !i.isDown {
@@ -206,7 +206,7 @@
 	r := newSimRegion(195, 5)
 	r.run(3 * time.Second)
 	r.down(func(i *simInstance) bool { return i.Zone != "zone-0" && i.Zone != "zone-3" })
-	r.run(3*HubTimeout + silenceTimeout + doubtDelay)
+	r.run(3*hubTimeout + silenceTimeout + doubtDelay)
 	for _, i := range r.instances {
 		for _, other := range r.instances {
 			if !i.isDown {
--- a/hitchedge/digest.go
+++ b/hitchedge/digest.go
@@ -25,7 +25,7 @@
 
 // watchesStore reports whether this instance watches the store, as a hub or in place
 // of the hubs.
-func (e *Edge) watchesStore(hitchview.View) bool {
+func (e *Edge) watchesStore() bool {
 	return e.currentRegion().roles.WatchesStore(e.Settings.Self.ID)
 }
 
--- a/hitchedge/edge.go
+++ b/hitchedge/edge.go
@@ -58,9 +58,6 @@
 	election   hitchdigest.Election
 	regionMu   sync.Mutex // held while region changes
 	region     atomic.Pointer[region]
-	// configuredOnce closes configured when the first configuration is known.
-	configuredOnce sync.Once
-	configured     chan struct{}
 	// viewChanged receives a value after changes of the view.
 	viewChanged     chan struct{}
 	peerUpdateCache peerUpdateCache
@@ -164,7 +161,6 @@
 // initialize creates and connects the components of the instance.
 func (e *Edge) initialize() {
 	settings := e.Settings
-	e.configured = make(chan struct{})
 	e.viewChanged = make(chan struct{}, 1)
 	e.store.Addr = settings.StoreAddr
 	e.seeds.Store(&settings.Seeds)
@@ -184,7 +180,7 @@
 	e.peerClient = newPeerClient()
 	e.follower.Snapshot, e.follower.Watch, e.follower.Probe = feed.Snapshot, feed.Watch, feed.Probe
 	e.follower.Pull, e.follower.Peers, e.follower.StartPeers = e.fetchView, e.peerAddrs, e.startPeers
-	e.follower.IsHub = e.watchesStore
+	e.follower.WatchesStore = e.watchesStore
 	e.follower.Log = e.Log
 	e.follower.OnChange = e.setView
 }
@@ -194,9 +190,6 @@
 	e.gateway.SetView(time.Now(), view)
 	e.updateRegion(view)
 	e.logView(view)
-	if view.Table != nil {
-		e.configuredOnce.Do(func() { close(e.configured) })
-	}
 	e.notifyRegistration()
 }
 
--- a/hitchedge/edge_test.go
+++ b/hitchedge/edge_test.go
@@ -28,12 +28,7 @@
 
 // newEdge returns an instance with a configuration and a view of other instances.
 func newEdge(others ...hitchfleet.Instance) *Edge {
-	e := &Edge{
-		Settings: hitchplatform.Settings{Self: hitchfleet.Instance{ID: "self", Addr: "10.0.0.1:80", PeerAddr: "10.0.0.1:81", Zone: "a"}},
-		Log:      hclog.NewNullLogger(),
-	}
-	e.Settings.Bounds.DirectoryTTLSeconds = 5
-	e.initialize()
+	e := newStartingEdge()
 	view := hitchview.View{}.Update(hitchview.TableMsg{Revision: 1, Table: hitchroute.NewTable(hitchroute.Config{Version: 1})})
 	for _, i := range others {
 		view = view.Update(hitchview.InstanceMsg{Revision: 2, Instance: i})
@@ -51,6 +46,17 @@
 	return out
 }
 
+// newStartingEdge returns an instance without a view.
+func newStartingEdge() *Edge {
+	e := &Edge{
+		Settings: hitchplatform.Settings{Self: hitchfleet.Instance{ID: "self", Addr: "10.0.0.1:80", PeerAddr: "10.0.0.1:81", Zone: "a"}},
+		Log:      hclog.NewNullLogger(),
+	}
+	e.Settings.Bounds.DirectoryTTLSeconds = 5
+	e.initialize()
+	return e
+}
+
 func TestDirectoryListsCallersZoneFirst(t *testing.T) {
 	e := newEdge(
 		hitchfleet.Instance{ID: "r1", Addr: "10.0.0.2:80", Zone: "a"},
@@ -163,7 +169,7 @@
 // has no view yet, and get it with their first request.
 func TestViewIsSentOnceItIsKnown(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		seed := newEdge()
+		seed := newStartingEdge()
 		read := make(chan struct{})
 		seed.follower.StartPeers = nil
 		seed.follower.Snapshot = func(context.Context) (hitchview.Batch, error) {
--- a/hitchedge/peerview.go
+++ b/hitchedge/peerview.go
@@ -70,7 +70,7 @@
 	ctx, cancel := context.WithTimeout(ctx, maxViewWait)
 	defer cancel()
 	select {
-	case <-e.configured:
+	case <-e.gateway.Configured():
 	case <-ctx.Done():
 	}
 }
--- a/hitchedge/registration.go
+++ b/hitchedge/registration.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"citronhitch.example/citronhitch/hitchfleet"
 	"citronhitch.example/citronhitch/hitchview"
 	hitchplatform "citronhitch.example/citronhitch/platform"
 )
@@ -30,22 +31,31 @@
 // removeSilent removes the entries of instances that have been silent for long, if
 // this instance is the primary hub. Calls of the store don't delay the caller.
 func (e *Edge) removeSilent(ctx context.Context, r *region) {
-	view := e.gateway.View()
-	due := e.removals.Due(time.Now(), &e.liveness, r.instances, view.InstanceRevision)
-	if len(due) == 0 || !r.isPrimaryHub(e.Settings.Self.ID) || !e.follower.IsStoreReachable() || !e.isRemoving.CompareAndSwap(false, true) {
+	entries := e.dueEntries(time.Now(), r)
+	if len(entries) == 0 || !r.isPrimaryHub(e.Settings.Self.ID) || !e.follower.IsStoreReachable() || !e.isRemoving.CompareAndSwap(false, true) {
 		return
 	}
-	entries := make([]hitchplatform.InstanceEntry, len(due))
-	for i, id := range due {
-		revision, _ := view.InstanceRevision(id)
-		entries[i] = hitchplatform.InstanceEntry{ID: id, Revision: revision}
-	}
-	e.Log.Info("removing silent instances", "Instances", due)
+	e.Log.Info("removing silent instances", "Entries", entries)
 	go func() {
 		defer e.isRemoving.Store(false)
 		err := e.store.RemoveInstances(ctx, entries)
 		if err != nil && !errors.Is(err, hitchplatform.ErrConflict) {
-			e.Log.Warn("failed to remove silent instances", "Instances", due, "Error", err)
+			e.Log.Warn("failed to remove silent instances", "Entries", entries, "Error", err)
 		}
 	}()
 }
+
+// dueEntries returns the entries of the region's instances that are due for removal.
+func (e *Edge) dueEntries(now time.Time, r *region) []hitchplatform.InstanceEntry {
+	view := e.gateway.View()
+	revisionOf := func(id hitchfleet.InstanceID) (int64, bool) {
+		_, revision, ok := view.RegisteredInstance(id)
+		return revision, ok
+	}
+	var entries []hitchplatform.InstanceEntry
+	for _, id := range e.removals.Due(now, &e.liveness, r.instances, revisionOf) {
+		revision, _ := revisionOf(id)
+		entries = append(entries, hitchplatform.InstanceEntry{ID: id, Revision: revision})
+	}
+	return entries
+}
--- a/hitchingress/gateway.go
+++ b/hitchingress/gateway.go
@@ -49,7 +49,7 @@
 	serviceStates map[hitchfleet.ServiceID]*serviceState
 	// retrySlack is this instance's share of RetrySlack.
 	retrySlack float64
-	// configuredCh is closed with the first configuration. It is nil until configured is
+	// configuredCh is closed with the first configuration. It is nil until Configured is
 	// called.
 	configuredCh chan struct{}
 	isConfigured bool
@@ -78,8 +78,8 @@
 	}
 }
 
-// configured returns a channel that is closed once the gateway has a configuration.
-func (g *Gateway) configured() <-chan struct{} {
+// Configured returns a channel that is closed once the gateway has a configuration.
+func (g *Gateway) Configured() <-chan struct{} {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.configuredCh == nil {
@@ -91,7 +91,7 @@
 	return g.configuredCh
 }
 
-// setConfigured closes the channel that configured returns.
+// setConfigured closes the channel that Configured returns.
 func (g *Gateway) setConfigured() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/hitchingress/prepare.go
+++ b/hitchingress/prepare.go
@@ -67,7 +67,7 @@
 	ctx, cancel := context.WithDeadline(ctx, g.StartedAt.Add(maxStartWait))
 	defer cancel()
 	select {
-	case <-g.configured():
+	case <-g.Configured():
 	case <-ctx.Done():
 	}
 	return g.View()
--- a/hitchview/follower.go
+++ b/hitchview/follower.go
@@ -57,9 +57,9 @@
 	// StartPeers returns the addresses of instances from which to read the first view,
 	// or none if the store is to be read at once. It may be nil.
 	StartPeers func() []string
-	// IsHub reports whether this instance watches the store in a view, as a hub or in
-	// place of one. If it is nil, the instance always watches the store.
-	IsHub func(View) bool
+	// WatchesStore reports whether this instance watches the store, as a hub or in place
+	// of one. If it is nil, the instance always does.
+	WatchesStore func() bool
 	// OnChange is called with each new view. Calls don't overlap.
 	OnChange func(View)
 	Log      hclog.Logger
--- a/hitchview/follower_test.go
+++ b/hitchview/follower_test.go
@@ -149,7 +149,7 @@
 		s := newFakeStore()
 		f := s.follower()
 		var isWatcher atomic.Bool
-		f.IsHub = func(View) bool { return isWatcher.Load() }
+		f.WatchesStore = func() bool { return isWatcher.Load() }
 		f.Pull = func(context.Context, string, View) (Batch, error) {
 			return Batch{Revision: 11, Messages: []Msg{TableMsg{11, hitchroute.NewTable(hitchroute.Config{Version: 11})}}}, nil
 		}
--- a/hitchview/hub.go
+++ b/hitchview/hub.go
@@ -94,7 +94,7 @@
 // the store itself, and there is a live hub.
 func (f *Follower) followsHub() bool {
 	v := f.View()
-	if f.IsHub == nil || v.Table == nil || f.IsHub(v) {
+	if f.WatchesStore == nil || v.Table == nil || f.WatchesStore() {
 		return false
 	}
 	return f.hubs.hasLiveHub(f.now(), hubTimeout(v))
--- a/hitchview/registration.go
+++ b/hitchview/registration.go
@@ -69,7 +69,7 @@
 	if v.Table == nil || v.Revision < r.writtenRevision {
 		return false
 	}
-	registered, ok := v.registered(r.Self.ID)
+	registered, _, ok := v.RegisteredInstance(r.Self.ID)
 	return !ok || registered != r.Self
 }
 
@@ -82,7 +82,7 @@
 
 // deregister removes the entry, if the store may have one.
 func (r *Registration) deregister(ctx context.Context) {
-	if _, ok := r.View().registered(r.Self.ID); !ok && r.writtenRevision == 0 {
+	if _, _, ok := r.View().RegisteredInstance(r.Self.ID); !ok && r.writtenRevision == 0 {
 		return
 	}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), deregisterTimeout)
--- a/hitchview/start_test.go
+++ b/hitchview/start_test.go
@@ -71,7 +71,7 @@
 		f := s.follower()
 		var probes atomic.Int64
 		f.Probe = func(ctx context.Context) (int64, error) { probes.Add(1); return s.probe(ctx) }
-		f.IsHub = func(View) bool { return false }
+		f.WatchesStore = func() bool { return false }
 		f.StartPeers = func() []string { return []string{"seed"} }
 		f.Pull = func(context.Context, string, View) (Batch, error) {
 			return Batch{Revision: 10, IsSnapshot: true, Messages: []Msg{s.table()}}, nil
--- a/hitchview/view.go
+++ b/hitchview/view.go
@@ -330,16 +330,10 @@
 	return out
 }
 
-// registered returns the instance's entry in the store, and false if it has none. An
-// entry that the store has removed doesn't count during its grace period.
-func (v View) registered(id hitchfleet.InstanceID) (hitchfleet.Instance, bool) {
+// RegisteredInstance returns an instance's entry in the store and the revision that wrote
+// it, and false if the store has none. An entry that the store has removed doesn't count
+// during its grace period.
+func (v View) RegisteredInstance(id hitchfleet.InstanceID) (i hitchfleet.Instance, revision int64, ok bool) {
 	e, ok := v.instances[id]
-	return e.value, ok && e.expiresAt.IsZero()
-}
-
-// InstanceRevision returns the store revision that wrote an instance's entry, and
-// false if the store has no entry of it.
-func (v View) InstanceRevision(id hitchfleet.InstanceID) (int64, bool) {
-	e, ok := v.instances[id]
-	return e.revision, ok && e.expiresAt.IsZero()
+	return e.value, e.revision, ok && e.expiresAt.IsZero()
 }
