--- a/hitchdigest/region_test.go
+++ b/hitchdigest/region_test.go
@@ -256,7 +256,7 @@
 	}
 }
 
-// TestInstancesJoin covers machines that are added to a running fleet: only those that
+// TestInstancesJoin covers instances that are added to a running fleet: only those that
 // become hubs change anything for the others.
 func TestInstancesJoin(t *testing.T) {
 	r := newSimRegion(60, 5)
