hitchserver, hitchedge: log the phases of callers' connections around a shutdown

An incident's record has "deadline exceeded" beside InFlight=0 and no line for the requests that callers lost; the log couldn't tell an unused connection from a cut stream or an unfinished write. The new package hitchserver wraps the accepted connections and knows their phase; the instance logs the numbers by phase, each connection closed while a request on it had no response, and each request that the end of the process cuts off. No decision is changed: Shutdown is still that of net/http.

--- a/hitchedge/edge_test.go
+++ b/hitchedge/edge_test.go
@@ -21,6 +21,7 @@
 	"citronhitch.example/citronhitch/hitchdigest"
 	"citronhitch.example/citronhitch/hitchfleet"
 	"citronhitch.example/citronhitch/hitchroute"
+	"citronhitch.example/citronhitch/hitchserver"
 	"citronhitch.example/citronhitch/hitchview"
 	hitchplatform "citronhitch.example/citronhitch/platform"
 	hitchstandin "citronhitch.example/citronhitch/platform/standin"
@@ -307,7 +308,7 @@
 }
 
 func TestListenAndServeReturnsListenError(t *testing.T) {
-	err := listenAndServe(&http.Server{}, "256.0.0.1:1")
+	err := listenAndServe(&hitchserver.Server{}, "256.0.0.1:1")
 	qt.Assert(t, err, qt.Not(qt.IsNil))
 	qt.Assert(t, errors.Is(err, http.ErrServerClosed), qt.IsFalse)
 }
--- a/hitchedge/server.go
+++ b/hitchedge/server.go
@@ -2,10 +2,11 @@
 
 import (
 	"context"
-	"errors"
 	"net"
 	"net/http"
 	"time"
+
+	"citronhitch.example/citronhitch/hitchserver"
 )
 
 // Limits of the server for callers.
@@ -24,32 +25,38 @@
 	shutdownMargin = 500 * time.Millisecond
 )
 
-func (e *Edge) newCallerServer() *http.Server {
-	return &http.Server{
-		Handler:           e.gateway,
-		ReadHeaderTimeout: readHeaderTimeout,
-		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
-		ErrorLog:          e.Log.StandardLogger(nil),
+func (e *Edge) newCallerServer() *hitchserver.Server {
+	return &hitchserver.Server{
+		HTTP: http.Server{
+			Handler:           e.gateway,
+			ReadHeaderTimeout: readHeaderTimeout,
+			IdleTimeout:       idleTimeout,
+			MaxHeaderBytes:    maxHeaderBytes,
+			ErrorLog:          e.Log.StandardLogger(nil),
+		},
+		ClosedEarly: e.logClosedEarly,
 	}
 }
 
+// logClosedEarly logs a connection that was closed while a request on it had no
+// response.
+func (e *Edge) logClosedEarly(addr net.Addr, phase hitchserver.Phase) {
+	e.Log.Info("connection closed without a response", "Caller", addr, "Phase", phase, "Draining", e.gateway.IsDraining())
+}
+
 // listenAndServe serves on a TCP address until the server is shut down.
-func listenAndServe(server *http.Server, addr string) error {
+func listenAndServe(server *hitchserver.Server, addr string) error {
 	l, err := net.Listen("tcp", addr)
 	if err != nil {
 		return err
 	}
-	if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
-		return err
-	}
-	return nil
+	return server.Serve(l)
 }
 
 // serveUntil serves an internal HTTP handler, such as readiness or the directory,
 // until ctx ends.
 func serveUntil(ctx context.Context, addr string, handler http.Handler) error {
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout}
+	server := &hitchserver.Server{HTTP: http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout}}
 	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
 	defer stop()
 	return listenAndServe(server, addr)
@@ -58,16 +65,26 @@
 // shutDown shuts the instance down gracefully: it removes itself from its directory
 // responses, still accepts callers that cached an old response for drainDelay, and
 // then waits for the requests in flight until the deadline.
-func (e *Edge) shutDown(callerServer *http.Server) {
+func (e *Edge) shutDown(callerServer *hitchserver.Server) {
 	gracePeriod := time.Duration(e.Settings.Bounds.GraceSeconds * float64(time.Second))
 	deadline := time.Now().Add(gracePeriod - shutdownMargin)
-	e.Log.Info("shutting down", "InFlight", e.gateway.InFlight(), "Until", deadline)
+	e.Log.Info("shutting down", "InFlight", e.gateway.InFlight(), "Conns", callerServer.Conns(), "Until", deadline)
 	e.gateway.StartDraining()
 	time.Sleep(min(drainDelay, time.Until(deadline)))
+	e.Log.Info("accepting no more connections", "InFlight", e.gateway.InFlight(), "Conns", callerServer.Conns())
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
 	if err := callerServer.Shutdown(ctx); err != nil {
-		e.Log.Warn("shutdown deadline exceeded with requests in flight", "InFlight", e.gateway.InFlight(), "Error", err)
+		e.Log.Warn("shutdown deadline exceeded", "InFlight", e.gateway.InFlight(), "Conns", callerServer.Conns(), "Error", err)
+		e.logRequestsInFlight()
 	}
 	e.Log.Info("stopped", "InFlight", e.gateway.InFlight())
 }
+
+// logRequestsInFlight logs the requests that the end of the process cuts off.
+func (e *Edge) logRequestsInFlight() {
+	now := time.Now()
+	for _, r := range e.gateway.RequestsInFlight() {
+		e.Log.Warn("request cut off by the shutdown", "ID", r.ID, "Took", now.Sub(r.ReceivedAt))
+	}
+}
--- a/hitchingress/gateway.go
+++ b/hitchingress/gateway.go
@@ -43,7 +43,7 @@
 
 	view     atomic.Pointer[hitchview.View]
 	draining atomic.Bool
-	inFlight atomic.Int64
+	inFlight inFlightRequests
 
 	mu            sync.Mutex
 	serviceStates map[hitchfleet.ServiceID]*serviceState
@@ -133,8 +133,14 @@
 	return !g.draining.Load() && g.View().Table != nil
 }
 
+// IsDraining reports whether StartDraining was called.
+func (g *Gateway) IsDraining() bool { return g.draining.Load() }
+
 // InFlight returns the number of requests without a final response.
-func (g *Gateway) InFlight() int64 { return g.inFlight.Load() }
+func (g *Gateway) InFlight() int { return g.inFlight.count() }
+
+// RequestsInFlight returns the requests without a final response, the oldest first.
+func (g *Gateway) RequestsInFlight() []InFlightRequest { return g.inFlight.list() }
 
 // serviceState returns the state of a service, which is created on first use.
 func (g *Gateway) serviceState(id hitchfleet.ServiceID) *serviceState {
--- a/hitchingress/serve.go
+++ b/hitchingress/serve.go
@@ -38,13 +38,13 @@
 
 // ServeHTTP serves one request of a caller.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	g.inFlight.Add(1)
-	defer g.inFlight.Add(-1)
 	if g.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
 	now := time.Now()
 	req := &proxyRequest{Request: g.Protocol.DecodeRequest(r, now), writer: w, original: r, receivedAt: now}
+	g.inFlight.add(req)
+	defer g.inFlight.remove(req)
 	defer g.logFinished(req)
 	if refusal := g.prepare(req); refusal != nil {
 		g.writeRefusal(req, refusal)
