--- a/hitchsoak/caller.go
+++ b/hitchsoak/caller.go
@@ -16,7 +16,7 @@
 
 // Timeouts and pauses of a caller.
 const (
-	callTimeout    = 4 * time.Second
+	callTimeout    = 8 * time.Second
 	resolveTimeout = time.Second
 	// meanThinkTime is the mean pause between two calls of a caller.
 	meanThinkTime = 40 * time.Millisecond
@@ -35,6 +35,9 @@
 	// Mismatch describes how a successful response differs from the expected one; it
 	// is empty if they are equal.
 	Mismatch string
+	// IsDropped is set if the instance read the whole request and closed the connection
+	// without a byte of a response.
+	IsDropped bool
 }
 
 // caller sends requests one at a time, on reused connections, to the instances that
@@ -89,35 +92,45 @@
 	return true
 }
 
-var paths = []string{"/stream/x", "/booking/x", "/lookup/x"}
+// paths are the paths of calls: a short stream, two that take seconds, a booking and a
+// lookup.
+var paths = []string{"/stream/x", "/stream/80x25/x", "/stream/140x25/x", "/booking/x", "/lookup/x"}
 
-// sendCall sends one request and returns the call.
-func (c *caller) sendCall(rng *rand.Rand, n int) call {
-	out := call{
+// newCall returns a call with a random path and organisation.
+func (c *caller) newCall(rng *rand.Rand, n int) call {
+	return call{
 		Attempt: fmt.Sprintf("%x-%d", c.seed, n), Path: paths[rng.IntN(len(paths))], Key: rng.IntN(len(c.fleet.keys)),
 		Instance: c.addrs[rng.IntN(len(c.addrs))], Begin: time.Now(),
 	}
+}
+
+// newRequest returns the HTTP request of a call.
+func (c *caller) newRequest(ctx context.Context, rng *rand.Rand, x call) (*http.Request, error) {
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+x.Instance+x.Path, strings.NewReader("body of "+x.Attempt))
+	if err != nil {
+		return nil, err
+	}
+	r.Host = "soak.example"
+	r.Header.Set("X-Attempt-Id", x.Attempt)
+	r.Header.Set("Api-Key", c.fleet.keys[x.Key])
+	r.Header.Set("X-Time-Budget-Ms", strconv.FormatInt(callTimeout.Milliseconds(), 10))
+	r.Header.Set("X-Prompt-Prefix", fmt.Sprintf("1:2000,%x:5000,%x:100", rng.IntN(20)+2, rng.Uint32()))
+	return r, nil
+}
+
+// sendCall sends one request and returns the call.
+func (c *caller) sendCall(rng *rand.Rand, n int) call {
+	out := c.newCall(rng, n)
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
-	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+out.Instance+out.Path, strings.NewReader("body of "+out.Attempt))
+	r, err := c.newRequest(ctx, rng, out)
 	if err != nil {
 		out.Err = err
 		return out
 	}
-	r.Host = "soak.example"
-	r.Header.Set("X-Attempt-Id", out.Attempt)
-	r.Header.Set("Api-Key", c.fleet.keys[out.Key])
-	r.Header.Set("X-Time-Budget-Ms", strconv.FormatInt(callTimeout.Milliseconds(), 10))
-	r.Header.Set("X-Prompt-Prefix", fmt.Sprintf("1:2000,%x:5000,%x:100", rng.IntN(20)+2, rng.Uint32()))
 	res, err := c.client.Do(r)
 	if err == nil {
-		out.Status = res.StatusCode
-		var body []byte
-		body, err = io.ReadAll(res.Body)
-		_ = res.Body.Close()
-		if err == nil && out.Status == http.StatusOK {
-			out.Mismatch = findMismatch(out, res.Header, string(body))
-		}
+		err = out.readResponse(res, io.ReadAll)
 	}
 	out.Err, out.End = err, time.Now()
 	if err != nil {
@@ -126,6 +139,17 @@
 	return out
 }
 
+// readResponse reads a response with readAll and compares it with the expected one.
+func (x *call) readResponse(res *http.Response, readAll func(io.Reader) ([]byte, error)) error {
+	defer func() { _ = res.Body.Close() }()
+	x.Status = res.StatusCode
+	body, err := readAll(res.Body)
+	if err == nil && x.Status == http.StatusOK {
+		x.Mismatch = findMismatch(*x, res.Header, string(body))
+	}
+	return err
+}
+
 // findMismatch describes how a successful response differs from the expected one, or
 // returns an empty string.
 func findMismatch(c call, header http.Header, body string) string {
@@ -134,7 +158,7 @@
 	}
 	want := c.Attempt + " body of " + c.Attempt
 	if strings.HasPrefix(c.Path, "/stream/") {
-		want = streamBody(c.Attempt)
+		want = streamBody(c.Attempt, hitchstandin.ShapeOf(c.Path))
 	}
 	if body != want {
 		return fmt.Sprintf("body %q, want %q", body, want)
@@ -143,9 +167,9 @@
 }
 
 // streamBody returns the body of a complete stream.
-func streamBody(attempt string) string {
+func streamBody(attempt string, shape hitchstandin.StreamShape) string {
 	var b strings.Builder
-	for id := 1; id <= hitchstandin.EventsPerStream; id++ {
+	for id := 1; id <= shape.Events; id++ {
 		_, _ = fmt.Fprintf(&b, "id: %d\ndata: %s %d\n\n", id, attempt, id)
 	}
 	return b.String()
--- a/hitchsoak/check.go
+++ b/hitchsoak/check.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 
@@ -40,9 +41,11 @@
 // checker compares the results of calls with the runs that endpoints logged.
 type checker struct {
 	// start and end are the start and end time of the soak.
-	start  time.Time
-	end    time.Time
-	plan   []Fault
+	start time.Time
+	end   time.Time
+	plan  []Fault
+	// addrs holds the addresses of the instances.
+	addrs  []string
 	runLog *hitchstandin.RunLog
 }
 
@@ -65,6 +68,9 @@
 	if x.Err != nil && c.hasOnlyPlannedStops(x) {
 		add("PlannedStop", "%s at %s, %s after the start: %v", x.Path, x.Instance, x.Begin.Sub(c.start), x.Err)
 	}
+	if x.IsDropped && !c.wasKilled(x) {
+		add("Answered", "%s at %s, %s after the start: the request was read and the connection closed without a response", x.Path, x.Instance, x.Begin.Sub(c.start))
+	}
 	for _, r := range runs {
 		c.checkRun(x, r, add)
 	}
@@ -113,7 +119,7 @@
 		switch f.Kind {
 		case StopInstance:
 			stops++
-		case RevokeKey, LeaveEndpoint, ShedRequests, CompactStore:
+		case RevokeKey, LeaveEndpoint, ShedRequests, CompactStore, ThrottleInstance, ReloadInstance, StopAgain:
 		default:
 			return false
 		}
@@ -121,6 +127,13 @@
 	return stops > 0
 }
 
+// wasKilled reports whether the instance of a call was killed during the call.
+func (c *checker) wasKilled(x call) bool {
+	return slices.ContainsFunc(c.plan, func(f Fault) bool {
+		return f.Kind == KillInstance && c.addrs[f.Target] == x.Instance && c.overlaps(f, x.Begin, x.End)
+	})
+}
+
 // overlaps reports whether a fault takes effect during an interval.
 func (c *checker) overlaps(f Fault, from, to time.Time) bool {
 	return c.start.Add(f.Begin).Before(to) && from.Before(c.start.Add(f.effectEnd()))
--- a/hitchsoak/fleet.go
+++ b/hitchsoak/fleet.go
@@ -43,9 +43,10 @@
 	settings       string
 	storeRelay     hitchfake.Relay
 
-	mu  sync.Mutex
-	cmd *exec.Cmd
-	log bytes.Buffer
+	mu         sync.Mutex
+	cmd        *exec.Cmd
+	log        bytes.Buffer
+	isStopping bool
 }
 
 // endpoint is a stand-in that instances reach through a relay.
@@ -102,6 +103,14 @@
 	return nil
 }
 
+// addrs returns the addresses at which the instances serve callers.
+func (f *fleet) addrs() (out []string) {
+	for _, i := range f.instances {
+		out = append(out, hitchstandin.FrontAddr(i.ip))
+	}
+	return out
+}
+
 func (f *fleet) addEndpoint(ctx context.Context, n int) error {
 	e := &endpoint{Endpoint: hitchstandin.Endpoint{ID: fmt.Sprintf("e-%d", n), Service: "engines", Zone: zoneOf(n), RunLog: &f.runLog}}
 	if n%2 == 1 {
@@ -224,6 +233,48 @@
 	}
 }
 
+// setStopping records whether the process has got a signal that ends it.
+func (i *instance) setStopping(isStopping bool) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.isStopping = isStopping
+}
+
+// signalIfStopping sends a signal to the process if it has got one that ends it.
+func (i *instance) signalIfStopping(sig syscall.Signal) {
+	i.mu.Lock()
+	isStopping := i.isStopping
+	i.mu.Unlock()
+	if isStopping {
+		i.signal(sig)
+	}
+}
+
+// Times of a throttled process, which runs for runTime of each throttlePeriod.
+const (
+	throttlePeriod = 100 * time.Millisecond
+	runTime        = 40 * time.Millisecond
+)
+
+// throttle stops and continues the process in turns, as a quota of processor time does.
+// It returns the function that ends this.
+func (i *instance) throttle() (undo func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	wg.Go(func() {
+		for ctx.Err() == nil {
+			i.signal(syscall.SIGSTOP)
+			time.Sleep(throttlePeriod - runTime)
+			i.signal(syscall.SIGCONT)
+			time.Sleep(runTime)
+		}
+	})
+	return func() {
+		cancel()
+		wg.Wait()
+	}
+}
+
 // wait waits until the current process ends. It returns an error unless the process
 // exited with status 0 or was killed by a signal.
 func (i *instance) wait() error {
--- a/hitchsoak/plan.go
+++ b/hitchsoak/plan.go
@@ -43,6 +43,15 @@
 	LeaveEndpoint
 	// RevokeKey revokes an organisation's key and restores it.
 	RevokeKey
+	// HangStreams makes an endpoint's streams stop in their middle for a while.
+	HangStreams
+	// ThrottleInstance gives a process a part of its processor time for a while, in turns
+	// with other faults of the same process.
+	ThrottleInstance
+	// ReloadInstance sends SIGHUP to a process.
+	ReloadInstance
+	// StopAgain sends SIGTERM to a process only if it is already stopping.
+	StopAgain
 	faultKindCount
 )
 
@@ -51,6 +60,7 @@
 	return [...]string{
 		"KillInstance", "StopInstance", "PauseInstance", "SilenceEndpoint", "PauseEndpoint", "SilenceStore",
 		"PauseStore", "CompactStore", "LoseAnswers", "ShedRequests", "LeaveEndpoint", "RevokeKey",
+		"HangStreams", "ThrottleInstance", "ReloadInstance", "StopAgain",
 	}[k]
 }
 
@@ -88,10 +98,11 @@
 	targets := map[FaultKind]int{
 		KillInstance: instances, StopInstance: instances, PauseInstance: instances,
 		SilenceStore: instances, PauseStore: instances, CompactStore: 1, RevokeKey: organisations,
+		ThrottleInstance: instances, ReloadInstance: instances, StopAgain: instances,
 	}
 	var plan []Fault
 	for at := faultFreeStart; at < length-faultFreeEnd; at += time.Duration(rng.ExpFloat64() * float64(meanFaultInterval)) {
-		f := Fault{Kind: FaultKind(rng.IntN(int(faultKindCount))), Begin: at}
+		f := Fault{Kind: randomKind(rng), Begin: at}
 		n, ok := targets[f.Kind]
 		if !ok {
 			n = endpoints
@@ -106,6 +117,18 @@
 	return plan
 }
 
+// stopShare is the share of planned stops among the faults, beyond their share as one
+// of the kinds.
+const stopShare = 0.2
+
+// randomKind returns a kind of fault.
+func randomKind(rng *rand.Rand) FaultKind {
+	if rng.Float64() < stopShare {
+		return StopInstance
+	}
+	return FaultKind(rng.IntN(int(faultKindCount)))
+}
+
 // isInstanceFault reports whether a fault affects a process.
 func isInstanceFault(k FaultKind) bool {
 	return k == KillInstance || k == StopInstance || k == PauseInstance
--- a/hitchsoak/soak.go
+++ b/hitchsoak/soak.go
@@ -8,6 +8,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	hitchstandin "citronhitch.example/citronhitch/platform/standin"
 )
 
 // Defaults of a soak.
@@ -16,7 +18,9 @@
 	endpointCount      = 6
 	organisationCount  = 5
 	callersPerInstance = 2
-	defaultLength      = 25 * time.Second
+	// openCallersPerInstance is the number of callers that keep connections open.
+	openCallersPerInstance = 6
+	defaultLength          = 25 * time.Second
 )
 
 // Soak is one run of the test. Only Program is required.
@@ -92,7 +96,8 @@
 	now := time.Now()
 	c := &checker{
 		start: now, end: now.Add(s.length()), runLog: &f.runLog,
-		plan: NewPlan(s.Seed, s.length(), s.instances(), s.endpoints(), s.organisations()),
+		addrs: f.addrs(),
+		plan:  NewPlan(s.Seed, s.length(), s.instances(), s.endpoints(), s.organisations()),
 	}
 	calls := s.runCallsAndFaults(ctx, f, c)
 	report := newReport(c, calls)
@@ -110,16 +115,19 @@
 	defer cancel()
 	var mu sync.Mutex
 	var calls []call
+	record := func(done call) {
+		mu.Lock()
+		defer mu.Unlock()
+		calls = append(calls, done)
+	}
 	var wg sync.WaitGroup
 	for n := range callersPerInstance * s.instances() {
-		wg.Go(func() {
-			x := &caller{seed: s.Seed<<16 + uint64(n), fleet: f}
-			x.run(callCtx, func(done call) {
-				mu.Lock()
-				defer mu.Unlock()
-				calls = append(calls, done)
-			})
-		})
+		x := &caller{seed: s.Seed<<16 + uint64(n), fleet: f}
+		wg.Go(func() { x.run(callCtx, record) })
+	}
+	for n := range openCallersPerInstance * s.instances() {
+		x := &openCaller{caller: caller{seed: s.Seed<<16 + openCallerSeed + uint64(n), fleet: f}, isSlow: n%openCallersPerInstance == 0}
+		wg.Go(func() { x.run(callCtx, record) })
 	}
 	for _, fault := range c.plan {
 		wg.Go(func() { f.runFault(callCtx, c.start, fault) })
@@ -128,6 +136,10 @@
 	return calls
 }
 
+// openCallerSeed separates the seeds of callers that keep connections open from those of
+// the others.
+const openCallerSeed = 1 << 12
+
 // newReport checks all calls and returns the report.
 func newReport(c *checker, calls []call) Report {
 	r := Report{Faults: c.plan, Calls: len(calls)}
@@ -202,19 +214,39 @@
 	case RevokeKey:
 		f.setKeyRevoked(n, true)
 		return func() { f.setKeyRevoked(n, false) }
+	case HangStreams:
+		f.endpoints[n].SetHangStreams(true)
+		return func() { f.endpoints[n].SetHangStreams(false) }
+	case ThrottleInstance:
+		return f.instances[n].throttle()
+	case ReloadInstance:
+		f.instances[n].signal(syscall.SIGHUP)
+	case StopAgain:
+		f.instances[n].signalIfStopping(syscall.SIGTERM)
 	}
 	return func() {}
 }
 
 // terminate sends a process a signal that ends it, and returns the function that
-// starts it again.
+// starts it again. A process that still runs after the grace period would be killed.
 func (f *fleet) terminate(n int, sig syscall.Signal) func() {
 	i := f.instances[n]
+	begin := time.Now()
+	i.setStopping(true)
 	i.signal(sig)
+	ended := make(chan error, 1)
+	go func() {
+		err := i.wait()
+		if took := time.Since(begin); err == nil && took > hitchstandin.GracePeriod {
+			err = fmt.Errorf("%s after the signal", took)
+		}
+		ended <- err
+	}()
 	return func() {
-		if err := i.wait(); err != nil {
+		if err := <-ended; err != nil {
 			f.addProcessFailure(fmt.Sprintf("%s ended: %v", i.name, err))
 		}
+		i.setStopping(false)
 		if err := i.start(); err != nil {
 			f.addProcessFailure(fmt.Sprintf("%s failed to start: %v", i.name, err))
 		}
