hitchserver: a shutdown drops no request that was read

What callers saw: a request sent on an open connection after the shutdown had closed the listener ended with a closed connection and no answer, although the process had read it whole. The shutdown itself waited for up to 6 s, until its deadline, for a connection on which nothing had been sent ("deadline exceeded" beside InFlight=0).

Cause: http.Server.Shutdown. It leaves connections in StateNew open for 5 s, and the server checks for a shutdown after it has read a request, and then returns without an answer (net/http, conn.serve). It also closes idle connections from another goroutine than the one that reads them.

Change: Shutdown is hitchserver's own. The listener is closed; a connection without a request gets a read deadline that has passed, so that the goroutine that reads is the one that closes it: either its read returned bytes, then the request is served and the connection closed after the response, or it returned none. No third case is left. Shutdown ends once all connections are closed.

Ruled out: closing from outside with a flag (a read that has returned can't be seen before it is noted); keeping unused connections open to the end and refusing what arrives (callers that see the close go elsewhere without losing a retry).

--- a/hitchserver/conn.go
+++ b/hitchserver/conn.go
@@ -3,16 +3,25 @@
 import (
 	"net"
 	"sync"
+	"time"
 )
 
-// conn is a caller's connection that knows its phase.
+// conn is a caller's connection that knows its phase. Once it is stopping, it reads no
+// further request: the read of a connection without a request fails, and the goroutine
+// that reads closes it. A read that returned bytes before that isn't affected, so that
+// no request is dropped that was read.
 type conn struct {
 	net.Conn
 
-	mu    sync.Mutex
-	phase Phase
+	mu           sync.Mutex
+	phase        Phase
+	isStopping   bool
+	readDeadline time.Time
 }
 
+// longAgo is a deadline that has always passed.
+var longAgo = time.Unix(1, 0)
+
 // Read reads bytes. The first ones after a response begin the next request.
 func (c *conn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
@@ -22,6 +31,55 @@
 	return n, err
 }
 
+// beginRequest notes that a part of a request has been read. The rest of it may be read
+// even if the connection is stopping.
+func (c *conn) beginRequest() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.hasRequest() {
+		return
+	}
+	c.phase = PhaseReading
+	_ = c.applyReadDeadline()
+}
+
+// hasRequest reports whether a request without a complete response has been read, in
+// part or whole. It is called with mu held.
+func (c *conn) hasRequest() bool { return c.phase != PhaseNew && c.phase != PhaseIdle }
+
+// stop makes the connection read no further request.
+func (c *conn) stop() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.isStopping = true
+	_ = c.applyReadDeadline()
+}
+
+// SetReadDeadline sets the deadline of reads.
+func (c *conn) SetReadDeadline(deadline time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.readDeadline = deadline
+	return c.applyReadDeadline()
+}
+
+// SetDeadline sets the deadline of reads and writes.
+func (c *conn) SetDeadline(deadline time.Time) error {
+	if err := c.SetWriteDeadline(deadline); err != nil {
+		return err
+	}
+	return c.SetReadDeadline(deadline)
+}
+
+// applyReadDeadline sets the connection's deadline, which has passed if no further
+// request may be read. It is called with mu held.
+func (c *conn) applyReadDeadline() error {
+	if c.isStopping && !c.hasRequest() {
+		return c.Conn.SetReadDeadline(longAgo)
+	}
+	return c.Conn.SetReadDeadline(c.readDeadline)
+}
+
 // CloseWrite closes the sending half, as net/http does before it closes a connection
 // whose request it hasn't read to its end.
 func (c *conn) CloseWrite() error {
@@ -31,19 +89,13 @@
 	return nil
 }
 
-// beginRequest notes that a part of a request has been read.
-func (c *conn) beginRequest() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.phase == PhaseNew || c.phase == PhaseIdle {
-		c.phase = PhaseReading
-	}
-}
-
 func (c *conn) setPhase(p Phase) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.phase = p
+	if c.isStopping && !c.hasRequest() {
+		_ = c.applyReadDeadline()
+	}
 }
 
 func (c *conn) currentPhase() Phase {
--- a/hitchserver/server.go
+++ b/hitchserver/server.go
@@ -1,5 +1,6 @@
-// Package hitchserver serves HTTP to callers and knows the phase of each of their
-// connections.
+// Package hitchserver serves HTTP to callers and shuts down without dropping a request
+// that it has read. The Shutdown of net/http drops those that it reads after it was
+// called, and waits for connections on which nothing was sent.
 //
 //	server := hitchserver.Server{HTTP: http.Server{Handler: handler}}
 //	go server.Serve(listener)
@@ -10,6 +11,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"net/http"
 	"sync"
@@ -24,10 +26,29 @@
 	// PhaseHandling: a request was read, in part or whole, and has no response.
 	ClosedEarly func(addr net.Addr, phase Phase)
 
-	mu    sync.Mutex
-	conns map[*conn]struct{}
+	mu         sync.Mutex
+	listener   net.Listener
+	conns      map[*conn]struct{}
+	isStopping bool
+	// drained is closed once the server is stopping and has no connections.
+	drained chan struct{}
 }
 
+// ShutdownError is returned if a shutdown ends before all requests have responses.
+type ShutdownError struct {
+	// Conns are the connections that are still open.
+	Conns ConnCounts
+	Err   error
+}
+
+// Error returns the connections and the cause.
+func (e *ShutdownError) Error() string {
+	return fmt.Sprintf("shutdown: connections %s: %v", e.Conns, e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *ShutdownError) Unwrap() error { return e.Err }
+
 // connKey is the key of a request's connection in its context.
 type connKey struct{}
 
@@ -35,19 +56,40 @@
 // nil.
 func (s *Server) Serve(l net.Listener) error {
 	handler := s.HTTP.Handler
-	s.HTTP.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { serveRequest(handler, w, r) })
+	s.HTTP.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { s.serveRequest(handler, w, r) })
 	s.HTTP.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
 		return context.WithValue(ctx, connKey{}, c)
 	}
 	s.HTTP.ConnState = s.observeState
-	if err := s.HTTP.Serve(&listener{Listener: l, accepted: s.add}); !errors.Is(err, http.ErrServerClosed) {
-		return err
+	if s.setListener(l) {
+		return l.Close()
+	}
+	err := s.HTTP.Serve(&listener{Listener: l, accepted: s.add})
+	if errors.Is(err, http.ErrServerClosed) || s.hasStopped() {
+		return nil
 	}
-	return nil
+	return err
+}
+
+// setListener stores the listener, and reports whether the server is already stopping.
+func (s *Server) setListener(l net.Listener) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.listener = l
+	return s.isStopping
+}
+
+func (s *Server) hasStopped() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.isStopping
 }
 
 // serveRequest runs the handler of a request and records the phases of its connection.
-func serveRequest(handler http.Handler, w http.ResponseWriter, r *http.Request) {
+func (s *Server) serveRequest(handler http.Handler, w http.ResponseWriter, r *http.Request) {
+	if s.hasStopped() {
+		w.Header().Set("Connection", "close")
+	}
 	c, ok := r.Context().Value(connKey{}).(*conn)
 	if !ok {
 		handler.ServeHTTP(w, r)
@@ -82,6 +124,9 @@
 		s.conns = make(map[*conn]struct{})
 	}
 	s.conns[c] = struct{}{}
+	if s.isStopping {
+		c.stop()
+	}
 }
 
 // observeState follows the states of a connection that net/http reports.
@@ -102,6 +147,7 @@
 func (s *Server) remove(c *conn) {
 	s.mu.Lock()
 	delete(s.conns, c)
+	s.closeIfDrained()
 	s.mu.Unlock()
 	phase := c.currentPhase()
 	if s.ClosedEarly != nil && (phase == PhaseReading || phase == PhaseHandling) {
@@ -119,9 +165,54 @@
 	return counts
 }
 
-// Shutdown stops accepting connections and waits until the requests in flight have
-// their responses or ctx ends.
-func (s *Server) Shutdown(ctx context.Context) error { return s.HTTP.Shutdown(ctx) }
+// Shutdown stops accepting connections, closes those without a request, and waits until
+// each request of which a part has been read has its response. Responses close their
+// connections. If ctx ends first, it returns a *ShutdownError, and the connections stay
+// open until Close.
+func (s *Server) Shutdown(ctx context.Context) error {
+	drained, err := s.stop()
+	if err != nil {
+		return err
+	}
+	select {
+	case <-drained:
+		return nil
+	case <-ctx.Done():
+		return &ShutdownError{Conns: s.Conns(), Err: ctx.Err()}
+	}
+}
+
+// stop closes the listener and makes all connections read no further request. It returns
+// a channel that is closed once all connections are closed.
+func (s *Server) stop() (drained <-chan struct{}, err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.drained == nil {
+		s.drained = make(chan struct{})
+	}
+	if !s.isStopping && s.listener != nil {
+		err = s.listener.Close()
+	}
+	s.isStopping = true
+	for c := range s.conns {
+		c.stop()
+	}
+	s.closeIfDrained()
+	return s.drained, err
+}
+
+// closeIfDrained closes drained if the server is stopping and has no connections. It is
+// called with mu held.
+func (s *Server) closeIfDrained() {
+	if !s.isStopping || len(s.conns) > 0 || s.drained == nil {
+		return
+	}
+	select {
+	case <-s.drained:
+	default:
+		close(s.drained)
+	}
+}
 
-// Close closes all connections at once.
+// Close closes the listener and all connections at once.
 func (s *Server) Close() error { return s.HTTP.Close() }
