--- a/hitchingress/gateway.go
+++ b/hitchingress/gateway.go
@@ -128,6 +128,10 @@
 // next response on each. Requests that still arrive are served.
 func (g *Gateway) StartDraining() { g.draining.Store(true) }
 
+// EndRequests ends the requests in flight, and each that still arrives, with a final
+// response: a refusal, or an aborted connection if a stream has begun.
+func (g *Gateway) EndRequests() { g.inFlight.end() }
+
 // IsReady reports whether the gateway has a configuration and isn't draining.
 func (g *Gateway) IsReady() bool {
 	return !g.draining.Load() && g.View().Table != nil
--- a/hitchingress/inflight.go
+++ b/hitchingress/inflight.go
@@ -1,6 +1,8 @@
 package hitchingress
 
 import (
+	"context"
+	"errors"
 	"slices"
 	"sync"
 	"time"
@@ -12,20 +14,39 @@
 	ReceivedAt time.Time
 }
 
+// errEnded is the cause of the end of a request that the instance's shutdown ended.
+var errEnded = errors.New("the instance is shutting down")
+
 // inFlightRequests holds the requests without a final response. The zero value is
 // empty. Its methods are safe for concurrent use.
 type inFlightRequests struct {
 	mu       sync.Mutex
-	requests map[*proxyRequest]struct{}
+	requests map[*proxyRequest]context.CancelCauseFunc
+	hasEnded bool
 }
 
-func (f *inFlightRequests) add(req *proxyRequest) {
+// add adds a request with the function that cancels it. A request that is added after
+// end is canceled at once.
+func (f *inFlightRequests) add(req *proxyRequest, cancel context.CancelCauseFunc) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.requests == nil {
-		f.requests = make(map[*proxyRequest]struct{})
+		f.requests = make(map[*proxyRequest]context.CancelCauseFunc)
+	}
+	f.requests[req] = cancel
+	if f.hasEnded {
+		cancel(errEnded)
+	}
+}
+
+// end cancels all requests.
+func (f *inFlightRequests) end() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.hasEnded = true
+	for _, cancel := range f.requests {
+		cancel(errEnded)
 	}
-	f.requests[req] = struct{}{}
 }
 
 func (f *inFlightRequests) remove(req *proxyRequest) {
--- a/hitchingress/prepare.go
+++ b/hitchingress/prepare.go
@@ -27,8 +27,11 @@
 
 // prepare finds the request's route, organisation and service, reads its body and
 // initializes its state. It returns a refusal if one of these steps fails.
-func (g *Gateway) prepare(req *proxyRequest) *hitchoutcome.Refusal {
-	view := g.awaitView(req.original.Context())
+func (g *Gateway) prepare(ctx context.Context, req *proxyRequest) *hitchoutcome.Refusal {
+	view := g.awaitView(ctx)
+	if isEnded(ctx) {
+		return endedRefusal()
+	}
 	if view.Table == nil {
 		return hitchoutcome.RefuseNotRun(hitchoutcome.ReasonStale, g.returnTime(time.Now()), "no configuration is known yet")
 	}
@@ -58,6 +61,15 @@
 	return nil
 }
 
+// isEnded reports whether the instance's shutdown ended a request.
+func isEnded(ctx context.Context) bool { return errors.Is(context.Cause(ctx), errEnded) }
+
+// endedRefusal returns the refusal of a request that the instance's shutdown ended before
+// anything was sent. Another instance can serve it at once.
+func endedRefusal() *hitchoutcome.Refusal {
+	return hitchoutcome.RefuseNotRun(hitchoutcome.ReasonLeaving, time.Now(), "%v", errEnded)
+}
+
 // awaitView returns the view of the fleet. While the instance starts, it waits for the
 // first one: a caller that is refused has to return and uses up one of its few retries.
 func (g *Gateway) awaitView(ctx context.Context) hitchview.View {
--- a/hitchingress/run.go
+++ b/hitchingress/run.go
@@ -121,6 +121,8 @@
 		req.abortStream("stream ended before it was complete")
 	case decision == hitchretry.PassOn:
 		g.writeResponse(req, result.response)
+	case isEnded(ctx):
+		g.writeRefusal(req, req.dispatchTracker.Refuse(hitchoutcome.ReasonLeaving, time.Now(), "%v", errEnded))
 	case ctx.Err() != nil || !time.Now().Before(req.effectiveDeadline):
 		g.writeRefusal(req, req.dispatchTracker.Refuse(hitchoutcome.ReasonTimeout, jitteredRetryTime(time.Now(), meanRetryAfter), "the request's time is over"))
 	default:
--- a/hitchingress/serve.go
+++ b/hitchingress/serve.go
@@ -1,6 +1,7 @@
 package hitchingress
 
 import (
+	"context"
 	"math/rand/v2"
 	"net/http"
 	"time"
@@ -43,14 +44,16 @@
 	}
 	now := time.Now()
 	req := &proxyRequest{Request: g.Protocol.DecodeRequest(r, now), writer: w, original: r, receivedAt: now}
-	g.inFlight.add(req)
+	ctx, cancel := context.WithCancelCause(r.Context())
+	defer cancel(nil)
+	g.inFlight.add(req, cancel)
 	defer g.inFlight.remove(req)
 	defer g.logFinished(req)
-	if refusal := g.prepare(req); refusal != nil {
+	if refusal := g.prepare(ctx, req); refusal != nil {
 		g.writeRefusal(req, refusal)
 		return
 	}
-	g.runAttempts(r.Context(), req)
+	g.runAttempts(ctx, req)
 	if req.stream.isAborted {
 		panic(http.ErrAbortHandler)
 	}
