hitchapi: stop by hitchserver's shutdown

Change: hitchserver.Server, over the TLS listener. The handshake then takes place with the first read, within the timeout for the header.

Measured: TestUnusedConnectionDoesNotDelayStop failed (2 s, deadline exceeded) and passes; the packages' other tests pass as they are.

--- a/hitchapi/server.go
+++ b/hitchapi/server.go
@@ -3,13 +3,14 @@
 import (
 	"context"
 	"crypto/tls"
-	"errors"
 	"net"
 	"net/http"
 	"sync"
 	"time"
 
 	"golang.org/x/net/netutil"
+
+	"citronhitch.example/citronhitch/hitchserver"
 )
 
 // Limits for callers' connections.
@@ -33,7 +34,7 @@
 
 	mu       sync.Mutex
 	listener net.Listener
-	server   *http.Server
+	server   *hitchserver.Server
 }
 
 // Listen opens the listening socket, so that an unusable address is reported
@@ -57,12 +58,12 @@
 			NextProtos:     []string{"http/1.1"},
 		})
 	}
-	s.server = &http.Server{
+	s.server = &hitchserver.Server{HTTP: http.Server{
 		Handler:           s.Handler,
 		ReadHeaderTimeout: headerReadTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    DefaultMaxHeaderBytes,
-	}
+	}}
 	return nil
 }
 
@@ -74,19 +75,11 @@
 }
 
 // Serve serves requests until Stop or Kill, and then returns nil.
-func (s *Server) Serve() error {
-	err := s.server.Serve(s.listener)
-	if errors.Is(err, http.ErrServerClosed) {
-		return nil
-	}
-	return err
-}
+func (s *Server) Serve() error { return s.server.Serve(s.listener) }
 
-// Stop shuts the server down gracefully: it waits until the requests in progress
-// have completed or ctx is done.
-func (s *Server) Stop(ctx context.Context) error {
-	return s.server.Shutdown(ctx)
-}
+// Stop shuts the server down gracefully: it waits until each request that was read has
+// its response or ctx is done.
+func (s *Server) Stop(ctx context.Context) error { return s.server.Shutdown(ctx) }
 
 // Kill closes all connections immediately, as in a crash.
 func (s *Server) Kill() error {
--- a/hitchapi/server_test.go
+++ b/hitchapi/server_test.go
@@ -5,8 +5,11 @@
 	"crypto/tls"
 	"crypto/x509"
 	"errors"
+	"net"
+	"net/http"
 	"net/http/httptest"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
@@ -48,3 +51,23 @@
 	qt.Assert(t, server.Stop(context.Background()), qt.IsNil)
 	qt.Assert(t, <-serveResult, qt.IsNil)
 }
+
+// TestUnusedConnectionDoesNotDelayStop covers a caller that opened a connection and has
+// sent nothing on it while the server stops.
+func TestUnusedConnectionDoesNotDelayStop(t *testing.T) {
+	server := &Server{Addr: "127.0.0.1:0", Handler: newTestHandler(t)}
+	qt.Assert(t, server.Listen(), qt.IsNil)
+	served := make(chan error, 1)
+	go func() { served <- server.Serve() }()
+	c, err := net.Dial("tcp", server.ListenAddr())
+	qt.Assert(t, err, qt.IsNil)
+	defer func() { _ = c.Close() }()
+	// A response on another connection shows that the first one was accepted, too.
+	res, err := http.Get("http://" + server.ListenAddr() + "/")
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, res.Body.Close(), qt.IsNil)
+	ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+	defer cancel()
+	qt.Assert(t, server.Stop(ctx), qt.IsNil)
+	qt.Assert(t, <-served, qt.IsNil)
+}
