hitchedge: directory, readiness and views answer what they have read at a stop

The same class as the callers' requests: the internal servers were closed by http.Server.Close when the instance ended, which cuts responses in flight. A caller that asked the directory in that moment lost its request (a caller asks at most three instances).

Change: they are shut down like the callers' server, for at most 0.1 s, and the process waits for it.

Measured: TestDirectoryRequestInFlightIsAnsweredAtStop failed (EOF) and passes.

--- a/hitchedge/edge_test.go
+++ b/hitchedge/edge_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -11,6 +12,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -312,3 +314,31 @@
 	qt.Assert(t, err, qt.Not(qt.IsNil))
 	qt.Assert(t, errors.Is(err, http.ErrServerClosed), qt.IsFalse)
 }
+
+// TestDirectoryRequestInFlightIsAnsweredAtStop covers a caller that asks for addresses
+// while the instance ends.
+func TestDirectoryRequestInFlightIsAnsweredAtStop(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	addr := l.Addr().String()
+	qt.Assert(t, l.Close(), qt.IsNil)
+	ctx, stop := context.WithCancel(t.Context())
+	handler := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		stop()
+		time.Sleep(internalShutdownTime / 10)
+		w.WriteHeader(http.StatusNoContent)
+	})
+	served := make(chan error, 1)
+	go func() { served <- serveUntil(ctx, addr, handler) }()
+	for {
+		res, err := http.Get("http://" + addr)
+		if errors.Is(err, syscall.ECONNREFUSED) && ctx.Err() == nil {
+			continue // not listening yet
+		}
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, res.Body.Close(), qt.IsNil)
+		qt.Assert(t, res.StatusCode, qt.Equals, http.StatusNoContent)
+		break
+	}
+	qt.Assert(t, <-served, qt.IsNil)
+}
--- a/hitchedge/server.go
+++ b/hitchedge/server.go
@@ -26,6 +26,8 @@
 	// endMargin is the part of shutdownMargin in which the responses of requests that the
 	// deadline ended are written.
 	endMargin = 200 * time.Millisecond
+	// internalShutdownTime is how long the internal servers wait for their requests.
+	internalShutdownTime = 100 * time.Millisecond
 )
 
 func (e *Edge) newCallerServer() *hitchserver.Server {
@@ -56,13 +58,22 @@
 	return server.Serve(l)
 }
 
-// serveUntil serves an internal HTTP handler, such as readiness or the directory,
-// until ctx ends.
+// serveUntil serves an internal HTTP handler, such as readiness or the directory, until
+// ctx ends and the requests in flight have their responses.
 func serveUntil(ctx context.Context, addr string, handler http.Handler) error {
 	server := &hitchserver.Server{HTTP: http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout}}
-	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
-	defer stop()
-	return listenAndServe(server, addr)
+	stopped := make(chan struct{})
+	cancelStop := context.AfterFunc(ctx, func() {
+		defer close(stopped)
+		if shutDownUntil(server, time.Now().Add(internalShutdownTime)) != nil {
+			_ = server.Close()
+		}
+	})
+	err := listenAndServe(server, addr)
+	if !cancelStop() {
+		<-stopped
+	}
+	return err
 }
 
 // shutDown shuts the instance down gracefully: it removes itself from its directory
