hitchedge: callers are accepted for 2.5 s after SIGTERM

What callers saw: of the streams that a stop cut at its deadline, those that had begun last lost most. A connection was accepted for 3 s, and a stream that began then had 4.5 s left.

Cause: the delay wasn't derived from what it is for. A directory response is valid for 2 s; a caller that uses one for longer (some use it for 6 s) meets a closed port in either case and takes another address.

Change: the delay is the validity of a response and 0.5 s to connect. Requests in flight then have at least 5 s, and none is accepted later than 3 s after the signal when the process gets little processor time.

--- a/hitchedge/server.go
+++ b/hitchedge/server.go
@@ -19,8 +19,8 @@
 // Durations of a graceful shutdown.
 const (
 	// drainDelay is how long callers that cached an old directory response are still
-	// accepted.
-	drainDelay = 3 * time.Second
+	// accepted: until the response has expired, and the time to connect.
+	drainDelay = directoryTTLSeconds*time.Second + 500*time.Millisecond
 	// shutdownMargin is the time between the deadline of requests in flight and SIGKILL.
 	shutdownMargin = 500 * time.Millisecond
 	// endMargin is the part of shutdownMargin in which the responses of requests that the
