hitchedge: callers are accepted for 3 s after SIGTERM again

Cause: a directory response is valid for 2 s, but the directories of other instances name a stopping one for up to a second: they learn of its removal through the hubs, each 0.4 to 0.6 s, later if they get little processor time. 2.5 s didn't count that delay. The constant now names both parts.

--- a/hitchedge/server.go
+++ b/hitchedge/server.go
@@ -18,9 +18,12 @@
 
 // Durations of a graceful shutdown.
 const (
+	// directoryDelay is how long the directories of other instances may still name this
+	// one after it has removed its entry.
+	directoryDelay = time.Second
 	// drainDelay is how long callers that cached an old directory response are still
-	// accepted: until the response has expired, and the time to connect.
-	drainDelay = directoryTTLSeconds*time.Second + 500*time.Millisecond
+	// accepted.
+	drainDelay = directoryDelay + directoryTTLSeconds*time.Second
 	// shutdownMargin is the time between the deadline of requests in flight and SIGKILL.
 	shutdownMargin = 500 * time.Millisecond
 	// endMargin is the part of shutdownMargin in which the responses of requests that the
