Tests: an address at which connections are refused stays reserved

TestRetryWithoutBudget/connection_refused failed under load (six test processes at once, 502 or 503 instead of 200), and so on the code before, too: the port that the test had closed was assigned to the next listener, of this process or another. The test, and the one of hitchforward with the same address, use a socket that is bound and doesn't listen. The checks are the same.

--- a/hitchforward/exchange_test.go
+++ b/hitchforward/exchange_test.go
@@ -13,6 +13,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"citronhitch.example/citronhitch/hitchfake"
 	"citronhitch.example/citronhitch/hitchoutcome"
 )
 
@@ -143,10 +144,9 @@
 }
 
 func TestFailureKindTellsWhetherRequestWasSent(t *testing.T) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	closed, release, err := hitchfake.ReserveAddr()
 	qt.Assert(t, err, qt.IsNil)
-	closed := l.Addr().String()
-	qt.Assert(t, l.Close(), qt.IsNil)
+	defer release()
 	cut := startTestEndpoint(t, func(int64, *http.Request) (string, bool) { return "", false })
 	tests := map[string]struct {
 		addr    string
--- a/hitchingress/gateway_test.go
+++ b/hitchingress/gateway_test.go
@@ -18,6 +18,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"citronhitch.example/citronhitch/hitchbalance"
+	"citronhitch.example/citronhitch/hitchfake"
 	"citronhitch.example/citronhitch/hitchfleet"
 	"citronhitch.example/citronhitch/hitchforward"
 	"citronhitch.example/citronhitch/hitchretry"
@@ -204,14 +205,14 @@
 // TestRetryWithoutBudget covers an instance with few requests, whose budget allows no
 // retry, while endpoints are replaced. An attempt that reached no endpoint needs none.
 func TestRetryWithoutBudget(t *testing.T) {
-	unused, err := net.Listen("tcp", "127.0.0.1:0")
+	refusing, release, err := hitchfake.ReserveAddr()
 	qt.Assert(t, err, qt.IsNil)
-	_ = unused.Close()
+	defer release()
 	tests := map[string]struct {
 		first  *backend
 		status int
 	}{
-		"connection refused": {&backend{addr: unused.Addr().String()}, http.StatusOK},
+		"connection refused": {&backend{addr: refusing}, http.StatusOK},
 		"request refused":    {startBackend(t, notRunResponse), http.StatusServiceUnavailable},
 	}
 	for name, test := range tests {
