hitchingress: a request that may outlast a shutdown is refused when it begins late

What callers saw: a stream that had begun up to 3 s after SIGTERM and was still running at 7.5 s was cut.

Cause: whatever arrived while the instance still accepted connections was served, however long it could take, also from callers with open connections.

Change: from 2.5 s after SIGTERM on a request is accepted only if its deadline is before the end of the shutdown. Bookings and lookups, whose deadlines are short, are still served. The decision is a value (Drain) without a clock.

--- /dev/null
+++ b/hitchedge/shutdown.go
@@ -0,0 +1,68 @@
+package hitchedge
+
+import (
+	"context"
+	"time"
+
+	"citronhitch.example/citronhitch/hitchingress"
+	"citronhitch.example/citronhitch/hitchserver"
+)
+
+// Durations of a graceful shutdown.
+const (
+	// directoryDelay is how long the directories of other instances may still name this
+	// one after it has removed its entry.
+	directoryDelay = time.Second
+	// drainDelay is how long callers that cached an old directory response are still
+	// accepted.
+	drainDelay = directoryDelay + directoryTTLSeconds*time.Second
+	// lateDelay is after how long only requests are accepted that surely end in time. Most
+	// callers have left by then.
+	lateDelay = directoryTTLSeconds*time.Second + 500*time.Millisecond
+	// shutdownMargin is the time between the deadline of requests in flight and SIGKILL.
+	shutdownMargin = 500 * time.Millisecond
+	// endMargin is the part of shutdownMargin in which the responses of requests that the
+	// deadline ended are written.
+	endMargin = 200 * time.Millisecond
+)
+
+// shutDown shuts the instance down gracefully: it removes itself from its directory
+// responses, still accepts callers that cached an old response, and then waits for the
+// requests in flight. Those that are left at the deadline are ended, each with a
+// response.
+func (e *Edge) shutDown(callerServer *hitchserver.Server) {
+	gracePeriod := time.Duration(e.Settings.Bounds.GraceSeconds * float64(time.Second))
+	start := time.Now()
+	deadline := start.Add(gracePeriod - shutdownMargin)
+	e.Log.Info("shutting down", "InFlight", e.gateway.InFlight(), "Conns", callerServer.Conns(), "Until", deadline)
+	e.gateway.StartDraining(hitchingress.Drain{LateFrom: start.Add(lateDelay), End: deadline})
+	time.Sleep(min(drainDelay, time.Until(deadline)))
+	e.Log.Info("accepting no more connections", "InFlight", e.gateway.InFlight(), "Conns", callerServer.Conns())
+	if err := shutDownUntil(callerServer, deadline); err != nil {
+		e.Log.Warn("shutdown deadline exceeded", "InFlight", e.gateway.InFlight(), "Error", err)
+		e.gateway.EndRequests()
+		if err := shutDownUntil(callerServer, deadline.Add(endMargin)); err != nil {
+			e.logCutRequests(err)
+		}
+	}
+	if err := callerServer.Close(); err != nil {
+		e.Log.Warn("failed to close connections", "Error", err)
+	}
+	e.Log.Info("stopped", "InFlight", e.gateway.InFlight())
+}
+
+// shutDownUntil shuts a server down gracefully, or returns an error at the deadline.
+func shutDownUntil(server *hitchserver.Server, deadline time.Time) error {
+	ctx, cancel := context.WithDeadline(context.Background(), deadline)
+	defer cancel()
+	return server.Shutdown(ctx)
+}
+
+// logCutRequests logs the requests whose caller doesn't read the end of the response.
+func (e *Edge) logCutRequests(err error) {
+	now := time.Now()
+	e.Log.Warn("connections left at the end", "Error", err)
+	for _, r := range e.gateway.RequestsInFlight() {
+		e.Log.Warn("request cut off by the shutdown", "ID", r.ID, "Took", now.Sub(r.ReceivedAt))
+	}
+}
--- a/hitchingress/gateway.go
+++ b/hitchingress/gateway.go
@@ -42,7 +42,7 @@
 	StartedAt time.Time
 
 	view     atomic.Pointer[hitchview.View]
-	draining atomic.Bool
+	drain    atomic.Pointer[Drain] // nil unless the instance shuts down
 	inFlight inFlightRequests
 
 	mu            sync.Mutex
@@ -125,8 +125,8 @@
 }
 
 // StartDraining makes IsReady return false, and closes callers' connections after the
-// next response on each. Requests that still arrive are served.
-func (g *Gateway) StartDraining() { g.draining.Store(true) }
+// next response on each. Requests that still arrive are served if drain accepts them.
+func (g *Gateway) StartDraining(drain Drain) { g.drain.Store(&drain) }
 
 // EndRequests ends the requests in flight, and each that still arrives, with a final
 // response: a refusal, or an aborted connection if a stream has begun.
@@ -134,11 +134,11 @@
 
 // IsReady reports whether the gateway has a configuration and isn't draining.
 func (g *Gateway) IsReady() bool {
-	return !g.draining.Load() && g.View().Table != nil
+	return !g.IsDraining() && g.View().Table != nil
 }
 
 // IsDraining reports whether StartDraining was called.
-func (g *Gateway) IsDraining() bool { return g.draining.Load() }
+func (g *Gateway) IsDraining() bool { return g.drain.Load() != nil }
 
 // InFlight returns the number of requests without a final response.
 func (g *Gateway) InFlight() int { return g.inFlight.count() }
--- a/hitchingress/prepare.go
+++ b/hitchingress/prepare.go
@@ -58,7 +58,7 @@
 		return hitchoutcome.RefuseNotRun(hitchoutcome.ReasonNoEndpoint, jitteredRetryTime(time.Now(), meanRetryAfter), "the route has no service")
 	}
 	req.initState()
-	return nil
+	return g.refuseLate(req)
 }
 
 // isEnded reports whether the instance's shutdown ended a request.
--- a/hitchingress/serve.go
+++ b/hitchingress/serve.go
@@ -39,7 +39,7 @@
 
 // ServeHTTP serves one request of a caller.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if g.draining.Load() {
+	if g.IsDraining() {
 		w.Header().Set("Connection", "close")
 	}
 	now := time.Now()
