hitchview, hitchedge: a stopping instance repeats its deregistration, and accepts callers while it is listed

Directories of other instances went on naming the instance until it fell silent, while it accepted callers for 3 s only.

While the entry is still there, callers are accepted, until 3 s after its removal or the deadline. What may outlast the shutdown is refused as not run, as before.

Ruled out: a longer fixed delay (an outage may last for any time; a stop without one would take longer for nothing); to stop reporting to the hubs (they list an instance as silent 1 s later, which isn't in time for responses that are valid for 2 s, and its load would be missing).

Measured: TestShutdownRemovesEntryDespiteLostCalls failed (one call); TestCallersAreAcceptedWhileInstanceIsListed is new.

--- a/hitchedge/edge.go
+++ b/hitchedge/edge.go
@@ -35,13 +35,15 @@
 	Settings hitchplatform.Settings
 	Log      hclog.Logger
 
-	store      hitchplatform.Store
-	balancer   hitchbalance.Balancer
-	conns      hitchforward.ConnPool
-	metrics    hitchingress.Metrics
-	gateway    *hitchingress.Gateway
-	follower   hitchview.Follower
-	peerClient http.Client
+	store    hitchplatform.Store
+	balancer hitchbalance.Balancer
+	conns    hitchforward.ConnPool
+	metrics  hitchingress.Metrics
+	gateway  *hitchingress.Gateway
+	follower hitchview.Follower
+	// registration keeps this instance's entry in the store.
+	registration hitchview.Registration
+	peerClient   http.Client
 	// aggregator adds up the reports of other instances while this instance is a hub.
 	// cacheUpdateRelay holds their cache updates while it is the primary hub.
 	aggregator       hitchdigest.Aggregator
@@ -139,11 +141,11 @@
 	group.Go(func() error { e.runMetrics(runCtx); return nil })
 	group.Go(func() error { e.follower.Run(runCtx); return nil })
 	group.Go(func() error { return e.exchangeDatagrams(runCtx) })
-	registrationCtx, deregister := context.WithCancel(runCtx)
-	defer deregister()
-	stopDeregister := context.AfterFunc(ctx, deregister)
-	defer stopDeregister()
-	group.Go(func() error { e.register(registrationCtx); return nil })
+	leaving, leave := context.WithCancel(runCtx)
+	defer leave()
+	stopLeave := context.AfterFunc(ctx, leave)
+	defer stopLeave()
+	group.Go(func() error { e.register(runCtx, leaving); return nil })
 	group.Go(func() error { e.expireConns(runCtx); return nil })
 	group.Go(func() error {
 		select {
@@ -183,6 +185,7 @@
 	e.follower.WatchesStore = e.watchesStore
 	e.follower.Log = e.Log
 	e.follower.OnChange = e.setView
+	e.initRegistration()
 }
 
 // setView applies a new view of the fleet to the components that use it.
--- a/hitchedge/edge_test.go
+++ b/hitchedge/edge_test.go
@@ -351,3 +351,29 @@
 func TestDrainOutlastsDirectoryResponses(t *testing.T) {
 	qt.Assert(t, drainDelay.Seconds() >= directoryTTLSeconds+directoryDelay.Seconds(), qt.IsTrue)
 }
+
+// TestCallersAreAcceptedWhileInstanceIsListed covers a planned stop whose removal of the
+// entry gets no response from the store at first.
+func TestCallersAreAcceptedWhileInstanceIsListed(t *testing.T) {
+	const tick = 100 * time.Millisecond
+	tests := map[string]struct {
+		removedAfter time.Duration
+		want         time.Duration
+	}{
+		"at once":         {0, drainDelay},
+		"second attempt":  {1200 * time.Millisecond, 1200*time.Millisecond + drainDelay},
+		"store is silent": {time.Hour, 7500 * time.Millisecond},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			start := time.Now()
+			deadline := start.Add(7500 * time.Millisecond)
+			until := acceptUntil(start, start, deadline, true)
+			for now := start; now.Before(until); now = now.Add(tick) {
+				until = acceptUntil(now, until, deadline, now.Sub(start) < test.removedAfter)
+			}
+			got := until.Sub(start)
+			qt.Assert(t, got <= test.want && got > test.want-2*tick, qt.IsTrue, qt.Commentf("%s", got))
+		})
+	}
+}
--- a/hitchedge/registration.go
+++ b/hitchedge/registration.go
@@ -6,18 +6,18 @@
 	"time"
 
 	"citronhitch.example/citronhitch/hitchfleet"
-	"citronhitch.example/citronhitch/hitchview"
 	hitchplatform "citronhitch.example/citronhitch/platform"
 )
 
 // register keeps the instance's entry in the store from the first configuration until
-// ctx ends.
-func (e *Edge) register(ctx context.Context) {
-	registration := hitchview.Registration{
-		Self: e.Settings.Self, View: e.follower.View, Changed: e.viewChanged,
-		Put: e.store.PutInstance, Remove: e.store.RemoveInstance, Log: e.Log,
-	}
-	registration.Run(ctx)
+// leaving is done, and then removes it, at the latest when ctx ends.
+func (e *Edge) register(ctx, leaving context.Context) { e.registration.Run(ctx, leaving) }
+
+// initRegistration sets the functions of the registration.
+func (e *Edge) initRegistration() {
+	r := &e.registration
+	r.Self, r.View, r.Changed = e.Settings.Self, e.follower.View, e.viewChanged
+	r.Put, r.Remove, r.Log = e.store.PutInstance, e.store.RemoveInstance, e.Log
 }
 
 // notifyRegistration wakes the registration after a change of the view.
--- a/hitchedge/shutdown.go
+++ b/hitchedge/shutdown.go
@@ -13,8 +13,8 @@
 	// directoryDelay is how long the directories of other instances may still name this
 	// one after it has removed its entry.
 	directoryDelay = time.Second
-	// drainDelay is how long callers that cached an old directory response are still
-	// accepted.
+	// drainDelay is how long after the removal of the entry callers that cached an old
+	// directory response are still accepted.
 	drainDelay = directoryDelay + directoryTTLSeconds*time.Second
 	// lateDelay is after how long only requests are accepted that surely end in time. Most
 	// callers have left by then.
@@ -24,6 +24,9 @@
 	// endMargin is the part of shutdownMargin in which the responses of requests that the
 	// deadline ended are written.
 	endMargin = 200 * time.Millisecond
+	// leaveCheckInterval is how often a shutdown checks whether the instance's entry is
+	// gone.
+	leaveCheckInterval = 100 * time.Millisecond
 )
 
 // shutDown shuts the instance down gracefully: it removes itself from its directory
@@ -36,7 +39,7 @@
 	deadline := start.Add(gracePeriod - shutdownMargin)
 	e.Log.Info("shutting down", "InFlight", e.gateway.InFlight(), "Conns", callerServer.Conns(), "Until", deadline)
 	e.gateway.StartDraining(hitchingress.Drain{LateFrom: start.Add(lateDelay), End: deadline})
-	time.Sleep(min(drainDelay, time.Until(deadline)))
+	e.acceptLateCallers(start, deadline)
 	e.Log.Info("accepting no more connections", "InFlight", e.gateway.InFlight(), "Conns", callerServer.Conns())
 	if err := shutDownUntil(callerServer, deadline); err != nil {
 		e.Log.Warn("shutdown deadline exceeded", "InFlight", e.gateway.InFlight(), "Error", err)
@@ -51,6 +54,29 @@
 	e.Log.Info("stopped", "InFlight", e.gateway.InFlight())
 }
 
+// acceptLateCallers waits until callers have left.
+func (e *Edge) acceptLateCallers(start, deadline time.Time) {
+	until := acceptUntil(start, start, deadline, true)
+	for now := start; now.Before(until); now = time.Now() {
+		time.Sleep(min(leaveCheckInterval, until.Sub(now)))
+		until = acceptUntil(time.Now(), until, deadline, !e.registration.HasLeft())
+	}
+}
+
+// acceptUntil returns until when callers are accepted, given until when they were so far:
+// while other instances' directories may name this one, and for drainDelay after that.
+//
+// Load pattern: planned stops during an outage of the store, which keeps the entry.
+func acceptUntil(now, until, deadline time.Time, isListed bool) time.Time {
+	if !isListed {
+		return until
+	}
+	if next := now.Add(drainDelay); next.Before(deadline) {
+		return next
+	}
+	return deadline
+}
+
 // shutDownUntil shuts a server down gracefully, or returns an error at the deadline.
 func shutDownUntil(server *hitchserver.Server, deadline time.Time) error {
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
--- a/hitchview/registration.go
+++ b/hitchview/registration.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -15,7 +16,7 @@
 	// minRegisterDelay and maxRegisterDelay bound the backoff after a failed call.
 	minRegisterDelay = 200 * time.Millisecond
 	maxRegisterDelay = 2 * time.Second
-	// deregisterTimeout bounds the call that removes the entry at shutdown.
+	// deregisterTimeout bounds each call that removes the entry at shutdown.
 	deregisterTimeout = time.Second
 )
 
@@ -38,23 +39,23 @@
 	// writtenRevision is the store revision of the last write; an older view can't
 	// show it.
 	writtenRevision int64
+	hasLeft         atomic.Bool
 }
 
-// Run keeps the entry in the store until the context is canceled, and then removes
-// it.
-func (r *Registration) Run(ctx context.Context) {
+// Run keeps the entry in the store until leaving is done, and then removes it. Calls
+// that fail are repeated until ctx ends.
+func (r *Registration) Run(ctx, leaving context.Context) {
 	delay := minRegisterDelay
-	for ctx.Err() == nil {
+	for leaving.Err() == nil {
 		if !r.needsWrite() {
 			delay = minRegisterDelay
-			r.waitForChange(ctx)
+			r.waitForChange(leaving)
 			continue
 		}
-		revision, err := r.Put(ctx, r.Self)
+		revision, err := r.Put(leaving, r.Self)
 		if err != nil {
 			r.log().Warn("registration failed", "Error", err)
-			sleep(ctx, delay/2+rand.N(delay))
-			delay = min(2*delay, maxRegisterDelay)
+			delay = backOff(leaving, delay)
 			continue
 		}
 		r.writtenRevision = revision
@@ -63,6 +64,15 @@
 	r.deregister(ctx)
 }
 
+// HasLeft reports whether the entry was removed, or was never written.
+func (r *Registration) HasLeft() bool { return r.hasLeft.Load() }
+
+// backOff waits for about delay, or until ctx ends, and returns the next delay.
+func backOff(ctx context.Context, delay time.Duration) time.Duration {
+	sleep(ctx, delay/2+rand.N(delay))
+	return min(2*delay, maxRegisterDelay)
+}
+
 // needsWrite reports whether the view shows that the entry is missing or outdated.
 func (r *Registration) needsWrite() bool {
 	v := r.View()
@@ -80,18 +90,32 @@
 	}
 }
 
-// deregister removes the entry, if the store may have one.
+// deregister removes the entry, if the store may have one. It repeats calls that fail
+// until ctx ends: directories name this instance until its entry is gone.
 func (r *Registration) deregister(ctx context.Context) {
 	if _, _, ok := r.View().RegisteredInstance(r.Self.ID); !ok && r.writtenRevision == 0 {
+		r.hasLeft.Store(true)
 		return
 	}
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), deregisterTimeout)
-	defer cancel()
-	if err := r.Remove(ctx, r.Self.ID); err != nil {
+	delay := minRegisterDelay
+	for ctx.Err() == nil {
+		err := r.remove(ctx)
+		if err == nil {
+			r.hasLeft.Store(true)
+			r.log().Info("deregistered")
+			return
+		}
 		r.log().Warn("deregistration failed", "Error", err)
+		delay = backOff(ctx, delay)
 	}
 }
 
+func (r *Registration) remove(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, deregisterTimeout)
+	defer cancel()
+	return r.Remove(ctx, r.Self.ID)
+}
+
 // sleep waits for d or until the context is canceled.
 func sleep(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
--- a/hitchview/registration_test.go
+++ b/hitchview/registration_test.go
@@ -20,7 +20,9 @@
 	changed       chan struct{}
 	puts, removes atomic.Int64
 	isDown        atomic.Bool
-	revision      atomic.Int64
+	// lostRemoves is the number of removals that get no response from now on.
+	lostRemoves atomic.Int64
+	revision    atomic.Int64
 }
 
 var registered = hitchfleet.Instance{ID: "self", Addr: "10.0.0.1:80"}
@@ -39,12 +41,19 @@
 				}
 				return h.revision.Add(1), nil
 			},
-			Remove: func(context.Context, hitchfleet.InstanceID) error { h.removes.Add(1); return nil },
+			Remove: func(ctx context.Context, _ hitchfleet.InstanceID) error {
+				h.removes.Add(1)
+				if h.lostRemoves.Add(-1) < 0 {
+					return nil
+				}
+				<-ctx.Done()
+				return ctx.Err()
+			},
 		}
-		ctx, cancel := context.WithCancel(t.Context())
+		leaving, leave := context.WithCancel(t.Context())
 		done := make(chan struct{})
-		go func() { defer close(done); r.Run(ctx) }()
-		defer func() { cancel(); <-done }()
+		go func() { defer close(done); r.Run(t.Context(), leaving) }()
+		defer func() { leave(); <-done }()
 		body(h)
 	})
 }
@@ -143,3 +152,36 @@
 	runRegistration(t, func(running *registrationHarness) { h = running })
 	qt.Assert(t, h.removes.Load(), qt.Equals, int64(0))
 }
+
+// TestShutdownRemovesEntryDespiteLostCalls covers a connection to the store that has gone
+// silent when the instance stops: directories name the instance until its entry is
+// removed.
+func TestShutdownRemovesEntryDespiteLostCalls(t *testing.T) {
+	var h *registrationHarness
+	runRegistration(t, func(running *registrationHarness) {
+		h = running
+		h.setView(firstTable)
+		h.lostRemoves.Store(2)
+	})
+	qt.Assert(t, h.removes.Load(), qt.Equals, int64(3))
+}
+
+// TestShutdownDoesNotWaitForTheStore covers an outage of the store that outlasts the
+// process.
+func TestShutdownDoesNotWaitForTheStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		end, stop := context.WithCancel(t.Context())
+		view := View{}.Apply(Batch{Revision: 9, Messages: []Msg{firstTable, InstanceMsg{9, registered}}})
+		r := &Registration{
+			Self: registered, View: func() View { return view },
+			Remove: func(ctx context.Context, _ hitchfleet.InstanceID) error { <-ctx.Done(); return ctx.Err() },
+		}
+		leaving, leave := context.WithCancel(end)
+		leave()
+		time.AfterFunc(7*time.Second, stop)
+		start := time.Now()
+		r.Run(end, leaving)
+		qt.Assert(t, time.Since(start), qt.Equals, 7*time.Second)
+		qt.Assert(t, r.HasLeft(), qt.IsFalse)
+	})
+}
