hitchsoak: a call may not fail beside harmless faults or none

The soak checked calls only while a stop took effect. A reload, revoked keys, removed endpoints, shed requests, compaction, throttling, or no fault at all must not make a call fail either: guarantee Undisturbed. The check for stops is as before.

--- a/cmd/citronhitch/soak.go
+++ b/cmd/citronhitch/soak.go
@@ -40,7 +40,7 @@
 				Length: time.Duration(*length) * time.Second, LogDir: *logs,
 			}
 			report, err := s.Run(ctx)
-			if err != nil {
+			if err = errors.Join(err, ctx.Err()); err != nil {
 				return err
 			}
 			p.printSoakReport(report)
--- a/hitchsoak/check.go
+++ b/hitchsoak/check.go
@@ -65,8 +65,12 @@
 	if x.Mismatch != "" {
 		add("OwnWholeAnswer", "%s", x.Mismatch)
 	}
-	if x.Err != nil && c.hasOnlyPlannedStops(x) {
-		add("PlannedStop", "%s at %s, %s after the start: %v", x.Path, x.Instance, x.Begin.Sub(c.start), x.Err)
+	if stops, ok := c.plannedWork(x); ok && x.Err != nil {
+		guarantee := "Undisturbed"
+		if stops > 0 {
+			guarantee = "PlannedStop"
+		}
+		add(guarantee, "%s at %s, %s after the start: %v", x.Path, x.Instance, x.Begin.Sub(c.start), x.Err)
 	}
 	if x.IsDropped && !c.wasKilled(x) {
 		add("Answered", "%s at %s, %s after the start: the request was read and the connection closed without a response", x.Path, x.Instance, x.Begin.Sub(c.start))
@@ -107,11 +111,11 @@
 	return true
 }
 
-// hasOnlyPlannedStops reports whether a planned stop could affect a call, and no other
-// fault that may make it fail. Revoked keys, removed endpoints, shed requests and
-// compaction of the store must not make a call fail.
-func (c *checker) hasOnlyPlannedStops(x call) bool {
-	stops := 0
+// plannedWork returns the number of planned stops that could affect a call, and false if
+// another fault may make it fail. Planned stops, reloads, a small share of processor
+// time, revoked keys, removed endpoints, shed requests and compaction of the store must
+// not make a call fail.
+func (c *checker) plannedWork(x call) (stops int, ok bool) {
 	for _, f := range c.plan {
 		if !c.overlaps(f, x.Begin.Add(-faultSettleTime), x.End) {
 			continue
@@ -121,10 +125,10 @@
 			stops++
 		case RevokeKey, LeaveEndpoint, ShedRequests, CompactStore, ThrottleInstance, ReloadInstance, StopAgain:
 		default:
-			return false
+			return 0, false
 		}
 	}
-	return stops > 0
+	return stops, true
 }
 
 // wasKilled reports whether the instance of a call was killed during the call.
--- a/hitchsoak/soak_test.go
+++ b/hitchsoak/soak_test.go
@@ -80,6 +80,8 @@
 		"interrupted by a planned stop":         {[]Fault{stop}, call{Path: "/booking/x", Begin: timeAt(6), Err: errors.New("EOF")}, 0, "PlannedStop"},
 		"interrupted by a stop and a kill":      {[]Fault{stop, {Kind: KillInstance, Target: 1, Begin: seconds(5), End: seconds(6)}}, call{Path: "/booking/x", Begin: timeAt(6), Err: errors.New("EOF")}, 0, ""},
 		"interrupted by a stop while throttled": {[]Fault{stop, throttle}, call{Path: "/booking/x", Begin: timeAt(6), Err: errors.New("EOF")}, 0, "PlannedStop"},
+		"failed beside a reload":                {[]Fault{{Kind: ReloadInstance, Begin: seconds(5), End: seconds(6)}}, call{Path: "/booking/x", Begin: timeAt(6), Err: errors.New("EOF")}, 0, "Undisturbed"},
+		"failed without a fault":                {nil, call{Path: "/booking/x", Begin: timeAt(6), Err: errors.New("EOF")}, 0, "Undisturbed"},
 		"dropped after it was read":             {nil, dropped, 0, "Answered"},
 		"dropped by a kill":                     {[]Fault{kill}, dropped, 0, ""},
 		"dropped beside a kill of another":      {[]Fault{{Kind: KillInstance, Target: 1, Begin: seconds(5), End: seconds(6)}}, dropped, 0, "Answered"},
