hitchview, platform: a store that comes back from an older copy

The users' store may be away for a moment and come back from a copy some seconds old: what was written since is gone, its revisions are given out again, and its era rises. Views keep the highest revision, so that after such a return they would ignore everything below the old highest one.

Design: a revision is one immutable value of era and number (hitchfleet.Revision), used wherever two states are compared: views, changes, views between instances, datagrams, logs, conditions of writes. Each response of the store tells the era; a watch or a condition of an older era isn't sent, or its answer isn't used.

- entries that it doesn't list are kept for 2.5 s, also zones that are out of service; their writers write them again within about two seconds;
- a configuration older than the one in force isn't applied; the same version written again, or the next one, is;
- an endpoint that was removed before the return comes back only with a newer state (the last 256 removals are kept);
- an answer of the older era that arrives late has no effect;
- an instance writes its entry again as it sees that it is missing, and one that is stopping removes it again if the store has it back.

Nothing of a booking is in the store, so that nothing can run twice for its sake.

The stand-in store keeps copies, comes back from one and tells its era; the soak has the fault RestoreStore.

--- a/hitchdigest/liveness.go
+++ b/hitchdigest/liveness.go
@@ -189,12 +189,12 @@
 // instance is alive, so that its silence starts anew.
 type entryRevision struct {
 	id       hitchfleet.InstanceID
-	revision int64
+	revision hitchfleet.Revision
 }
 
 // Due returns the instances that have been silent long enough. revisionOf returns the
 // store revision that wrote an instance's entry, and false if it has none.
-func (r *Removals) Due(now time.Time, l *Liveness, instances []hitchfleet.Instance, revisionOf func(hitchfleet.InstanceID) (int64, bool)) (due []hitchfleet.InstanceID) {
+func (r *Removals) Due(now time.Time, l *Liveness, instances []hitchfleet.Instance, revisionOf func(hitchfleet.InstanceID) (hitchfleet.Revision, bool)) (due []hitchfleet.InstanceID) {
 	delay := unconfirmedRemovalDelay
 	if l.IsConfirmed(now) {
 		delay = removalDelay
--- a/hitchdigest/message.go
+++ b/hitchdigest/message.go
@@ -76,7 +76,7 @@
 	From hitchfleet.InstanceID
 	Zone hitchfleet.AvailabilityZone
 	// Revision is the newest store revision that the hub knows.
-	Revision int64
+	Revision hitchfleet.Revision
 	// IsStoreReachable reports whether the hub can reach the store.
 	IsStoreReachable bool
 	// ViewAddr is the address from which to read the changes up to Revision.
--- a/hitchedge/peerupdatecache.go
+++ b/hitchedge/peerupdatecache.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"sync"
 
+	"citronhitch.example/citronhitch/hitchfleet"
 	"citronhitch.example/citronhitch/hitchview"
 )
 
@@ -14,19 +15,19 @@
 // to use.
 type peerUpdateCache struct {
 	mu       sync.Mutex
-	revision int64 // revision that the cached updates lead to
+	revision hitchfleet.Revision // revision that the cached updates lead to
 	bodies   map[peerRevisions][]byte
 }
 
 // peerRevisions holds the revisions that the requesting instance already has.
 type peerRevisions struct {
-	revision      int64
-	tableRevision int64
+	revision      hitchfleet.Revision
+	tableRevision hitchfleet.Revision
 }
 
 // get returns the compressed update from the revisions of the requesting instance to
 // the current revision.
-func (c *peerUpdateCache) get(currentRevision, revision, tableRevision int64, newUpdate func(revision, tableRevision int64) hitchview.PeerUpdate) ([]byte, error) {
+func (c *peerUpdateCache) get(currentRevision, revision, tableRevision hitchfleet.Revision, newUpdate func(revision, tableRevision hitchfleet.Revision) hitchview.PeerUpdate) ([]byte, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.bodies == nil || c.revision != currentRevision {
--- a/hitchedge/peerview.go
+++ b/hitchedge/peerview.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"time"
 
+	"citronhitch.example/citronhitch/hitchfleet"
 	"citronhitch.example/citronhitch/hitchview"
 )
 
@@ -39,8 +40,8 @@
 		http.NotFound(w, r)
 		return
 	}
-	revision, _ := strconv.ParseInt(r.URL.Query().Get("Revision"), 10, 64)
-	tableRevision, _ := strconv.ParseInt(r.URL.Query().Get("TableRevision"), 10, 64)
+	revision := revisionParameter(r, "Revision")
+	tableRevision := revisionParameter(r, "TableRevision")
 	if revision == 0 {
 		e.waitForView(r.Context())
 		if !e.follower.IsCurrent() {
@@ -144,3 +145,12 @@
 		IdleConnTimeout: peerIdleTimeout,
 	}}
 }
+
+// revisionParameter returns a revision from the query of a request, and 0 if it has none.
+func revisionParameter(r *http.Request, name string) hitchfleet.Revision {
+	n, err := strconv.ParseInt(r.URL.Query().Get(name), 10, 64)
+	if err != nil {
+		return 0
+	}
+	return hitchfleet.Revision(n)
+}
--- a/hitchedge/registration.go
+++ b/hitchedge/registration.go
@@ -48,7 +48,7 @@
 // dueEntries returns the entries of the region's instances that are due for removal.
 func (e *Edge) dueEntries(now time.Time, r *region) []hitchplatform.InstanceEntry {
 	view := e.gateway.View()
-	revisionOf := func(id hitchfleet.InstanceID) (int64, bool) {
+	revisionOf := func(id hitchfleet.InstanceID) (hitchfleet.Revision, bool) {
 		_, revision, ok := view.RegisteredInstance(id)
 		return revision, ok
 	}
--- a/hitchingress/log.go
+++ b/hitchingress/log.go
@@ -4,13 +4,14 @@
 	"time"
 
 	"citronhitch.example/citronhitch/hitchbalance"
+	"citronhitch.example/citronhitch/hitchfleet"
 	"citronhitch.example/citronhitch/hitchretry"
 )
 
 // logEntry collects the values that are logged when a request has finished.
 type logEntry struct {
 	tableVersion int64 // configuration version
-	viewRevision int64
+	viewRevision hitchfleet.Revision
 	attempts     int
 	lastPick     hitchbalance.Pick
 	firstEventAt time.Time
--- a/hitchsoak/check.go
+++ b/hitchsoak/check.go
@@ -106,6 +106,11 @@
 			if c.overlaps(f, from.Add(-faultSettleTime), to) {
 				return false
 			}
+		case RestoreStore:
+			// What was in force before the store went away stays in force.
+			if c.overlaps(f, from.Add(-faultSettleTime), from.Add(revocationBound)) {
+				return false
+			}
 		}
 	}
 	return true
@@ -123,7 +128,7 @@
 		switch f.Kind {
 		case StopInstance:
 			stops++
-		case RevokeKey, LeaveEndpoint, ShedRequests, CompactStore, ThrottleInstance, ReloadInstance, StopAgain:
+		case RevokeKey, LeaveEndpoint, ShedRequests, CompactStore, ThrottleInstance, ReloadInstance, StopAgain, RestoreStore:
 		default:
 			return 0, false
 		}
--- a/hitchsoak/fleet.go
+++ b/hitchsoak/fleet.go
@@ -30,6 +30,9 @@
 	endpoints []*endpoint
 	keys      []string
 
+	// copies are the store's last copies, the newest at the end.
+	copies []hitchstandin.Copy
+
 	mu              sync.Mutex
 	version         int
 	revoked         map[int]bool
@@ -159,6 +162,7 @@
 			return
 		case <-ticker.C:
 		}
+		f.keepCopy()
 		for _, e := range f.endpoints {
 			e.mu.Lock()
 			if !e.isRemoved {
@@ -174,6 +178,11 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.version++
+	f.putConfig()
+}
+
+// putConfig writes the present version of the configuration. It is called with mu held.
+func (f *fleet) putConfig() {
 	var keys []string
 	for n, key := range f.keys {
 		if !f.revoked[n] {
--- a/hitchsoak/plan.go
+++ b/hitchsoak/plan.go
@@ -52,6 +52,9 @@
 	ReloadInstance
 	// StopAgain sends SIGTERM to a process only if it is already stopping.
 	StopAgain
+	// RestoreStore takes the store away for a while, and brings it back from a copy that is
+	// some seconds old.
+	RestoreStore
 	faultKindCount
 )
 
@@ -60,7 +63,7 @@
 	return [...]string{
 		"KillInstance", "StopInstance", "PauseInstance", "SilenceEndpoint", "PauseEndpoint", "SilenceStore",
 		"PauseStore", "CompactStore", "LoseAnswers", "ShedRequests", "LeaveEndpoint", "RevokeKey",
-		"HangStreams", "ThrottleInstance", "ReloadInstance", "StopAgain",
+		"HangStreams", "ThrottleInstance", "ReloadInstance", "StopAgain", "RestoreStore",
 	}[k]
 }
 
@@ -97,7 +100,7 @@
 	rng := rand.New(rand.NewPCG(seed, 1))
 	targets := map[FaultKind]int{
 		KillInstance: instances, StopInstance: instances, PauseInstance: instances,
-		SilenceStore: instances, PauseStore: instances, CompactStore: 1, RevokeKey: organisations,
+		SilenceStore: instances, PauseStore: instances, CompactStore: 1, RestoreStore: 1, RevokeKey: organisations,
 		ThrottleInstance: instances, ReloadInstance: instances, StopAgain: instances,
 	}
 	var plan []Fault
@@ -139,10 +142,14 @@
 
 // effectEnd returns when the effect of a fault ends.
 func (f Fault) effectEnd() time.Duration {
-	if f.Kind == StopInstance {
+	switch f.Kind {
+	case StopInstance:
 		return f.Begin + maxRestartTime
+	case RestoreStore:
+		return f.End + rewriteDelay + time.Second
+	default:
+		return f.End + time.Second
 	}
-	return f.End + time.Second
 }
 
 // countAffectedInstances returns the number of instances that faults of the plan
--- a/hitchsoak/soak.go
+++ b/hitchsoak/soak.go
@@ -219,6 +219,8 @@
 		return func() { f.endpoints[n].SetHangStreams(false) }
 	case ThrottleInstance:
 		return f.instances[n].throttle()
+	case RestoreStore:
+		return f.takeStoreAway()
 	case ReloadInstance:
 		f.instances[n].signal(syscall.SIGHUP)
 	case StopAgain:
--- a/hitchview/changelog.go
+++ b/hitchview/changelog.go
@@ -1,5 +1,7 @@
 package hitchview
 
+import "citronhitch.example/citronhitch/hitchfleet"
+
 // maxChanges bounds the number of messages in a change log.
 const maxChanges = 512
 
@@ -7,7 +9,7 @@
 // can send them to other instances. The zero value is empty.
 type changeLog struct {
 	// completeAfter is the revision after which the log has every change.
-	completeAfter int64
+	completeAfter hitchfleet.Revision
 	messages      []Msg
 }
 
@@ -26,7 +28,7 @@
 
 // messagesAfter returns the last message about each entry among those after a
 // revision. It returns false if the log no longer has all of them.
-func (l *changeLog) messagesAfter(revision int64) ([]Msg, bool) {
+func (l *changeLog) messagesAfter(revision hitchfleet.Revision) ([]Msg, bool) {
 	if revision < l.completeAfter || l.completeAfter == 0 {
 		return nil, false
 	}
@@ -46,7 +48,7 @@
 }
 
 // revisionOf returns the store revision of a change.
-func revisionOf(msg Msg) int64 {
+func revisionOf(msg Msg) hitchfleet.Revision {
 	switch m := msg.(type) {
 	case TableMsg:
 		return m.Revision
--- a/hitchview/follower.go
+++ b/hitchview/follower.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/hashicorp/go-hclog"
+
+	"citronhitch.example/citronhitch/hitchfleet"
 )
 
 // Delays and timeouts of a follower.
@@ -46,9 +48,9 @@
 	Snapshot func(ctx context.Context) (Batch, error)
 	// Watch waits for changes after a revision. It returns ErrCompacted if a
 	// snapshot is needed instead.
-	Watch func(ctx context.Context, after int64) (Batch, error)
+	Watch func(ctx context.Context, after hitchfleet.Revision) (Batch, error)
 	// Probe returns the store's current revision.
-	Probe func(ctx context.Context) (revision int64, err error)
+	Probe func(ctx context.Context) (revision hitchfleet.Revision, err error)
 	// Pull returns the changes that the instance at addr has and v lacks.
 	Pull func(ctx context.Context, addr string, v View) (Batch, error)
 	// Peers returns the addresses of a few other instances to pull from while
@@ -94,7 +96,7 @@
 
 // PeerUpdate returns the changes that another instance lacks, given the store
 // revision and the table revision of its view.
-func (f *Follower) PeerUpdate(revision, tableRevision int64) PeerUpdate {
+func (f *Follower) PeerUpdate(revision, tableRevision hitchfleet.Revision) PeerUpdate {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	v, now := f.View(), f.now()
@@ -144,7 +146,7 @@
 			retryDelay = min(2*retryDelay, f.retryDelayLimit())
 		default:
 			f.recordSuccess()
-			batch.KeepExpiredUntil = f.storeHealth.keepExpiredUntil(f.now())
+			batch.KeepExpiredUntil = f.keepExpiredUntil(batch)
 			f.apply(batch)
 			needsSnapshot, retryDelay = false, minRetryDelay
 			sleep(ctx, batchDelay)
@@ -152,6 +154,24 @@
 	}
 }
 
+// eraGracePeriod is how long entries are kept that a store which came back from an older
+// copy doesn't list. Their writers write them again within about two seconds.
+const eraGracePeriod = 2500 * time.Millisecond
+
+// keepExpiredUntil returns until when to keep the entries that a batch from the store
+// removes.
+func (f *Follower) keepExpiredUntil(b Batch) time.Time {
+	now, v := f.now(), f.View()
+	until := f.storeHealth.keepExpiredUntil(now)
+	if v.Table != nil && b.Revision.Era() > v.Revision.Era() {
+		f.log().Warn("the store came back from an older copy", "From", v.Revision, "To", b.Revision, "Listed", len(b.Messages), "Endpoints", len(v.endpoints), "Instances", len(v.instances), "KeepFor", eraGracePeriod)
+		if grace := now.Add(eraGracePeriod); grace.After(until) {
+			until = grace
+		}
+	}
+	return until
+}
+
 // retryDelayLimit returns the longest delay after a failed call.
 func (f *Follower) retryDelayLimit() time.Duration {
 	if f.View().Table == nil {
@@ -212,7 +232,7 @@
 
 // checkWatchLag forces a new snapshot if the watch doesn't deliver a revision
 // that a probe has seen.
-func (f *Follower) checkWatchLag(ctx context.Context, revision int64) {
+func (f *Follower) checkWatchLag(ctx context.Context, revision hitchfleet.Revision) {
 	sleep(ctx, maxWatchLag+batchDelay)
 	if f.View().Revision < revision {
 		f.log().Info("watch is behind the store", "Revision", f.View().Revision, "Store", revision)
@@ -267,7 +287,9 @@
 // apply applies a batch to the current view.
 func (f *Follower) apply(b Batch) {
 	f.updateView(func(v View) View {
-		f.changeLog.add(b)
+		if b.Revision.Era() >= v.Revision.Era() {
+			f.changeLog.add(b)
+		}
 		return v.Apply(b)
 	})
 	if next := f.View().NextExpiry(); !next.IsZero() {
--- a/hitchview/hub.go
+++ b/hitchview/hub.go
@@ -5,6 +5,8 @@
 	"errors"
 	"sync"
 	"time"
+
+	"citronhitch.example/citronhitch/hitchfleet"
 )
 
 // errSwitchToHub ends a watch of the store when a hub is available.
@@ -20,7 +22,7 @@
 	heardAt time.Time
 	// addr is the address of the hub with the newest revision.
 	addr     string
-	revision int64
+	revision hitchfleet.Revision
 	statusCh chan struct{}
 }
 
@@ -65,7 +67,7 @@
 
 // newestRevision returns the newest revision that a hub reported and that hub's
 // address.
-func (h *hubState) newestRevision() (addr string, revision int64) {
+func (h *hubState) newestRevision() (addr string, revision hitchfleet.Revision) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	return h.addr, h.revision
@@ -75,7 +77,7 @@
 type HubStatus struct {
 	// Addr is where to read the changes up to Revision.
 	Addr     string
-	Revision int64
+	Revision hitchfleet.Revision
 	// IsStoreReachable reports whether the hub can reach the store.
 	IsStoreReachable bool
 }
--- a/hitchview/peerupdate.go
+++ b/hitchview/peerupdate.go
@@ -10,14 +10,14 @@
 // PeerUpdate is the message that brings another instance's view up to date. Times
 // in it are relative, because the clocks of instances differ.
 type PeerUpdate struct {
-	Revision int64
+	Revision hitchfleet.Revision
 	// IsSnapshot is set if the message lists every entry. Entries that it doesn't
 	// list no longer exist.
 	IsSnapshot bool
 	// KeepLapsedMilliseconds is how long to keep removed entries, because they
 	// may only have expired during an outage of the store.
 	KeepLapsedMilliseconds int64
-	TableRevision          int64
+	TableRevision          hitchfleet.Revision
 	// Config is nil if the receiver already has the current configuration.
 	Config        *hitchroute.Config
 	Endpoints     []EndpointUpdate
@@ -30,7 +30,7 @@
 
 // EndpointUpdate is an endpoint and the revision that wrote it.
 type EndpointUpdate struct {
-	Revision         int64
+	Revision         hitchfleet.Revision
 	Endpoint         hitchfleet.Endpoint
 	ColdMilliseconds int64
 }
--- a/hitchview/registration.go
+++ b/hitchview/registration.go
@@ -31,14 +31,14 @@
 	// Changed receives a value after each change of the view.
 	Changed <-chan struct{}
 	// Put writes the entry and returns the store revision of the write.
-	Put func(ctx context.Context, self hitchfleet.Instance) (revision int64, err error)
-	// Remove removes the entry.
-	Remove func(ctx context.Context, self hitchfleet.InstanceID) error
+	Put func(ctx context.Context, self hitchfleet.Instance) (revision hitchfleet.Revision, err error)
+	// Remove removes the entry and returns the store revision of the removal.
+	Remove func(ctx context.Context, self hitchfleet.InstanceID) (revision hitchfleet.Revision, err error)
 	Log    hclog.Logger
 
 	// writtenRevision is the store revision of the last write; an older view can't
 	// show it.
-	writtenRevision int64
+	writtenRevision hitchfleet.Revision
 	hasLeft         atomic.Bool
 }
 
@@ -99,18 +99,35 @@
 	}
 	delay := minRegisterDelay
 	for ctx.Err() == nil {
-		err := r.remove(ctx)
-		if err == nil {
-			r.hasLeft.Store(true)
-			r.log().Info("deregistered")
+		removedAt, err := r.remove(ctx)
+		if err != nil {
+			r.log().Warn("deregistration failed", "Error", err)
+			delay = backOff(ctx, delay)
+			continue
+		}
+		r.hasLeft.Store(true)
+		r.log().Info("deregistered", "Revision", removedAt)
+		if !r.awaitReturn(ctx, removedAt) {
 			return
 		}
-		r.log().Warn("deregistration failed", "Error", err)
-		delay = backOff(ctx, delay)
+		r.hasLeft.Store(false)
+	}
+}
+
+// awaitReturn waits until a store that came back from an older copy lists the removed
+// entry again. It returns false if ctx ends first.
+func (r *Registration) awaitReturn(ctx context.Context, removedAt hitchfleet.Revision) bool {
+	for ctx.Err() == nil {
+		_, revision, ok := r.View().RegisteredInstance(r.Self.ID)
+		if ok && revision.Era() > removedAt.Era() {
+			return true
+		}
+		r.waitForChange(ctx)
 	}
+	return false
 }
 
-func (r *Registration) remove(ctx context.Context) error {
+func (r *Registration) remove(ctx context.Context) (hitchfleet.Revision, error) {
 	ctx, cancel := context.WithTimeout(ctx, deregisterTimeout)
 	defer cancel()
 	return r.Remove(ctx, r.Self.ID)
--- a/hitchview/view.go
+++ b/hitchview/view.go
@@ -11,6 +11,7 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 
 	"citronhitch.example/citronhitch/hitchfleet"
@@ -20,21 +21,24 @@
 // View is the state of the fleet that an instance knows. The zero value is empty.
 type View struct {
 	// Revision is the store revision of the view.
-	Revision int64
+	Revision hitchfleet.Revision
 	// TableRevision is the store revision that wrote the configuration.
-	TableRevision int64
+	TableRevision hitchfleet.Revision
 	// Table is the current configuration, or nil before the first one is read.
 	Table *hitchroute.Table
 
 	endpoints map[hitchfleet.EndpointID]entry[hitchfleet.Endpoint]
 	instances map[hitchfleet.InstanceID]entry[hitchfleet.Instance]
-	zonesOut  map[hitchfleet.AvailabilityZone]int64
+	zonesOut  map[hitchfleet.AvailabilityZone]entry[struct{}]
+	// removed are the endpoints that were removed last, the newest at the end. A store
+	// that comes back from an older copy lists them again.
+	removed []entry[hitchfleet.Endpoint]
 }
 
 // entry is an entry of the store and the revision that last changed it.
 type entry[T any] struct {
 	value    T
-	revision int64
+	revision hitchfleet.Revision
 	// expiresAt is set if the store has removed the entry and a grace period
 	// applies. The view keeps the entry until then.
 	expiresAt time.Time
@@ -45,50 +49,53 @@
 
 // TableMsg sets the configuration.
 type TableMsg struct {
-	Revision int64
+	Revision hitchfleet.Revision
 	Table    *hitchroute.Table
 }
 
 // EndpointMsg adds or updates an endpoint.
 type EndpointMsg struct {
-	Revision int64
+	Revision hitchfleet.Revision
 	Endpoint hitchfleet.Endpoint
 }
 
 // EndpointRemovedMsg removes an endpoint.
 type EndpointRemovedMsg struct {
-	Revision int64
+	Revision hitchfleet.Revision
 	ID       hitchfleet.EndpointID
 }
 
 // ZoneTakenOutMsg means that operators took an availability zone out of service.
 type ZoneTakenOutMsg struct {
-	Revision int64
+	Revision hitchfleet.Revision
 	Zone     hitchfleet.AvailabilityZone
 }
 
 // ZoneReturnedMsg means that operators returned an availability zone to service.
 type ZoneReturnedMsg struct {
-	Revision int64
+	Revision hitchfleet.Revision
 	Zone     hitchfleet.AvailabilityZone
+	// IsLost is set if nobody returned the zone, but a store that came back from an older
+	// copy doesn't list it. The grace period of the batch then applies.
+	IsLost bool
 }
 
 // InstanceMsg adds or updates an instance.
 type InstanceMsg struct {
-	Revision int64
+	Revision hitchfleet.Revision
 	Instance hitchfleet.Instance
 }
 
 // InstanceRemovedMsg removes an instance that shut down or whose lease expired.
 type InstanceRemovedMsg struct {
-	Revision int64
+	Revision hitchfleet.Revision
 	ID       hitchfleet.InstanceID
 }
 
 // Batch is a list of messages, ordered by revision.
 type Batch struct {
 	// Revision is the store revision after the messages.
-	Revision int64
+	Revision hitchfleet.Revision
 	// IsSnapshot is set if the messages list every entry. Entries that they don't
 	// list no longer exist.
 	IsSnapshot bool
@@ -99,8 +106,12 @@
 	Messages         []Msg
 }
 
-// Apply returns the view after a batch.
+// Apply returns the view after a batch. A batch of an older era has no effect: it was
+// still on its way when the store came back from an older copy.
 func (v View) Apply(b Batch) View {
+	if b.Revision.Era() < v.Revision.Era() {
+		return v
+	}
 	v = v.clone()
 	if b.IsSnapshot {
 		v = v.withoutUnlisted(b)
@@ -136,30 +147,63 @@
 func (v View) update(msg Msg, keepUntil time.Time) View {
 	switch m := msg.(type) {
 	case TableMsg:
-		if m.Revision > v.TableRevision {
+		if v.acceptsTable(m) {
 			v.Table, v.TableRevision = m.Table, m.Revision
 		}
 	case EndpointMsg:
-		putIfNewer(v.endpoints, m.Endpoint.ID, v.newestState(m.Endpoint), m.Revision)
+		if !v.isRemovedBefore(m) {
+			putIfNewer(v.endpoints, m.Endpoint.ID, v.newestState(m.Endpoint), m.Revision)
+		}
 	case EndpointRemovedMsg:
 		if v.endpoints[m.ID].value.Leaving {
 			keepUntil = time.Time{}
 		}
-		removeIfNewer(v.endpoints, m.ID, m.Revision, keepUntil)
+		if old, ok := removeIfNewer(v.endpoints, m.ID, m.Revision, keepUntil); ok {
+			v.removed = appendRemoved(v.removed, entry[hitchfleet.Endpoint]{value: old, revision: m.Revision})
+		}
 	case InstanceMsg:
 		putIfNewer(v.instances, m.Instance.ID, m.Instance, m.Revision)
 	case InstanceRemovedMsg:
 		removeIfNewer(v.instances, m.ID, m.Revision, keepUntil)
 	case ZoneTakenOutMsg:
-		v.zonesOut[m.Zone] = m.Revision
+		putIfNewer(v.zonesOut, m.Zone, struct{}{}, m.Revision)
 	case ZoneReturnedMsg:
-		if m.Revision >= v.zonesOut[m.Zone] {
-			delete(v.zonesOut, m.Zone)
+		if !m.IsLost {
+			keepUntil = time.Time{}
 		}
+		removeIfNewer(v.zonesOut, m.Zone, m.Revision, keepUntil)
 	}
 	return v
 }
 
+// acceptsTable reports whether a configuration replaces the current one. A store that
+// came back from an older copy may hold an older version until the operator writes the
+// newer one again.
+func (v View) acceptsTable(m TableMsg) bool {
+	if m.Revision <= v.TableRevision {
+		return false
+	}
+	isSameEra := m.Revision.Era() == v.TableRevision.Era()
+	return v.Table == nil || isSameEra || m.Table.Version() >= v.Table.Version()
+}
+
+// maxRemoved bounds the endpoints that are remembered after their removal.
+const maxRemoved = 256
+
+// appendRemoved returns a list with one more removed endpoint, at most maxRemoved.
+func appendRemoved(list []entry[hitchfleet.Endpoint], e entry[hitchfleet.Endpoint]) []entry[hitchfleet.Endpoint] {
+	drop := max(len(list)+1-maxRemoved, 0)
+	return append(slices.Clone(list[drop:]), e)
+}
+
+// isRemovedBefore reports whether an endpoint's entry is one that was removed before the
+// store came back from an older copy. An endpoint that is alive writes a newer one.
+func (v View) isRemovedBefore(m EndpointMsg) bool {
+	return slices.ContainsFunc(v.removed, func(e entry[hitchfleet.Endpoint]) bool {
+		return e.value.ID == m.Endpoint.ID && e.revision.Era() < m.Revision.Era() && e.value.Supersedes(m.Endpoint)
+	})
+}
+
 // newestState returns the newer of an endpoint's state in a message and its state
 // in the view.
 func (v View) newestState(e hitchfleet.Endpoint) hitchfleet.Endpoint {
@@ -170,24 +214,27 @@
 }
 
 // putIfNewer sets an entry unless the map has a newer revision of it.
-func putIfNewer[K comparable, T any](m map[K]entry[T], k K, value T, revision int64) {
+func putIfNewer[K comparable, T any](m map[K]entry[T], k K, value T, revision hitchfleet.Revision) {
 	if revision >= m[k].revision {
 		m[k] = entry[T]{value: value, revision: revision}
 	}
 }
 
-// removeIfNewer removes an entry unless the map has a newer revision of it. If
-// expiresAt is set, the entry stays until then, unless it is written again.
-func removeIfNewer[K comparable, T any](m map[K]entry[T], k K, revision int64, expiresAt time.Time) {
-	e, ok := m[k]
+// removeIfNewer removes an entry unless the map has a newer revision of it, and returns
+// its value. If expiresAt is set, the entry stays until then, unless it is written again,
+// and ok is false.
+func removeIfNewer[K comparable, T any](m map[K]entry[T], k K, revision hitchfleet.Revision, expiresAt time.Time) (old T, ok bool) {
+	e, isKnown := m[k]
 	switch {
-	case !ok || revision < e.revision:
+	case !isKnown || revision < e.revision:
 	case expiresAt.IsZero():
 		delete(m, k)
+		return e.value, true
 	case e.expiresAt.IsZero():
 		e.revision, e.expiresAt = revision, expiresAt
 		m[k] = e
 	}
+	return old, false
 }
 
 // withoutUnlisted removes the entries that a snapshot doesn't list.
@@ -215,7 +262,7 @@
 	}
 	for zone := range v.zonesOut {
 		if !listed[zone] {
-			v = v.update(ZoneReturnedMsg{Revision: b.Revision, Zone: zone}, time.Time{})
+			v = v.update(ZoneReturnedMsg{Revision: b.Revision, Zone: zone, IsLost: b.Revision.Era() > v.Revision.Era()}, b.KeepExpiredUntil)
 		}
 	}
 	return v
@@ -224,7 +271,7 @@
 // messages returns messages that describe the whole view. The configuration comes
 // first and is left out if it isn't newer than knownTableRevision. An entry in its
 // grace period is followed by its removal.
-func (v View) messages(knownTableRevision int64) []Msg {
+func (v View) messages(knownTableRevision hitchfleet.Revision) []Msg {
 	var out []Msg
 	if v.Table != nil && v.TableRevision > knownTableRevision {
 		out = append(out, TableMsg{Revision: v.TableRevision, Table: v.Table})
@@ -241,8 +288,11 @@
 			out = append(out, InstanceRemovedMsg{Revision: e.revision, ID: e.value.ID})
 		}
 	}
-	for zone, revision := range v.zonesOut {
-		out = append(out, ZoneTakenOutMsg{Revision: revision, Zone: zone})
+	for zone, e := range v.zonesOut {
+		out = append(out, ZoneTakenOutMsg{Revision: e.revision, Zone: zone})
+		if !e.expiresAt.IsZero() {
+			out = append(out, ZoneReturnedMsg{Revision: e.revision, Zone: zone, IsLost: true})
+		}
 	}
 	return out
 }
@@ -252,6 +302,7 @@
 	v = v.clone()
 	expire(v.endpoints, now)
 	expire(v.instances, now)
+	expire(v.zonesOut, now)
 	return v
 }
 
@@ -262,7 +313,7 @@
 // NextExpiry returns when the next grace period ends, or the zero time if there
 // is none.
 func (v View) NextExpiry() time.Time {
-	return earlier(nextExpiry(v.endpoints), nextExpiry(v.instances))
+	return earlier(earlier(nextExpiry(v.endpoints), nextExpiry(v.instances)), nextExpiry(v.zonesOut))
 }
 
 func nextExpiry[K comparable, T any](m map[K]entry[T]) (next time.Time) {
@@ -333,7 +384,7 @@
 // RegisteredInstance returns an instance's entry in the store and the revision that wrote
 // it, and false if the store has none. An entry that the store has removed doesn't count
 // during its grace period.
-func (v View) RegisteredInstance(id hitchfleet.InstanceID) (i hitchfleet.Instance, revision int64, ok bool) {
+func (v View) RegisteredInstance(id hitchfleet.InstanceID) (i hitchfleet.Instance, revision hitchfleet.Revision, ok bool) {
 	e, ok := v.instances[id]
 	return e.value, e.revision, ok && e.expiresAt.IsZero()
 }
