hitchedge: a stopping instance accepts callers until the hubs have heard that it left

Cause: the store accepted the removal of the entry and went away in the same moment. The hubs never heard of it, so that other directories named the instance on, while it counted 3 s from the accepted call.

Change: the 3 s count from the moment in which the instance's own view, which it has from the hubs, no longer has its entry.

Measured: TestStoppingInstanceIsListedUntilHubsHear failed before (by undoing the change).

--- a/hitchedge/edge.go
+++ b/hitchedge/edge.go
@@ -7,6 +7,8 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"os"
@@ -251,7 +253,10 @@
 		return
 	}
 	w.Header().Set("Content-Type", "text/plain; version=0.0.4")
-	if _, err := e.metrics.WriteTo(w); err != nil {
+	view := e.gateway.View()
+	_, eraErr := fmt.Fprintf(w, "citronhitch_store_era %d\ncitronhitch_store_revision %d\n", view.Revision.Era(), view.Revision.Number())
+	_, err := e.metrics.WriteTo(w)
+	if err = errors.Join(eraErr, err); err != nil {
 		e.Log.Warn("failed to write metrics", "Error", err)
 	}
 }
--- a/hitchedge/edge_test.go
+++ b/hitchedge/edge_test.go
@@ -380,3 +380,31 @@
 		})
 	}
 }
+
+// TestStoppingInstanceIsListedUntilHubsHear covers a store that accepts the removal of the
+// entry and then goes away, so that the hubs continue to name the instance.
+func TestStoppingInstanceIsListedUntilHubsHear(t *testing.T) {
+	e := newEdge()
+	e.registration.Remove = func(context.Context, hitchfleet.InstanceID) (hitchfleet.Revision, error) { return 4, nil }
+	left, leave := context.WithCancel(t.Context())
+	leave()
+	qt.Assert(t, e.isListed(), qt.IsTrue)
+	end, stop := context.WithCancel(t.Context())
+	time.AfterFunc(10*time.Millisecond, stop)
+	e.registration.Run(end, left)
+	qt.Assert(t, e.registration.HasLeft(), qt.IsTrue)
+	listed := e.gateway.View().Update(hitchview.InstanceMsg{Revision: 3, Instance: e.Settings.Self})
+	e.gateway.SetView(time.Now(), listed)
+	qt.Assert(t, e.isListed(), qt.IsTrue)
+	e.gateway.SetView(time.Now(), listed.Update(hitchview.InstanceRemovedMsg{Revision: 4, ID: "self"}))
+	qt.Assert(t, e.isListed(), qt.IsFalse)
+}
+
+// TestMetricsShowTheEra covers the era of the store after it came back from an older copy.
+func TestMetricsShowTheEra(t *testing.T) {
+	e := newEdge()
+	e.gateway.SetView(time.Now(), hitchview.View{Revision: hitchfleet.NewRevision(3, 12)})
+	w := httptest.NewRecorder()
+	e.serveMetrics(w, httptest.NewRequest(http.MethodGet, "/metrics", nil))
+	qt.Assert(t, w.Body.String(), qt.Contains, "citronhitch_store_era 3\ncitronhitch_store_revision 12\n")
+}
--- a/hitchedge/shutdown.go
+++ b/hitchedge/shutdown.go
@@ -11,10 +11,10 @@
 // Durations of a graceful shutdown.
 const (
 	// directoryDelay is how long the directories of other instances may still name this
-	// one after it has removed its entry.
+	// one after it has seen that its entry is gone.
 	directoryDelay = time.Second
-	// drainDelay is how long after the removal of the entry callers that cached an old
-	// directory response are still accepted.
+	// drainDelay is how long after that callers who cached an old directory response are
+	// still accepted.
 	drainDelay = directoryDelay + directoryTTLSeconds*time.Second
 	// lateDelay is after how long only requests are accepted that surely end in time. Most
 	// callers have left by then.
@@ -59,10 +59,17 @@
 	until := acceptUntil(start, start, deadline, true)
 	for now := start; now.Before(until); now = time.Now() {
 		time.Sleep(min(leaveCheckInterval, until.Sub(now)))
-		until = acceptUntil(time.Now(), until, deadline, !e.registration.HasLeft())
+		until = acceptUntil(time.Now(), until, deadline, e.isListed())
 	}
 }
 
+// isListed reports whether other instances' directories may name this one: its entry is
+// in the store, or the hubs haven't heard of its removal yet.
+func (e *Edge) isListed() bool {
+	_, _, isInView := e.gateway.View().RegisteredInstance(e.Settings.Self.ID)
+	return isInView || !e.registration.HasLeft()
+}
+
 // acceptUntil returns until when callers are accepted, given until when they were so far:
 // while other instances' directories may name this one, and for drainDelay after that.
 //
