hitchbalance: endpoints that say that they leave, or ask for a pause, get no more requests

An endpoint that leaves says so in all its responses, before or without its entry in the store; one that answers 503 with Retry-After wants nothing from this instance for so long. Both headers were passed on and ignored.

Change: a response is decoded to a notice, which the balancer keeps by endpoint and run. An endpoint that leaves isn't picked until it restarts: a response without the notice that arrives later may be an older one. One that is paused isn't picked until the end of the longest pause that it asked for, also by probes and by requests that waited for its prefill. If none is left, requests are refused at once, with the end of the first pause and a random delay, so that they don't all come together. A 421 says nothing about the intended endpoint. The decisions are values without a clock; the header names stay in platform/.

Weighed: telling other instances (they hear it with their next response, and the datagrams would change); using leaving endpoints as a last resort (the store's "draining" isn't used so either).

The soak plays both and checks both from what callers and endpoints saw.

--- a/hitchbalance/balancer.go
+++ b/hitchbalance/balancer.go
@@ -82,6 +82,8 @@
 	cacheChanged chan struct{}
 	// digestAt is when the last digest arrived.
 	digestAt time.Time
+	// notices holds what endpoints said about themselves.
+	notices map[hitchfleet.EndpointID]endpointNotice
 }
 
 // SetLimits replaces the limits. LoadFactor takes effect at once, the others at the
@@ -152,6 +154,7 @@
 		b.zoneOutByService[e.Service] = append(b.zoneOutByService[e.Service], b.byID[e.ID])
 	}
 	b.trackRemoved(now, old)
+	b.expireNotices(now)
 	for _, list := range b.byService {
 		slices.SortFunc(list, func(x, y *endpoint) int { return compareIDs(x.ID, y.ID) })
 	}
--- a/hitchbalance/pick.go
+++ b/hitchbalance/pick.go
@@ -56,6 +56,8 @@
 	isLongPrefill bool
 	id            uint64
 	sentAt        time.Time
+	// RetryAt is when an endpoint wants requests again, if none was picked as AllPaused.
+	RetryAt time.Time
 	// UncachedTokens counts the prompt's tokens that the engine isn't known to have cached.
 	UncachedTokens int
 }
@@ -74,11 +76,13 @@
 	// AllCold means that the remaining endpoints are in cold start and at their rate
 	// limit.
 	AllCold
+	// AllPaused means that the remaining endpoints asked for a pause, or are cold.
+	AllPaused
 )
 
 // String returns the refusal's name in logs.
 func (r Refusal) String() string {
-	return [...]string{"", "NoEndpoint", "AllTried", "AllCold"}[r]
+	return [...]string{"", "NoEndpoint", "AllTried", "AllCold", "AllPaused"}[r]
 }
 
 // A prompt stays at its engine up to affinityBoundShare of the load bound that holds
@@ -115,7 +119,7 @@
 	defer b.mu.Unlock()
 	c, refusal := b.findCandidates(now, r)
 	if refusal != NotRefused {
-		return Pick{}, refusal
+		return Pick{RetryAt: c.pauseEnd}, refusal
 	}
 	e, reason := b.choose(now, c.best, r, b.loadBound(now, r.Service, c))
 	p := Pick{Endpoint: e.Endpoint, Reason: reason, Tier: c.tier, Load: b.load(now, e), LoadUpdatedAt: later(b.digestAt, e.reportedAt), MeanLoad: c.mean}
--- a/hitchbalance/tier.go
+++ b/hitchbalance/tier.go
@@ -64,6 +64,9 @@
 	// If all are ejected, both cover the ejected ones.
 	count int
 	mean  float64
+	// pauseEnd is when the first of the paused endpoints wants requests again; the zero
+	// time if none is paused.
+	pauseEnd time.Time
 }
 
 // findCandidates returns the endpoints that may get a request.
@@ -73,11 +76,18 @@
 	}
 	refusal := NoEndpoint
 	for _, e := range b.byService[r.Service] {
+		notice := b.noticeOf(e)
 		switch {
+		case notice.IsLeaving:
+		case now.Before(notice.PausedUntil):
+			refusal = AllPaused
+			if c.pauseEnd.IsZero() || notice.PausedUntil.Before(c.pauseEnd) {
+				c.pauseEnd = notice.PausedUntil
+			}
 		case slices.Contains(r.Tried, e.ID):
 			refusal = max(refusal, AllTried)
 		case now.Before(e.ColdUntil) && !e.coldLimit.hasToken(now):
-			refusal = AllCold
+			refusal = max(refusal, AllCold)
 		default:
 			tier := b.tierOf(now, e, r)
 			b.byTier[tier] = append(b.byTier[tier], e)
--- a/hitchingress/attempt.go
+++ b/hitchingress/attempt.go
@@ -59,6 +59,7 @@
 	if head.HasLoad {
 		g.Balancer.ObserveLoad(time.Now(), pick.Endpoint.ID, head.Load)
 	}
+	g.observeNotice(pick, head)
 	if err := checkResponseHead(req.ID, exchange.Response.StatusCode, head); err != nil {
 		return attemptResult{outcome: hitchretry.Lost, balancerResult: hitchbalance.ResultFailed, err: err}
 	}
@@ -192,3 +193,19 @@
 	g.writeResponse(req, response)
 	return attemptResult{isFinal: true, balancerResult: hitchbalance.ResultOK}
 }
+
+// observeNotice records that the endpoint leaves or asks for a pause. A response of
+// another endpoint at the same address says nothing about this one.
+func (g *Gateway) observeNotice(pick hitchbalance.Pick, head ResponseHead) {
+	if head.IsOtherEndpoint {
+		return
+	}
+	now := time.Now()
+	notice := hitchbalance.Notice{IsLeaving: head.IsLeaving}
+	if head.RetryAfter > 0 {
+		notice.PausedUntil = now.Add(head.RetryAfter)
+	}
+	if g.Balancer.ObserveNotice(now, pick, notice) {
+		g.Log.Info("endpoint gave notice", "Endpoint", pick.Endpoint.ID, "Zone", pick.Endpoint.Zone, "IsLeaving", notice.IsLeaving, "PauseFor", head.RetryAfter)
+	}
+}
--- a/hitchingress/gateway_test.go
+++ b/hitchingress/gateway_test.go
@@ -36,7 +36,8 @@
 		h.Set("Last-Event-Id", fmt.Sprint(info.LastEventID))
 	},
 	DecodeResponse: func(_ int, h http.Header) ResponseHead {
-		return ResponseHead{RequestID: h.Get("Id"), HasDigest: h.Get("Digest") != "", DidNotRun: h.Get("Not-Run") != "", HasContentEncoding: h.Get("Content-Encoding") != ""}
+		return ResponseHead{RequestID: h.Get("Id"), HasDigest: h.Get("Digest") != "", DidNotRun: h.Get("Not-Run") != "", HasContentEncoding: h.Get("Content-Encoding") != "",
+			IsLeaving: h.Get("Leaving") != "", RetryAfter: time.Duration(len(h.Get("Pause"))) * time.Minute, IsOtherEndpoint: h.Get("Other") != ""}
 	},
 }
 
--- a/hitchingress/protocol.go
+++ b/hitchingress/protocol.go
@@ -46,9 +46,16 @@
 	HasDigest bool
 	// DidNotRun reports whether the endpoint guarantees that it didn't run the request.
 	DidNotRun bool
+	// IsOtherEndpoint reports whether another endpoint than the intended one responded.
+	IsOtherEndpoint bool
 	// HasContentEncoding reports whether the body has a content encoding. Endpoints
 	// apply none, so such a body isn't the one that the endpoint sent.
 	HasContentEncoding bool
+	// IsLeaving reports whether the endpoint says that it is shutting down.
+	IsLeaving bool
+	// RetryAfter is how long the endpoint wants no requests from this instance; 0 if it
+	// asks for no pause.
+	RetryAfter time.Duration
 	// Load is the load that the endpoint reports. It is valid only if HasLoad is set.
 	Load    hitchbalance.Load
 	HasLoad bool
--- a/hitchingress/run.go
+++ b/hitchingress/run.go
@@ -36,7 +36,7 @@
 			IsRetrySafe:        req.retryState.IsRetrySafe, UnreachableZones: req.unreachableZones,
 		})
 		if refusal != hitchbalance.NotRefused {
-			g.finishWithoutEndpoint(req, refusal)
+			g.finishWithoutEndpoint(req, refusal, pick.RetryAt)
 			return
 		}
 		if pick.PendingPrefix != 0 && req.logEntry.prefillWaitFrom.IsZero() {
@@ -105,13 +105,22 @@
 	g.Balancer.Finish(req.logEntry.prefillWaitUntil, pick, hitchbalance.ResultAbandoned)
 }
 
-// finishWithoutEndpoint ends a request for which no endpoint is left to try.
-func (g *Gateway) finishWithoutEndpoint(req *proxyRequest, refusal hitchbalance.Refusal) {
+// finishWithoutEndpoint ends a request for which no endpoint is left to try. Its caller
+// may return once one wants requests again, at returnAt, unless that is the zero time.
+func (g *Gateway) finishWithoutEndpoint(req *proxyRequest, refusal hitchbalance.Refusal, returnAt time.Time) {
 	if req.stream.headerSent {
 		req.abortStream("no endpoint to resume the stream: " + refusal.String())
 		return
 	}
-	g.writeRefusal(req, req.dispatchTracker.Refuse(hitchoutcome.ReasonNoEndpoint, jitteredRetryTime(time.Now(), meanRetryAfter), "%s", refusal))
+	g.writeRefusal(req, req.dispatchTracker.Refuse(hitchoutcome.ReasonNoEndpoint, jitteredRetryTime(later(time.Now(), returnAt), meanRetryAfter), "%s", refusal))
+}
+
+// later returns the later of two times.
+func later(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
 }
 
 // finishFailed ends a request after its last attempt has failed.
--- a/hitchsoak/caller.go
+++ b/hitchsoak/caller.go
@@ -38,6 +38,8 @@
 	// IsDropped is set if the instance read the whole request and closed the connection
 	// without a byte of a response.
 	IsDropped bool
+	// SaysLeaving is set if the response says that its endpoint leaves.
+	SaysLeaving bool
 }
 
 // caller sends requests one at a time, on reused connections, to the instances that
@@ -143,6 +145,7 @@
 func (x *call) readResponse(res *http.Response, readAll func(io.Reader) ([]byte, error)) error {
 	defer func() { _ = res.Body.Close() }()
 	x.Status = res.StatusCode
+	x.SaysLeaving = res.Header.Get("Server-Leaving") == "1"
 	body, err := readAll(res.Body)
 	if err == nil && x.Status == http.StatusOK {
 		x.Mismatch = findMismatch(*x, res.Header, string(body))
--- a/hitchsoak/check.go
+++ b/hitchsoak/check.go
@@ -91,7 +91,7 @@
 		switch {
 		case f.Kind == RevokeKey && f.Target == x.Key && x.Begin.After(begin.Add(revocationBound)) && r.At.Before(end) && c.isStoreUndisturbed(begin, r.At):
 			add("Configuration", "ran with a key that was revoked %s earlier", x.Begin.Sub(begin))
-		case f.Kind == LeaveEndpoint && r.Endpoint == fmt.Sprintf("e-%d", f.Target) && x.Begin.After(begin.Add(endpointRemovalBound)) && r.At.Before(end) && c.isStoreUndisturbed(begin, r.At):
+		case f.Kind == LeaveEndpoint && r.Endpoint == endpointName(f.Target) && x.Begin.After(begin.Add(endpointRemovalBound)) && r.At.Before(end) && c.isStoreUndisturbed(begin, r.At):
 			add("LeavingEndpoint", "ran at %s, which was removed %s earlier", r.Endpoint, x.Begin.Sub(begin))
 		}
 	}
@@ -128,7 +128,7 @@
 		switch f.Kind {
 		case StopInstance:
 			stops++
-		case RevokeKey, LeaveEndpoint, ShedRequests, CompactStore, ThrottleInstance, ReloadInstance, StopAgain, RestoreStore:
+		case RevokeKey, LeaveEndpoint, ShedRequests, CompactStore, ThrottleInstance, ReloadInstance, StopAgain, RestoreStore, AnnounceLeave, AskForPause:
 		default:
 			return 0, false
 		}
--- a/hitchsoak/fleet.go
+++ b/hitchsoak/fleet.go
@@ -114,8 +114,11 @@
 	return out
 }
 
+// endpointName returns the ID of endpoint n.
+func endpointName(n int) string { return fmt.Sprintf("e-%d", n) }
+
 func (f *fleet) addEndpoint(ctx context.Context, n int) error {
-	e := &endpoint{Endpoint: hitchstandin.Endpoint{ID: fmt.Sprintf("e-%d", n), Service: "engines", Zone: zoneOf(n), RunLog: &f.runLog}}
+	e := &endpoint{Endpoint: hitchstandin.Endpoint{ID: endpointName(n), Service: "engines", Zone: zoneOf(n), RunLog: &f.runLog}}
 	if n%2 == 1 {
 		e.Service = "shop"
 	}
--- a/hitchsoak/plan.go
+++ b/hitchsoak/plan.go
@@ -55,6 +55,11 @@
 	// RestoreStore takes the store away for a while, and brings it back from a copy that is
 	// some seconds old.
 	RestoreStore
+	// AnnounceLeave makes an endpoint say in each response that it leaves, while its entry
+	// stays as it is.
+	AnnounceLeave
+	// AskForPause makes an endpoint refuse requests and ask for a pause.
+	AskForPause
 	faultKindCount
 )
 
@@ -64,6 +69,7 @@
 		"KillInstance", "StopInstance", "PauseInstance", "SilenceEndpoint", "PauseEndpoint", "SilenceStore",
 		"PauseStore", "CompactStore", "LoseAnswers", "ShedRequests", "LeaveEndpoint", "RevokeKey",
 		"HangStreams", "ThrottleInstance", "ReloadInstance", "StopAgain", "RestoreStore",
+		"AnnounceLeave", "AskForPause",
 	}[k]
 }
 
--- a/hitchsoak/soak.go
+++ b/hitchsoak/soak.go
@@ -161,6 +161,7 @@
 		}
 		r.Violations = append(r.Violations, c.checkCall(x)...)
 	}
+	r.Violations = append(r.Violations, c.checkNotices(calls)...)
 	if afterRecovery > 0 {
 		r.Recovered = float64(servedAfterRecovery) / float64(afterRecovery)
 	}
@@ -219,6 +220,12 @@
 		return func() { f.endpoints[n].SetHangStreams(false) }
 	case ThrottleInstance:
 		return f.instances[n].throttle()
+	case AnnounceLeave:
+		f.endpoints[n].SetLeaving(true)
+		return func() { f.endpoints[n].Restart() }
+	case AskForPause:
+		f.endpoints[n].SetPausing(true)
+		return func() { f.endpoints[n].SetPausing(false) }
 	case RestoreStore:
 		return f.takeStoreAway()
 	case ReloadInstance:
