hitchedge: a stopping instance counts as listed while others keep its lost entry

Other instances keep such an entry for 2.5 s, as its writer may write it again, and so do their directories; the stopping instance looked for an entry that is still valid and closed its port 3 s later.

Change: it looks at the instances that directories name.

Also: the zero value of hitchserver.Server serves the default handler, as that of net/http does; hasStopped is isShuttingDown.

--- a/hitchedge/edge_test.go
+++ b/hitchedge/edge_test.go
@@ -396,6 +396,9 @@
 	listed := e.gateway.View().Update(hitchview.InstanceMsg{Revision: 3, Instance: e.Settings.Self})
 	e.gateway.SetView(time.Now(), listed)
 	qt.Assert(t, e.isListed(), qt.IsTrue)
+	lost := hitchview.Batch{Revision: 4, IsSnapshot: true, KeepExpiredUntil: time.Now().Add(time.Minute)}
+	e.gateway.SetView(time.Now(), listed.Apply(lost)) // others keep the entry for a while
+	qt.Assert(t, e.isListed(), qt.IsTrue)
 	e.gateway.SetView(time.Now(), listed.Update(hitchview.InstanceRemovedMsg{Revision: 4, ID: "self"}))
 	qt.Assert(t, e.isListed(), qt.IsFalse)
 }
--- a/hitchedge/shutdown.go
+++ b/hitchedge/shutdown.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
+	"citronhitch.example/citronhitch/hitchfleet"
 	"citronhitch.example/citronhitch/hitchingress"
 	"citronhitch.example/citronhitch/hitchserver"
 )
@@ -64,10 +66,11 @@
 }
 
 // isListed reports whether other instances' directories may name this one: its entry is
-// in the store, or the hubs haven't heard of its removal yet.
+// in the store, the hubs haven't heard of its removal yet, or it is kept for a grace
+// period, as it may only have expired in an outage of the store.
 func (e *Edge) isListed() bool {
-	_, _, isInView := e.gateway.View().RegisteredInstance(e.Settings.Self.ID)
-	return isInView || !e.registration.HasLeft()
+	isSelf := func(i hitchfleet.Instance) bool { return i.ID == e.Settings.Self.ID }
+	return !e.registration.HasLeft() || slices.ContainsFunc(e.gateway.View().Instances(), isSelf)
 }
 
 // acceptUntil returns until when callers are accepted, given until when they were so far:
--- a/hitchserver/server.go
+++ b/hitchserver/server.go
@@ -56,6 +56,9 @@
 // nil.
 func (s *Server) Serve(l net.Listener) error {
 	handler := s.HTTP.Handler
+	if handler == nil {
+		handler = http.DefaultServeMux
+	}
 	s.HTTP.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { s.serveRequest(handler, w, r) })
 	s.HTTP.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
 		return context.WithValue(ctx, connKey{}, c)
@@ -65,7 +68,7 @@
 		return l.Close()
 	}
 	err := s.HTTP.Serve(&listener{Listener: l, accepted: s.add})
-	if errors.Is(err, http.ErrServerClosed) || s.hasStopped() {
+	if errors.Is(err, http.ErrServerClosed) || s.isShuttingDown() {
 		return nil
 	}
 	return err
@@ -79,7 +82,8 @@
 	return s.isStopping
 }
 
-func (s *Server) hasStopped() bool {
+// isShuttingDown reports whether Shutdown was called.
+func (s *Server) isShuttingDown() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.isStopping
@@ -87,7 +91,7 @@
 
 // serveRequest runs the handler of a request and records the phases of its connection.
 func (s *Server) serveRequest(handler http.Handler, w http.ResponseWriter, r *http.Request) {
-	if s.hasStopped() {
+	if s.isShuttingDown() {
 		w.Header().Set("Connection", "close")
 	}
 	c, ok := r.Context().Value(connKey{}).(*conn)
