--- a/hitchsoak/check.go
+++ b/hitchsoak/check.go
@@ -118,8 +118,8 @@
 
 // plannedWork returns the number of planned stops that could affect a call, and false if
 // another fault may make it fail. Planned stops, reloads, a small share of processor
-// time, revoked keys, removed endpoints, shed requests and compaction of the store must
-// not make a call fail.
+// time, revoked keys, endpoints that leave or ask for a pause, shed requests, compaction
+// of the store and its return from an older copy must not make a call fail.
 func (c *checker) plannedWork(x call) (stops int, ok bool) {
 	for _, f := range c.plan {
 		if !c.overlaps(f, x.Begin.Add(-faultSettleTime), x.End) {
