hitchingress: a pause is decoded to its deadline; two tests without real waits

The house stores deadlines, never durations: ResponseHead had RetryAfter. The decoder gets the time and returns the end of the pause. Behaviour is the same, and so are the checks of the tests.

Two tests of stops waited in real time; they now wait for the event itself: the port that refuses, and the removal of the entry.

--- a/hitchedge/edge_test.go
+++ b/hitchedge/edge_test.go
@@ -331,7 +331,9 @@
 	ctx, stop := context.WithCancel(t.Context())
 	handler := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		stop()
-		time.Sleep(internalShutdownTime / 10)
+		for c, err := net.Dial("tcp", addr); err == nil; c, err = net.Dial("tcp", addr) {
+			_ = c.Close() // the shutdown hasn't begun yet
+		}
 		w.WriteHeader(http.StatusNoContent)
 	})
 	served := make(chan error, 1)
@@ -385,12 +387,14 @@
 // entry and then goes away, so that the hubs continue to name the instance.
 func TestStoppingInstanceIsListedUntilHubsHear(t *testing.T) {
 	e := newEdge()
-	e.registration.Remove = func(context.Context, hitchfleet.InstanceID) (hitchfleet.Revision, error) { return 4, nil }
+	end, stop := context.WithCancel(t.Context())
+	e.registration.Remove = func(context.Context, hitchfleet.InstanceID) (hitchfleet.Revision, error) {
+		stop()
+		return 4, nil
+	}
 	left, leave := context.WithCancel(t.Context())
 	leave()
 	qt.Assert(t, e.isListed(), qt.IsTrue)
-	end, stop := context.WithCancel(t.Context())
-	time.AfterFunc(10*time.Millisecond, stop)
 	e.registration.Run(end, left)
 	qt.Assert(t, e.registration.HasLeft(), qt.IsTrue)
 	listed := e.gateway.View().Update(hitchview.InstanceMsg{Revision: 3, Instance: e.Settings.Self})
--- a/hitchingress/attempt.go
+++ b/hitchingress/attempt.go
@@ -55,7 +55,7 @@
 	}
 	defer exchange.Close()
 	g.Balancer.ObserveFirstByte(time.Now(), pick)
-	head := g.Protocol.DecodeResponse(exchange.Response.StatusCode, exchange.Response.Header)
+	head := g.Protocol.DecodeResponse(exchange.Response.StatusCode, exchange.Response.Header, time.Now())
 	if head.HasLoad {
 		g.Balancer.ObserveLoad(time.Now(), pick.Endpoint.ID, head.Load)
 	}
@@ -201,11 +201,8 @@
 		return
 	}
 	now := time.Now()
-	notice := hitchbalance.Notice{IsLeaving: head.IsLeaving}
-	if head.RetryAfter > 0 {
-		notice.PausedUntil = now.Add(head.RetryAfter)
-	}
+	notice := hitchbalance.Notice{IsLeaving: head.IsLeaving, PausedUntil: head.PausedUntil}
 	if g.Balancer.ObserveNotice(now, pick, notice) {
-		g.Log.Info("endpoint gave notice", "Endpoint", pick.Endpoint.ID, "Zone", pick.Endpoint.Zone, "IsLeaving", notice.IsLeaving, "PauseFor", head.RetryAfter)
+		g.Log.Info("endpoint gave notice", "Endpoint", pick.Endpoint.ID, "Zone", pick.Endpoint.Zone, "IsLeaving", notice.IsLeaving, "PauseFor", max(head.PausedUntil.Sub(now), 0))
 	}
 }
--- a/hitchingress/gateway_test.go
+++ b/hitchingress/gateway_test.go
@@ -35,9 +35,13 @@
 		h.Set("Endpoint", string(info.Endpoint))
 		h.Set("Last-Event-Id", fmt.Sprint(info.LastEventID))
 	},
-	DecodeResponse: func(_ int, h http.Header) ResponseHead {
+	DecodeResponse: func(_ int, h http.Header, now time.Time) ResponseHead {
+		var pausedUntil time.Time
+		if h.Get("Pause") != "" {
+			pausedUntil = now.Add(time.Minute)
+		}
 		return ResponseHead{RequestID: h.Get("Id"), HasDigest: h.Get("Digest") != "", DidNotRun: h.Get("Not-Run") != "", HasContentEncoding: h.Get("Content-Encoding") != "",
-			IsLeaving: h.Get("Leaving") != "", RetryAfter: time.Duration(len(h.Get("Pause"))) * time.Minute, IsOtherEndpoint: h.Get("Other") != ""}
+			IsLeaving: h.Get("Leaving") != "", PausedUntil: pausedUntil, IsOtherEndpoint: h.Get("Other") != ""}
 	},
 }
 
--- a/hitchingress/protocol.go
+++ b/hitchingress/protocol.go
@@ -53,9 +53,9 @@
 	HasContentEncoding bool
 	// IsLeaving reports whether the endpoint says that it is shutting down.
 	IsLeaving bool
-	// RetryAfter is how long the endpoint wants no requests from this instance; 0 if it
-	// asks for no pause.
-	RetryAfter time.Duration
+	// PausedUntil is until when the endpoint wants no requests from this instance; the zero
+	// time if it asks for no pause.
+	PausedUntil time.Time
 	// Load is the load that the endpoint reports. It is valid only if HasLoad is set.
 	Load    hitchbalance.Load
 	HasLoad bool
@@ -69,5 +69,5 @@
 	// EncodeRoutingInfo writes the routing information to the header of a request.
 	EncodeRoutingInfo func(h http.Header, info RoutingInfo)
 	// DecodeResponse decodes the header of an endpoint's response.
-	DecodeResponse func(status int, h http.Header) ResponseHead
+	DecodeResponse func(status int, h http.Header, now time.Time) ResponseHead
 }
