hitchview: a stopping instance removes an entry that is written late

A write of the entry that got no response may be executed by the store seconds later, after the removal. Directories then name the stopped instance until the hubs notice its silence. Found by reading; not seen in a run.

Change: the entry is removed again if the view shows a write after the removal, not only one of a newer era.

Measured: TestStoppingInstanceLeavesAgainAfterLateWrite failed before.

--- a/hitchview/registration.go
+++ b/hitchview/registration.go
@@ -114,12 +114,13 @@
 	}
 }
 
-// awaitReturn waits until a store that came back from an older copy lists the removed
-// entry again. It returns false if ctx ends first.
+// awaitReturn waits until the entry is in the store again: the store came back from an
+// older copy, or executed late a write that got no response. It returns false if ctx
+// ends first.
 func (r *Registration) awaitReturn(ctx context.Context, removedAt hitchfleet.Revision) bool {
 	for ctx.Err() == nil {
 		_, revision, ok := r.View().RegisteredInstance(r.Self.ID)
-		if ok && revision.Era() > removedAt.Era() {
+		if ok && revision > removedAt {
 			return true
 		}
 		r.waitForChange(ctx)
--- a/hitchview/registration_test.go
+++ b/hitchview/registration_test.go
@@ -230,3 +230,15 @@
 		qt.Assert(t, h.puts.Load(), qt.Equals, int64(2))
 	})
 }
+
+// TestStoppingInstanceLeavesAgainAfterLateWrite covers a write of the entry that got no
+// response and that the store executes after the removal.
+func TestStoppingInstanceLeavesAgainAfterLateWrite(t *testing.T) {
+	var h *registrationHarness
+	runRegistration(t, func(running *registrationHarness) {
+		h = running
+		h.setView(firstTable)
+		h.whileLeaving = func() { h.setView(InstanceMsg{hitchfleet.Revision(h.revision.Add(1)), registered}) }
+	})
+	qt.Assert(t, h.removes.Load(), qt.Equals, int64(2))
+}
