hitchview, hitchedge: a stopped instance isn't named again by a store that comes back older

Cause: the store came back from a copy just after the instance had closed its port. The copy had its entry again, and directories named it until the removal was repeated and heard of, and for as long as a response is valid. Had the process ended by then, nobody would have removed the entry but the hubs' watch for silent instances.

Change: views remember the last 256 removed entries of instances. An entry of a newer era that is the same write (the numbers are given out again only from the copy's on, so that a new registration has another) doesn't serve callers, and the primary hub removes it again, on the condition that it wasn't written since. An instance that starts again sees that its entry differs and writes it.

Ruled out: ignoring the entry (it would stay in the store, and instances that start later would name a dead instance).

Measured: TestStoppedInstanceIsNotNamedAgain and TestLostRemovalIsWrittenAgain failed before.

--- a/hitchedge/edge_test.go
+++ b/hitchedge/edge_test.go
@@ -415,3 +415,19 @@
 	e.serveMetrics(w, httptest.NewRequest(http.MethodGet, "/metrics", nil))
 	qt.Assert(t, w.Body.String(), qt.Contains, "citronhitch_store_era 3\ncitronhitch_store_revision 12\n")
 }
+
+// TestLostRemovalIsWrittenAgain covers an instance that has stopped, and a store that comes
+// back from a copy which still has its entry.
+func TestLostRemovalIsWrittenAgain(t *testing.T) {
+	e := newEdge()
+	stopped := hitchfleet.Instance{ID: "stopped", Addr: "10.0.0.9:80"}
+	view := e.gateway.View().
+		Update(hitchview.InstanceMsg{Revision: 3, Instance: stopped}).
+		Update(hitchview.InstanceRemovedMsg{Revision: 4, ID: "stopped"})
+	listed := hitchfleet.NewRevision(1, 3)
+	e.gateway.SetView(time.Now(), view.Update(hitchview.InstanceMsg{Revision: listed, Instance: stopped}))
+	want := []hitchplatform.InstanceEntry{{ID: "stopped", Revision: listed}}
+	qt.Assert(t, e.dueEntries(time.Now(), e.currentRegion()), qt.DeepEquals, want)
+	addrs, _ := e.directoryAddrs("", "a")
+	qt.Assert(t, addrs, qt.DeepEquals, []string{"10.0.0.1:80"})
+}
--- a/hitchedge/registration.go
+++ b/hitchedge/registration.go
@@ -45,7 +45,8 @@
 	}()
 }
 
-// dueEntries returns the entries of the region's instances that are due for removal.
+// dueEntries returns the entries that are due for removal: those of the region's silent
+// instances, and those whose removal a store that came back from an older copy has lost.
 func (e *Edge) dueEntries(now time.Time, r *region) []hitchplatform.InstanceEntry {
 	view := e.gateway.View()
 	revisionOf := func(id hitchfleet.InstanceID) (hitchfleet.Revision, bool) {
@@ -53,6 +54,9 @@
 		return revision, ok
 	}
 	var entries []hitchplatform.InstanceEntry
+	for id, revision := range view.RevivedInstances() {
+		entries = append(entries, hitchplatform.InstanceEntry{ID: id, Revision: revision})
+	}
 	for _, id := range e.removals.Due(now, &e.liveness, r.instances, revisionOf) {
 		revision, _ := revisionOf(id)
 		entries = append(entries, hitchplatform.InstanceEntry{ID: id, Revision: revision})
--- a/hitchview/era_test.go
+++ b/hitchview/era_test.go
@@ -131,3 +131,31 @@
 		qt.Assert(t, f.View().Revision, qt.Equals, rev(2, 40))
 	})
 }
+
+// TestStoppedInstanceIsNotNamedAgain covers an instance that removed its entry before the
+// store came back from a copy that still has it.
+func TestStoppedInstanceIsNotNamedAgain(t *testing.T) {
+	instance := hitchfleet.Instance{ID: "i", Addr: "10.0.0.1:80"}
+	stopped := View{}.
+		Apply(Batch{Revision: rev(1, 90), IsSnapshot: true, Messages: []Msg{InstanceMsg{rev(1, 70), instance}}}).
+		Apply(Batch{Revision: rev(1, 91), Messages: []Msg{InstanceRemovedMsg{rev(1, 91), "i"}}})
+	returned := stopped.Apply(Batch{Revision: rev(2, 80), IsSnapshot: true, Messages: []Msg{InstanceMsg{rev(2, 70), instance}}})
+	qt.Assert(t, returned.Instances(), qt.HasLen, 0)
+	qt.Assert(t, returned.RevivedInstances(), qt.DeepEquals, map[hitchfleet.InstanceID]hitchfleet.Revision{"i": rev(2, 70)})
+
+	// Another instance gets the same view from a hub, without having known the entry.
+	hub, peer := &Follower{}, &Follower{}
+	hub.view.Store(&returned)
+	peer.apply(hub.PeerUpdate(0, 0).Batch(time.Now()))
+	qt.Assert(t, peer.View().Instances(), qt.HasLen, 0)
+
+	// It starts again, or a hub removes the entry.
+	again := returned.Apply(Batch{Revision: rev(2, 81), Messages: []Msg{InstanceMsg{rev(2, 81), instance}}})
+	qt.Assert(t, again.Instances(), qt.HasLen, 1)
+	qt.Assert(t, again.RevivedInstances(), qt.HasLen, 0)
+	gone := returned.Apply(Batch{Revision: rev(2, 81), Messages: []Msg{InstanceRemovedMsg{rev(2, 81), "i"}}})
+	qt.Assert(t, gone.RevivedInstances(), qt.HasLen, 0)
+	// The store comes back from the same copy once more.
+	twice := gone.Apply(Batch{Revision: rev(3, 80), IsSnapshot: true, Messages: []Msg{InstanceMsg{rev(3, 70), instance}}})
+	qt.Assert(t, twice.Instances(), qt.HasLen, 0)
+}
--- a/hitchview/view.go
+++ b/hitchview/view.go
@@ -30,9 +30,10 @@
 	endpoints map[hitchfleet.EndpointID]entry[hitchfleet.Endpoint]
 	instances map[hitchfleet.InstanceID]entry[hitchfleet.Instance]
 	zonesOut  map[hitchfleet.AvailabilityZone]entry[struct{}]
-	// removed are the endpoints that were removed last, the newest at the end. A store
-	// that comes back from an older copy lists them again.
-	removed []entry[hitchfleet.Endpoint]
+	// removedEndpoints and removedInstances are the entries that were removed last, the
+	// newest at the end. A store that comes back from an older copy lists them again.
+	removedEndpoints []entry[hitchfleet.Endpoint]
+	removedInstances []entry[hitchfleet.Instance]
 }
 
 // entry is an entry of the store and the revision that last changed it.
@@ -159,12 +160,17 @@
 			keepUntil = time.Time{}
 		}
 		if old, ok := removeIfNewer(v.endpoints, m.ID, m.Revision, keepUntil); ok {
-			v.removed = appendRemoved(v.removed, entry[hitchfleet.Endpoint]{value: old, revision: m.Revision})
+			v.removedEndpoints = appendRemoved(v.removedEndpoints, old)
 		}
 	case InstanceMsg:
+		if v.isRevived(m) {
+			m.Instance.Leaving = true
+		}
 		putIfNewer(v.instances, m.Instance.ID, m.Instance, m.Revision)
 	case InstanceRemovedMsg:
-		removeIfNewer(v.instances, m.ID, m.Revision, keepUntil)
+		if old, ok := removeIfNewer(v.instances, m.ID, m.Revision, keepUntil); ok {
+			v.removedInstances = appendRemoved(v.removedInstances, old)
+		}
 	case ZoneTakenOutMsg:
 		putIfNewer(v.zonesOut, m.Zone, struct{}{}, m.Revision)
 	case ZoneReturnedMsg:
@@ -187,11 +193,11 @@
 	return v.Table == nil || isSameEra || m.Table.Version() >= v.Table.Version()
 }
 
-// maxRemoved bounds the endpoints that are remembered after their removal.
+// maxRemoved bounds the entries of each kind that are remembered after their removal.
 const maxRemoved = 256
 
-// appendRemoved returns a list with one more removed endpoint, at most maxRemoved.
-func appendRemoved(list []entry[hitchfleet.Endpoint], e entry[hitchfleet.Endpoint]) []entry[hitchfleet.Endpoint] {
+// appendRemoved returns a list with one more removed entry, at most maxRemoved.
+func appendRemoved[T any](list []entry[T], e entry[T]) []entry[T] {
 	drop := max(len(list)+1-maxRemoved, 0)
 	return append(slices.Clone(list[drop:]), e)
 }
@@ -199,11 +205,20 @@
 // isRemovedBefore reports whether an endpoint's entry is one that was removed before the
 // store came back from an older copy. An endpoint that is alive writes a newer one.
 func (v View) isRemovedBefore(m EndpointMsg) bool {
-	return slices.ContainsFunc(v.removed, func(e entry[hitchfleet.Endpoint]) bool {
+	return slices.ContainsFunc(v.removedEndpoints, func(e entry[hitchfleet.Endpoint]) bool {
 		return e.value.ID == m.Endpoint.ID && e.revision.Era() < m.Revision.Era() && e.value.Supersedes(m.Endpoint)
 	})
 }
 
+// isRevived reports whether an instance's entry is one that was removed before the store
+// came back from an older copy: the same write. An instance that registers again writes
+// under another number.
+func (v View) isRevived(m InstanceMsg) bool {
+	return slices.ContainsFunc(v.removedInstances, func(e entry[hitchfleet.Instance]) bool {
+		return e.value.ID == m.Instance.ID && e.revision.Era() < m.Revision.Era() && e.revision.Number() == m.Revision.Number()
+	})
+}
+
 // newestState returns the newer of an endpoint's state in a message and its state
 // in the view.
 func (v View) newestState(e hitchfleet.Endpoint) hitchfleet.Endpoint {
@@ -221,15 +236,15 @@
 }
 
 // removeIfNewer removes an entry unless the map has a newer revision of it, and returns
-// its value. If expiresAt is set, the entry stays until then, unless it is written again,
+// it. If expiresAt is set, the entry stays until then, unless it is written again,
 // and ok is false.
-func removeIfNewer[K comparable, T any](m map[K]entry[T], k K, revision hitchfleet.Revision, expiresAt time.Time) (old T, ok bool) {
+func removeIfNewer[K comparable, T any](m map[K]entry[T], k K, revision hitchfleet.Revision, expiresAt time.Time) (old entry[T], ok bool) {
 	e, isKnown := m[k]
 	switch {
 	case !isKnown || revision < e.revision:
 	case expiresAt.IsZero():
 		delete(m, k)
-		return e.value, true
+		return e, true
 	case e.expiresAt.IsZero():
 		e.revision, e.expiresAt = revision, expiresAt
 		m[k] = e
@@ -381,6 +396,19 @@
 	return out
 }
 
+// RevivedInstances returns the instances whose entries were removed and are in the store
+// again since it came back from an older copy, with the revisions of these entries. They
+// don't serve callers.
+func (v View) RevivedInstances() map[hitchfleet.InstanceID]hitchfleet.Revision {
+	out := make(map[hitchfleet.InstanceID]hitchfleet.Revision)
+	for id, e := range v.instances {
+		if e.value.Leaving && e.expiresAt.IsZero() {
+			out[id] = e.revision
+		}
+	}
+	return out
+}
+
 // RegisteredInstance returns an instance's entry in the store and the revision that wrote
 // it, and false if the store has none. An entry that the store has removed doesn't count
 // during its grace period.
