--- a/hitchsoak/caller.go
+++ b/hitchsoak/caller.go
@@ -145,7 +145,7 @@
 func (x *call) readResponse(res *http.Response, readAll func(io.Reader) ([]byte, error)) error {
 	defer func() { _ = res.Body.Close() }()
 	x.Status = res.StatusCode
-	x.SaysLeaving = res.Header.Get("Server-Leaving") == "1"
+	x.SaysLeaving = hitchstandin.SaysLeaving(res.Header)
 	body, err := readAll(res.Body)
 	if err == nil && x.Status == http.StatusOK {
 		x.Mismatch = findMismatch(*x, res.Header, string(body))
--- a/hitchsoak/notice_test.go
+++ b/hitchsoak/notice_test.go
@@ -66,9 +66,9 @@
 		return w
 	}
 	e.SetLeaving(true)
-	qt.Assert(t, send().Header().Get("Server-Leaving"), qt.Equals, "1")
+	qt.Assert(t, hitchstandin.SaysLeaving(send().Header()), qt.IsTrue)
 	e.Restart()
-	qt.Assert(t, send().Header().Get("Server-Leaving"), qt.Equals, "")
+	qt.Assert(t, hitchstandin.SaysLeaving(send().Header()), qt.IsFalse)
 	e.SetPausing(true)
 	w := send()
 	qt.Assert(t, w.Code, qt.Equals, http.StatusServiceUnavailable)
--- a/hitchview/follower.go
+++ b/hitchview/follower.go
@@ -146,6 +146,7 @@
 			retryDelay = min(2*retryDelay, f.retryDelayLimit())
 		default:
 			f.recordSuccess()
+			f.logNewEra(batch)
 			batch.KeepExpiredUntil = f.keepExpiredUntil(batch)
 			f.apply(batch)
 			needsSnapshot, retryDelay = false, minRetryDelay
@@ -154,24 +155,6 @@
 	}
 }
 
-// eraGracePeriod is how long entries are kept that a store which came back from an older
-// copy doesn't list. Their writers write them again within about two seconds.
-const eraGracePeriod = 2500 * time.Millisecond
-
-// keepExpiredUntil returns until when to keep the entries that a batch from the store
-// removes.
-func (f *Follower) keepExpiredUntil(b Batch) time.Time {
-	now, v := f.now(), f.View()
-	until := f.storeHealth.keepExpiredUntil(now)
-	if v.Table != nil && b.Revision.Era() > v.Revision.Era() {
-		f.log().Warn("the store came back from an older copy", "From", v.Revision, "To", b.Revision, "Listed", len(b.Messages), "Endpoints", len(v.endpoints), "Instances", len(v.instances), "KeepFor", eraGracePeriod)
-		if grace := now.Add(eraGracePeriod); grace.After(until) {
-			until = grace
-		}
-	}
-	return until
-}
-
 // retryDelayLimit returns the longest delay after a failed call.
 func (f *Follower) retryDelayLimit() time.Duration {
 	if f.View().Table == nil {
--- a/hitchview/view.go
+++ b/hitchview/view.go
@@ -11,7 +11,6 @@
 
 import (
 	"maps"
-	"slices"
 	"time"
 
 	"citronhitch.example/citronhitch/hitchfleet"
@@ -182,43 +181,6 @@
 	return v
 }
 
-// acceptsTable reports whether a configuration replaces the current one. A store that
-// came back from an older copy may hold an older version until the operator writes the
-// newer one again.
-func (v View) acceptsTable(m TableMsg) bool {
-	if m.Revision <= v.TableRevision {
-		return false
-	}
-	isSameEra := m.Revision.Era() == v.TableRevision.Era()
-	return v.Table == nil || isSameEra || m.Table.Version() >= v.Table.Version()
-}
-
-// maxRemoved bounds the entries of each kind that are remembered after their removal.
-const maxRemoved = 256
-
-// appendRemoved returns a list with one more removed entry, at most maxRemoved.
-func appendRemoved[T any](list []entry[T], e entry[T]) []entry[T] {
-	drop := max(len(list)+1-maxRemoved, 0)
-	return append(slices.Clone(list[drop:]), e)
-}
-
-// isRemovedBefore reports whether an endpoint's entry is one that was removed before the
-// store came back from an older copy. An endpoint that is alive writes a newer one.
-func (v View) isRemovedBefore(m EndpointMsg) bool {
-	return slices.ContainsFunc(v.removedEndpoints, func(e entry[hitchfleet.Endpoint]) bool {
-		return e.value.ID == m.Endpoint.ID && e.revision.Era() < m.Revision.Era() && e.value.Supersedes(m.Endpoint)
-	})
-}
-
-// isRevived reports whether an instance's entry is one that was removed before the store
-// came back from an older copy: the same write. An instance that registers again writes
-// under another number.
-func (v View) isRevived(m InstanceMsg) bool {
-	return slices.ContainsFunc(v.removedInstances, func(e entry[hitchfleet.Instance]) bool {
-		return e.value.ID == m.Instance.ID && e.revision.Era() < m.Revision.Era() && e.revision.Number() == m.Revision.Number()
-	})
-}
-
 // newestState returns the newer of an endpoint's state in a message and its state
 // in the view.
 func (v View) newestState(e hitchfleet.Endpoint) hitchfleet.Endpoint {
@@ -396,19 +358,6 @@
 	return out
 }
 
-// RevivedInstances returns the instances whose entries were removed and are in the store
-// again since it came back from an older copy, with the revisions of these entries. They
-// don't serve callers.
-func (v View) RevivedInstances() map[hitchfleet.InstanceID]hitchfleet.Revision {
-	out := make(map[hitchfleet.InstanceID]hitchfleet.Revision)
-	for id, e := range v.instances {
-		if e.value.Leaving && e.expiresAt.IsZero() {
-			out[id] = e.revision
-		}
-	}
-	return out
-}
-
 // RegisteredInstance returns an instance's entry in the store and the revision that wrote
 // it, and false if the store has none. An entry that the store has removed doesn't count
 // during its grace period.
