hitchingress: a silent endpoint keeps its request until another one has accepted it

What callers saw: a stream whose endpoint was silent for a second or so ended without its last event; an answer that isn't streamed was replaced by 502 or 503.

Cause: after max(1 s, three gaps) without an event the attempt was closed, and only then another endpoint was picked and asked.

Change: the silent attempt is followed on, beside up to MaxAttempts-1 standbys. An event of it ends the standbys; a usable header of a standby ends it. Whether a retry is allowed is checked when it is needed. Each exchange is read by a goroutine of its own, and the request handles messages and timeouts one at a time.

--- a/hitchingress/attempt.go
+++ b/hitchingress/attempt.go
@@ -1,9 +1,11 @@
 package hitchingress
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net/http"
 	"time"
 
@@ -18,8 +20,27 @@
 	errWrongRequest   = errors.New("response belongs to another request")
 	errMissingDigest  = errors.New("successful response has no digest from the endpoint")
 	errContentEncoded = errors.New("response body has a content encoding, which endpoints never apply")
+	errNoStream       = errors.New("response to a resumption isn't a stream")
+	errTooLarge       = errors.New("response is larger than the limit")
 )
 
+// attempt is one dispatch of a request to an endpoint. Its state changes only in the
+// goroutine that serves the request.
+type attempt struct {
+	pick     hitchbalance.Pick
+	sentAt   time.Time
+	exchange *endpointExchange
+	// response and head are set once the header of the response has arrived.
+	response *http.Response
+	head     ResponseHead
+	// body holds the body of a response that isn't streamed.
+	body bytes.Buffer
+	// hasData is set once a byte of a stream's body has arrived.
+	hasData bool
+	// isWaitObserved is set once the wait for the first byte was recorded.
+	isWaitObserved bool
+}
+
 // attemptResult describes how one attempt ended.
 type attemptResult struct {
 	// isFinal is set if no other attempt may follow: the caller has received its final
@@ -30,46 +51,28 @@
 	// response is the endpoint's error response, or nil if it sent none.
 	response *unaryResponse
 	err      error
+	// next are the standbys of the attempt. The first one takes its place.
+	next []*attempt
 }
 
-// attempt sends the request to the picked endpoint and forwards the response to the
-// caller, unless another attempt may get a better one.
-func (g *Gateway) attempt(ctx context.Context, req *proxyRequest, pick hitchbalance.Pick) (result attemptResult) {
-	defer func() {
-		g.Balancer.Finish(time.Now(), pick, result.balancerResult)
-		g.logHealthChanges()
-	}()
-	req.logEntry.addAttempt(pick)
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	sentAt := time.Now()
+// startAttempt sends the request to the picked endpoint.
+func (g *Gateway) startAttempt(ctx context.Context, req *proxyRequest, pick hitchbalance.Pick) *attempt {
+	req.triedEndpoints = append(req.triedEndpoints, pick.Endpoint.ID)
+	req.logEntry.attempts++
+	a := &attempt{pick: pick, sentAt: time.Now()}
 	if expected, ok := req.serviceState.firstByteLatency.OverdueAfter(pick.UncachedTokens); ok {
-		g.Balancer.ExpectResponseBy(pick, sentAt.Add(expected))
-	}
-	exchange, err := g.Conns.Open(ctx, pick.Endpoint.Addr, g.endpointMessage(req, pick), req.firstByteDeadline(sentAt), &req.dispatchTracker)
-	if err != nil {
-		if isInactivityTimeout(err) {
-			req.observeWait(sentAt)
-		}
-		return g.failedAttempt(req, pick, err)
-	}
-	defer exchange.Close()
-	g.Balancer.ObserveFirstByte(time.Now(), pick)
-	head := g.Protocol.DecodeResponse(exchange.Response.StatusCode, exchange.Response.Header, time.Now())
-	if head.HasLoad {
-		g.Balancer.ObserveLoad(time.Now(), pick.Endpoint.ID, head.Load)
+		g.Balancer.ExpectResponseBy(pick, a.sentAt.Add(expected))
 	}
-	g.observeNotice(pick, head)
-	if err := checkResponseHead(req.ID, exchange.Response.StatusCode, head); err != nil {
-		return attemptResult{outcome: hitchretry.Lost, balancerResult: hitchbalance.ResultFailed, err: err}
-	}
-	if head.DidNotRun {
-		return g.refusedAttempt(ctx, req, exchange)
-	}
-	if req.route.Kind == hitchroute.Streaming && exchange.Response.StatusCode == http.StatusOK {
-		return g.forwardStream(ctx, req, exchange, pick, sentAt)
-	}
-	return g.forwardUnary(ctx, req, exchange, pick, sentAt)
+	a.exchange = startExchange(ctx, g.Conns, pick.Endpoint.Addr, g.endpointMessage(req, pick), req.effectiveDeadline, &req.dispatchTracker, req.messages)
+	return a
+}
+
+// finishAttempt ends an attempt. Its connection is closed unless the response was read
+// to its end.
+func (g *Gateway) finishAttempt(a *attempt, result hitchbalance.Result) {
+	a.exchange.end()
+	g.Balancer.Finish(time.Now(), a.pick, result)
+	g.logHealthChanges()
 }
 
 // endpointMessage builds the request that is sent to an endpoint.
@@ -85,6 +88,18 @@
 	return hitchforward.Request{Method: req.original.Method, Target: req.original.RequestURI, Host: req.original.Host, Header: h, Body: req.body}
 }
 
+// observeHead stores the header of an attempt's response, and records what it says of
+// the endpoint.
+func (g *Gateway) observeHead(a *attempt, response *http.Response) {
+	now := time.Now()
+	a.response, a.head = response, g.Protocol.DecodeResponse(response.StatusCode, response.Header, now)
+	g.Balancer.ObserveFirstByte(now, a.pick)
+	if a.head.HasLoad {
+		g.Balancer.ObserveLoad(now, a.pick.Endpoint.ID, a.head.Load)
+	}
+	g.observeNotice(a.pick, a.head)
+}
+
 // checkResponseHead returns an error if the response belongs to another request
 // or wasn't produced by the endpoint itself.
 func checkResponseHead(id string, status int, head ResponseHead) error {
@@ -104,44 +119,96 @@
 	}
 }
 
-// firstByteDeadline returns the time by which the first byte of the response must
-// arrive. A request that may be retried at another endpoint leaves a stuck
-// endpoint before the latency objective is missed.
-func (req *proxyRequest) firstByteDeadline(now time.Time) time.Time {
-	objective := time.Duration(req.route.ObjectiveMilliseconds) * time.Millisecond
-	if objective <= 0 || !req.retryState.AllowsRetry() || !req.serviceState.retryBudget.AllowsRetry(now) {
-		return req.effectiveDeadline
+// checkHead returns an error if the response to an attempt is unusable.
+func (req *proxyRequest) checkHead(a *attempt) error {
+	if err := checkResponseHead(req.ID, a.response.StatusCode, a.head); err != nil {
+		return err
 	}
-	timeout, ok := req.serviceState.firstByteLatency.Timeout(objective, req.logEntry.lastPick.UncachedTokens)
-	if deadline := now.Add(timeout); ok && deadline.Before(req.effectiveDeadline) {
-		return deadline
+	if req.stream.headerSent && !a.head.DidNotRun && !req.isStream(a) {
+		return fmt.Errorf("%w: status %d", errNoStream, a.response.StatusCode)
 	}
-	return req.effectiveDeadline
+	return nil
 }
 
-// observeWait records how long the request waited for the first byte.
-func (req *proxyRequest) observeWait(sentAt time.Time) {
-	req.serviceState.firstByteLatency.Observe(time.Since(sentAt), req.logEntry.lastPick.UncachedTokens)
+// isStream reports whether the response to an attempt is forwarded event by event.
+func (req *proxyRequest) isStream(a *attempt) bool {
+	return req.route.Kind == hitchroute.Streaming && a.response.StatusCode == http.StatusOK && !a.head.DidNotRun
 }
 
-// isInactivityTimeout reports whether an attempt was abandoned because the endpoint
-// sent no byte in time.
-func isInactivityTimeout(err error) bool {
-	var failure *hitchforward.Failure
-	return errors.As(err, &failure) && failure.Kind == hitchforward.FailureSilent
+// handleHead handles the header of an attempt's response. It returns true and a result
+// if the attempt has ended.
+func (g *Gateway) handleHead(req *proxyRequest, a *attempt) (attemptResult, bool) {
+	if err := req.checkHead(a); err != nil {
+		return attemptResult{outcome: hitchretry.Lost, balancerResult: hitchbalance.ResultFailed, err: err}, true
+	}
+	if req.isStream(a) {
+		req.stream.buffered = req.stream.buffered[:0]
+	} else if !a.head.DidNotRun {
+		req.observeWait(a)
+	}
+	return attemptResult{}, false
+}
+
+// handleData handles bytes of the body of an attempt's response, and the end of the body
+// if err is io.EOF. It returns true and a result if the attempt has ended.
+func (g *Gateway) handleData(req *proxyRequest, a *attempt, data []byte, err error) (attemptResult, bool) {
+	isEnd := errors.Is(err, io.EOF)
+	if err != nil && !isEnd && a.head.DidNotRun {
+		return req.refusedResult(a, err), true
+	}
+	if len(data) > 0 && req.isStream(a) {
+		g.observeFirstData(req, a)
+		if result, ok := req.forwardEvents(a, data); !ok {
+			return result, true
+		}
+	} else if _, writeErr := a.body.Write(data); writeErr != nil || a.body.Len() > maxResponseBytes {
+		return g.failedAttempt(req, a, &hitchforward.Failure{Kind: hitchforward.FailureTooLarge, Err: errTooLarge}), true
+	}
+	switch {
+	case err != nil && !isEnd:
+		return g.failedAttempt(req, a, err), true
+	case !isEnd:
+		return attemptResult{}, false
+	case a.head.DidNotRun:
+		return req.refusedResult(a, nil), true
+	case req.isStream(a):
+		return req.finishStream(a), true
+	default:
+		return g.finishUnary(req, a), true
+	}
+}
+
+// observeFirstData records that the first bytes of a stream's body have arrived.
+func (g *Gateway) observeFirstData(req *proxyRequest, a *attempt) {
+	if a.hasData {
+		return
+	}
+	a.hasData = true
+	req.observeWait(a)
+	g.Balancer.ObservePrefill(time.Now(), a.pick)
+}
+
+// observeWait records how long an attempt waited for its first byte, or until it was
+// late.
+func (req *proxyRequest) observeWait(a *attempt) {
+	if a.isWaitObserved {
+		return
+	}
+	a.isWaitObserved = true
+	req.serviceState.firstByteLatency.Observe(time.Since(a.sentAt), a.pick.UncachedTokens)
 }
 
 // failedAttempt classifies an attempt that brought no complete response.
-func (g *Gateway) failedAttempt(req *proxyRequest, pick hitchbalance.Pick, err error) attemptResult {
+func (g *Gateway) failedAttempt(req *proxyRequest, a *attempt, err error) attemptResult {
 	result := attemptResult{outcome: hitchretry.Lost, balancerResult: hitchbalance.ResultConnectionLost, err: err}
 	var failure *hitchforward.Failure
 	if !errors.As(err, &failure) {
 		return result
 	}
-	failure.Attempt, failure.Endpoint = req.ID, pick.Endpoint.ID
+	failure.Attempt, failure.Endpoint = req.ID, a.pick.Endpoint.ID
 	if failure.IsUnresponsive() {
 		result.balancerResult = hitchbalance.ResultNoResponse
-		req.unreachableZones = append(req.unreachableZones, pick.Endpoint.Zone)
+		req.unreachableZones = append(req.unreachableZones, a.pick.Endpoint.Zone)
 	}
 	switch failure.Kind {
 	case hitchforward.FailureUnsent:
@@ -152,7 +219,7 @@
 	case hitchforward.FailureCallerGone, hitchforward.FailureTimeout:
 		result.balancerResult = hitchbalance.ResultAbandoned
 	case hitchforward.FailureSilent:
-		g.Conns.CloseIdle(pick.Endpoint.Addr)
+		g.Conns.CloseIdle(a.pick.Endpoint.Addr)
 	}
 	if !time.Now().Before(req.effectiveDeadline) {
 		result.balancerResult = hitchbalance.ResultAbandoned
@@ -160,36 +227,27 @@
 	return result
 }
 
-// refusedAttempt handles a response in which the endpoint guarantees that it didn't
+// refusedResult returns the result of an attempt whose endpoint guarantees that it didn't
 // run the request.
-func (g *Gateway) refusedAttempt(ctx context.Context, req *proxyRequest, exchange *hitchforward.Exchange) attemptResult {
-	result := attemptResult{outcome: hitchretry.Refused, balancerResult: hitchbalance.ResultRefused}
-	if exchange.Response.StatusCode == http.StatusMisdirectedRequest {
+func (req *proxyRequest) refusedResult(a *attempt, err error) attemptResult {
+	result := attemptResult{outcome: hitchretry.Refused, balancerResult: hitchbalance.ResultRefused, err: err}
+	if a.response.StatusCode == http.StatusMisdirectedRequest {
 		// The address now belongs to another endpoint.
 		result.balancerResult = hitchbalance.ResultConnectionLost
 	}
 	req.dispatchTracker.MarkUnsent()
-	if _, err := exchange.ReadAll(maxResponseBytes); err != nil {
-		result.err = exchange.FailureFor(ctx, err)
-	}
 	return result
 }
 
-// forwardUnary reads a response that isn't streamed and writes it to the caller. A
-// server error is returned instead, as another attempt may succeed.
-func (g *Gateway) forwardUnary(ctx context.Context, req *proxyRequest, exchange *hitchforward.Exchange, pick hitchbalance.Pick, sentAt time.Time) attemptResult {
-	req.observeWait(sentAt)
-	exchange.SetReadDeadline(req.effectiveDeadline)
-	body, err := exchange.ReadAll(maxResponseBytes)
-	if err != nil {
-		return g.failedAttempt(req, pick, exchange.FailureFor(ctx, err))
-	}
-	response := &unaryResponse{status: exchange.Response.StatusCode, header: exchange.Response.Header, body: body}
+// finishUnary writes a complete response that isn't streamed to the caller. A server
+// error is returned instead, as another attempt may succeed.
+func (g *Gateway) finishUnary(req *proxyRequest, a *attempt) attemptResult {
+	response := &unaryResponse{status: a.response.StatusCode, header: a.response.Header, body: a.body.Bytes()}
 	if response.status >= http.StatusInternalServerError {
 		return attemptResult{outcome: hitchretry.Failed, balancerResult: hitchbalance.ResultFailed, response: response}
 	}
 	req.dispatchTracker.MarkAnswered()
-	g.Balancer.ObservePrefill(time.Now(), pick)
+	g.Balancer.ObservePrefill(time.Now(), a.pick)
 	g.writeResponse(req, response)
 	return attemptResult{isFinal: true, balancerResult: hitchbalance.ResultOK}
 }
--- a/hitchingress/log.go
+++ b/hitchingress/log.go
@@ -24,12 +24,6 @@
 	err    error
 }
 
-// addAttempt records an endpoint that the request is sent to.
-func (e *logEntry) addAttempt(pick hitchbalance.Pick) {
-	e.attempts++
-	e.lastPick = pick
-}
-
 // setFirstEventTime records when the first event was sent to the caller.
 func (e *logEntry) setFirstEventTime(now time.Time) { e.firstEventAt = now }
 
--- a/hitchingress/run.go
+++ b/hitchingress/run.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"citronhitch.example/citronhitch/hitchbalance"
+	"citronhitch.example/citronhitch/hitchfleet"
 	"citronhitch.example/citronhitch/hitchoutcome"
 	"citronhitch.example/citronhitch/hitchretry"
 )
@@ -29,35 +31,59 @@
 	defer cancel()
 	req.serviceState = g.serviceState(req.service)
 	req.serviceState.retryBudget.RecordFirstAttempt(req.receivedAt)
+	req.messages = make(chan exchangeMsg)
+	var open []*attempt // the first one is followed, the others are its standbys
 	for {
-		pick, refusal := g.Balancer.Pick(time.Now(), hitchbalance.Request{
-			Service: req.service, Prompt: req.Prompt, Zone: g.Self.Zone, Tried: req.triedEndpoints,
-			BacklogSlackTokens: req.slackTokens(),
-			IsRetrySafe:        req.retryState.IsRetrySafe, UnreachableZones: req.unreachableZones,
-		})
-		if refusal != hitchbalance.NotRefused {
-			g.finishWithoutEndpoint(req, refusal, pick.RetryAt)
-			return
-		}
-		if pick.PendingPrefix != 0 && req.logEntry.prefillWaitFrom.IsZero() {
-			g.waitForPrefill(ctx, req, pick)
-			continue
+		if len(open) == 0 {
+			first := g.nextAttempt(ctx, req)
+			if first == nil {
+				return
+			}
+			open = append(open, first)
 		}
-		req.triedEndpoints = append(req.triedEndpoints, pick.Endpoint.ID)
-		result := g.attempt(ctx, req, pick)
+		result := g.follow(ctx, req, open[0], open[1:])
 		if result.isFinal {
 			return
 		}
 		var decision hitchretry.Decision
 		req.retryState, decision = req.retryState.AfterAttempt(time.Now(), result.outcome)
-		if decision == hitchretry.Retry && (ctx.Err() != nil || !req.takeRetry(result.outcome)) {
+		if len(result.next) > 0 {
+			decision = hitchretry.Retry
+		} else if decision == hitchretry.Retry && (ctx.Err() != nil || !req.takeRetry(result.outcome)) {
 			decision = req.retryState.FinalDecision(result.outcome)
 		}
-		g.logFailedAttempt(req, pick, result, decision)
+		g.logFailedAttempt(req, open[0].pick, result, decision)
 		if decision != hitchretry.Retry {
 			g.finishFailed(ctx, req, result, decision)
 			return
 		}
+		open = result.next
+	}
+}
+
+// nextAttempt sends the request to the endpoint that suits it best. It returns nil if
+// there is none, and the request has its final response.
+func (g *Gateway) nextAttempt(ctx context.Context, req *proxyRequest) *attempt {
+	for {
+		pick, refusal := g.Balancer.Pick(time.Now(), req.pickRequest(g.Self.Zone))
+		if refusal != hitchbalance.NotRefused {
+			g.finishWithoutEndpoint(req, refusal, pick.RetryAt)
+			return nil
+		}
+		if pick.PendingPrefix == 0 || !req.logEntry.prefillWaitFrom.IsZero() {
+			return g.startAttempt(ctx, req, pick)
+		}
+		g.waitForPrefill(ctx, req, pick)
+	}
+}
+
+// pickRequest returns the properties of the request that decide which endpoint gets its
+// next attempt.
+func (req *proxyRequest) pickRequest(zone hitchfleet.AvailabilityZone) hitchbalance.Request {
+	return hitchbalance.Request{
+		Service: req.service, Prompt: req.Prompt, Zone: zone, Tried: req.triedEndpoints,
+		BacklogSlackTokens: req.slackTokens(),
+		IsRetrySafe:        req.retryState.IsRetrySafe, UnreachableZones: slices.Clone(req.unreachableZones),
 	}
 }
 
--- a/hitchingress/serve.go
+++ b/hitchingress/serve.go
@@ -30,6 +30,8 @@
 	retryState        hitchretry.Request
 	dispatchTracker   hitchoutcome.DispatchTracker
 	triedEndpoints    []hitchfleet.EndpointID
+	// messages receives what arrives from the endpoints.
+	messages chan exchangeMsg
 	// unreachableZones are the zones of endpoints that didn't respond to this
 	// request in time.
 	unreachableZones []hitchfleet.AvailabilityZone
--- a/hitchingress/stream.go
+++ b/hitchingress/stream.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"context"
 	"errors"
 	"io"
 	"net/http"
@@ -10,7 +9,6 @@
 	"time"
 
 	"citronhitch.example/citronhitch/hitchbalance"
-	"citronhitch.example/citronhitch/hitchforward"
 	"citronhitch.example/citronhitch/hitchretry"
 )
 
@@ -28,63 +26,17 @@
 	isAborted bool
 }
 
+// errSilent is the error of an attempt that another one has replaced, as its endpoint sent
+// nothing for too long.
+var errSilent = errors.New("the endpoint is silent")
+
 // errEventOrder is returned if an endpoint's event doesn't follow the last event that
 // was sent to the caller.
 var errEventOrder = errors.New("event ID isn't greater than the previous one")
 
-// eventTimeoutFactor is the timeout between two events of an endpoint, as a multiple
-// of the route's objective for this gap.
-const eventTimeoutFactor = 3
-
-// minEventTimeout is the lower limit of the timeout between two events.
-const minEventTimeout = time.Second
-
-// forwardStream forwards the events of an endpoint's response to the caller, complete
-// events only.
-func (g *Gateway) forwardStream(ctx context.Context, req *proxyRequest, exchange *hitchforward.Exchange, pick hitchbalance.Pick, sentAt time.Time) attemptResult {
-	req.stream.buffered = req.stream.buffered[:0]
-	buf := make([]byte, 4<<10)
-	exchange.SetReadDeadline(req.firstByteDeadline(sentAt))
-	awaitsFirstByte := true
-	for {
-		n, err := exchange.Read(buf)
-		if awaitsFirstByte && (n > 0 || isInactivityTimeout(exchange.FailureFor(ctx, err))) {
-			req.observeWait(sentAt)
-			awaitsFirstByte = false
-			if n > 0 {
-				g.Balancer.ObservePrefill(time.Now(), pick)
-			}
-		}
-		if n > 0 {
-			exchange.SetReadDeadline(req.nextEventDeadline(time.Now()))
-			if result, ok := g.forwardEvents(req, exchange, buf[:n]); !ok {
-				return result
-			}
-		}
-		if errors.Is(err, io.EOF) {
-			return g.finishStream(req, pick, exchange)
-		}
-		if err != nil {
-			return g.failedAttempt(req, pick, exchange.FailureFor(ctx, err))
-		}
-	}
-}
-
-// nextEventDeadline returns the time by which the next event must arrive. If the stream
-// couldn't be resumed at another endpoint, or the retry budget is used up, that is
-// effectiveDeadline, since abandoning the stream wouldn't help the caller.
-func (req *proxyRequest) nextEventDeadline(now time.Time) time.Time {
-	timeout := max(time.Duration(req.route.GapMilliseconds)*time.Millisecond*eventTimeoutFactor, minEventTimeout)
-	deadline := now.Add(timeout)
-	if deadline.After(req.effectiveDeadline) || !req.retryState.AllowsRetry() || !req.serviceState.retryBudget.AllowsRetry(now) {
-		return req.effectiveDeadline
-	}
-	return deadline
-}
-
 // forwardEvents buffers bytes of a response and sends the complete events to the
 // caller. It returns false and a result if the attempt has ended.
-func (g *Gateway) forwardEvents(req *proxyRequest, exchange *hitchforward.Exchange, b []byte) (attemptResult, bool) {
+func (req *proxyRequest) forwardEvents(a *attempt, b []byte) (attemptResult, bool) {
 	req.stream.buffered = append(req.stream.buffered, b...)
 	completeLength := bytes.LastIndex(req.stream.buffered, eventDelimiter)
 	if completeLength < 0 {
@@ -96,9 +48,9 @@
 		return attemptResult{outcome: hitchretry.Lost, balancerResult: hitchbalance.ResultFailed, err: err}, false
 	}
 	if !req.stream.headerSent {
-		copyHeader(req.writer.Header(), exchange.Response.Header)
+		copyHeader(req.writer.Header(), a.response.Header)
 		req.writer.Header().Del("Content-Length")
-		req.writer.WriteHeader(exchange.Response.StatusCode)
+		req.writer.WriteHeader(a.response.StatusCode)
 		req.stream.headerSent = true
 		req.logEntry.setFirstEventTime(time.Now())
 	}
@@ -152,13 +104,13 @@
 
 // finishStream ends an attempt whose stream was read to its end. The attempt has failed
 // if the last event is incomplete.
-func (g *Gateway) finishStream(req *proxyRequest, pick hitchbalance.Pick, exchange *hitchforward.Exchange) attemptResult {
+func (req *proxyRequest) finishStream(a *attempt) attemptResult {
 	if len(req.stream.buffered) > 0 {
 		return attemptResult{outcome: hitchretry.Lost, balancerResult: hitchbalance.ResultConnectionLost, err: io.ErrUnexpectedEOF}
 	}
 	if !req.stream.headerSent {
-		copyHeader(req.writer.Header(), exchange.Response.Header)
-		req.writer.WriteHeader(exchange.Response.StatusCode)
+		copyHeader(req.writer.Header(), a.response.Header)
+		req.writer.WriteHeader(a.response.StatusCode)
 	}
 	req.dispatchTracker.MarkAnswered()
 	req.logEntry.setEnd("Answered", http.StatusOK, nil)
