hitchingress: the exchange itself reads a plain body, and what follows a refusal

No change for callers. A body that isn't streamed needs one message in place of one for each read, and the exchange can bound it where it is read. hitchingress tests with the race detector pass.

--- a/hitchingress/attempt.go
+++ b/hitchingress/attempt.go
@@ -1,7 +1,6 @@
 package hitchingress
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -21,7 +20,6 @@
 	errMissingDigest  = errors.New("successful response has no digest from the endpoint")
 	errContentEncoded = errors.New("response body has a content encoding, which endpoints never apply")
 	errNoStream       = errors.New("response to a resumption isn't a stream")
-	errTooLarge       = errors.New("response is larger than the limit")
 )
 
 // attempt is one dispatch of a request to an endpoint. Its state changes only in the
@@ -33,8 +31,6 @@
 	// response and head are set once the header of the response has arrived.
 	response *http.Response
 	head     ResponseHead
-	// body holds the body of a response that isn't streamed.
-	body bytes.Buffer
 	// hasData is set once a byte of a stream's body has arrived.
 	hasData bool
 	// isWaitObserved is set once the wait for the first byte was recorded.
@@ -63,7 +59,10 @@
 	if expected, ok := req.serviceState.firstByteLatency.OverdueAfter(pick.UncachedTokens); ok {
 		g.Balancer.ExpectResponseBy(pick, a.sentAt.Add(expected))
 	}
-	a.exchange = startExchange(ctx, g.Conns, pick.Endpoint.Addr, g.endpointMessage(req, pick), req.effectiveDeadline, &req.dispatchTracker, req.messages)
+	a.exchange = startExchange(ctx, exchangeParams{
+		pool: g.Conns, addr: pick.Endpoint.Addr, request: g.endpointMessage(req, pick), deadline: req.effectiveDeadline,
+		tracker: &req.dispatchTracker, decode: g.Protocol.DecodeResponse, isStream: req.isStream,
+	}, req.messages)
 	return a
 }
 
@@ -90,9 +89,9 @@
 
 // observeHead stores the header of an attempt's response, and records what it says of
 // the endpoint.
-func (g *Gateway) observeHead(a *attempt, response *http.Response) {
+func (g *Gateway) observeHead(a *attempt, msg exchangeMsg) {
 	now := time.Now()
-	a.response, a.head = response, g.Protocol.DecodeResponse(response.StatusCode, response.Header, now)
+	a.response, a.head = msg.response, msg.head
 	g.Balancer.ObserveFirstByte(now, a.pick)
 	if a.head.HasLoad {
 		g.Balancer.ObserveLoad(now, a.pick.Endpoint.ID, a.head.Load)
@@ -124,15 +123,20 @@
 	if err := checkResponseHead(req.ID, a.response.StatusCode, a.head); err != nil {
 		return err
 	}
-	if req.stream.headerSent && !a.head.DidNotRun && !req.isStream(a) {
+	if req.stream.headerSent && !a.head.DidNotRun && !req.isStreaming(a) {
 		return fmt.Errorf("%w: status %d", errNoStream, a.response.StatusCode)
 	}
 	return nil
 }
 
-// isStream reports whether the response to an attempt is forwarded event by event.
-func (req *proxyRequest) isStream(a *attempt) bool {
-	return req.route.Kind == hitchroute.Streaming && a.response.StatusCode == http.StatusOK && !a.head.DidNotRun
+// isStream reports whether a response is forwarded event by event.
+func (req *proxyRequest) isStream(status int, head ResponseHead) bool {
+	return req.route.Kind == hitchroute.Streaming && status == http.StatusOK && !head.DidNotRun
+}
+
+// isStreaming reports whether the response to an attempt is a stream.
+func (req *proxyRequest) isStreaming(a *attempt) bool {
+	return req.isStream(a.response.StatusCode, a.head)
 }
 
 // handleHead handles the header of an attempt's response. It returns true and a result
@@ -141,7 +145,7 @@
 	if err := req.checkHead(a); err != nil {
 		return attemptResult{outcome: hitchretry.Lost, balancerResult: hitchbalance.ResultFailed, err: err}, true
 	}
-	if req.isStream(a) {
+	if req.isStreaming(a) {
 		req.stream.buffered = req.stream.buffered[:0]
 	} else if !a.head.DidNotRun {
 		req.observeWait(a)
@@ -149,32 +153,19 @@
 	return attemptResult{}, false
 }
 
-// handleData handles bytes of the body of an attempt's response, and the end of the body
-// if err is io.EOF. It returns true and a result if the attempt has ended.
+// handleData handles the body of an attempt's response: bytes of a stream, or all of any
+// other. It returns true and a result if the attempt has ended.
 func (g *Gateway) handleData(req *proxyRequest, a *attempt, data []byte, err error) (attemptResult, bool) {
 	isEnd := errors.Is(err, io.EOF)
-	if err != nil && !isEnd && a.head.DidNotRun {
-		return req.refusedResult(a, err), true
-	}
-	if len(data) > 0 && req.isStream(a) {
-		g.observeFirstData(req, a)
-		if result, ok := req.forwardEvents(a, data); !ok {
-			return result, true
-		}
-	} else if _, writeErr := a.body.Write(data); writeErr != nil || a.body.Len() > maxResponseBytes {
-		return g.failedAttempt(req, a, &hitchforward.Failure{Kind: hitchforward.FailureTooLarge, Err: errTooLarge}), true
-	}
 	switch {
-	case err != nil && !isEnd:
-		return g.failedAttempt(req, a, err), true
-	case !isEnd:
-		return attemptResult{}, false
 	case a.head.DidNotRun:
-		return req.refusedResult(a, nil), true
-	case req.isStream(a):
-		return req.finishStream(a), true
+		return req.refusedResult(a, err), true
+	case req.isStreaming(a):
+		return g.handleStreamData(req, a, data, err)
+	case !isEnd:
+		return g.failedAttempt(req, a, err), true
 	default:
-		return g.finishUnary(req, a), true
+		return g.finishUnary(req, a, data), true
 	}
 }
 
@@ -230,7 +221,10 @@
 // refusedResult returns the result of an attempt whose endpoint guarantees that it didn't
 // run the request.
 func (req *proxyRequest) refusedResult(a *attempt, err error) attemptResult {
-	result := attemptResult{outcome: hitchretry.Refused, balancerResult: hitchbalance.ResultRefused, err: err}
+	result := attemptResult{outcome: hitchretry.Refused, balancerResult: hitchbalance.ResultRefused}
+	if !errors.Is(err, io.EOF) {
+		result.err = err
+	}
 	if a.response.StatusCode == http.StatusMisdirectedRequest {
 		// The address now belongs to another endpoint.
 		result.balancerResult = hitchbalance.ResultConnectionLost
@@ -241,8 +235,8 @@
 
 // finishUnary writes a complete response that isn't streamed to the caller. A server
 // error is returned instead, as another attempt may succeed.
-func (g *Gateway) finishUnary(req *proxyRequest, a *attempt) attemptResult {
-	response := &unaryResponse{status: a.response.StatusCode, header: a.response.Header, body: a.body.Bytes()}
+func (g *Gateway) finishUnary(req *proxyRequest, a *attempt, body []byte) attemptResult {
+	response := &unaryResponse{status: a.response.StatusCode, header: a.response.Header, body: body}
 	if response.status >= http.StatusInternalServerError {
 		return attemptResult{outcome: hitchretry.Failed, balancerResult: hitchbalance.ResultFailed, response: response}
 	}
--- a/hitchingress/exchange.go
+++ b/hitchingress/exchange.go
@@ -11,13 +11,16 @@
 	"citronhitch.example/citronhitch/hitchoutcome"
 )
 
-// exchangeMsg is what arrived from an endpoint: the header of its response, or bytes of
-// the body and its end.
+// exchangeMsg is what arrived from an endpoint: the header of its response, the whole body
+// of a plain response or bytes of a stream, or the end.
 type exchangeMsg struct {
 	from *endpointExchange
-	// response is the status line and header; nil in all messages but the first one.
+	// response is the status line and header, and head what they say; response is nil in
+	// all messages but the first one.
 	response *http.Response
-	// data is valid until the next message is received.
+	head     ResponseHead
+	// data is a whole body, or bytes of a stream that are valid until the next message is
+	// received. The body of a refusal isn't delivered.
 	data []byte
 	// err is io.EOF after the whole response, or a *hitchforward.Failure.
 	err error
@@ -26,6 +29,7 @@
 // endpointExchange sends a request to an endpoint and reads the response in a goroutine
 // of its own, so that a request can follow several endpoints at a time.
 type endpointExchange struct {
+	exchangeParams
 	messages  chan<- exchangeMsg
 	cancel    context.CancelFunc
 	abandoned chan struct{}
@@ -35,14 +39,27 @@
 	isComplete bool
 }
 
-// startExchange sends a request and delivers what arrives to messages. The whole response
-// must arrive by the deadline.
-func startExchange(ctx context.Context, pool *hitchforward.ConnPool, addr string, r hitchforward.Request, deadline time.Time, tracker *hitchoutcome.DispatchTracker, messages chan<- exchangeMsg) *endpointExchange {
+// exchangeParams are the request of an exchange, and what it needs to be sent.
+type exchangeParams struct {
+	pool    *hitchforward.ConnPool
+	addr    string
+	request hitchforward.Request
+	// deadline is when the whole response must have arrived.
+	deadline time.Time
+	tracker  *hitchoutcome.DispatchTracker
+	// decode decodes the header of the response, and isStream reports whether the response
+	// is delivered piece by piece.
+	decode   func(status int, h http.Header, now time.Time) ResponseHead
+	isStream func(status int, head ResponseHead) bool
+}
+
+// startExchange sends a request and delivers what arrives to messages.
+func startExchange(ctx context.Context, params exchangeParams, messages chan<- exchangeMsg) *endpointExchange {
 	ctx, cancel := context.WithCancel(ctx)
-	x := &endpointExchange{messages: messages, cancel: cancel, abandoned: make(chan struct{}), closed: make(chan struct{})}
+	x := &endpointExchange{exchangeParams: params, messages: messages, cancel: cancel, abandoned: make(chan struct{}), closed: make(chan struct{})}
 	go func() {
 		defer close(x.closed)
-		x.run(ctx, pool, addr, r, deadline, tracker)
+		x.run(ctx)
 	}()
 	return x
 }
@@ -57,29 +74,53 @@
 	close(x.abandoned)
 }
 
-// exchangeBufferBytes is the size of each of an exchange's two read buffers.
-const exchangeBufferBytes = 2048
-
 // run exchanges the request for the response and delivers what arrives.
-func (x *endpointExchange) run(ctx context.Context, pool *hitchforward.ConnPool, addr string, r hitchforward.Request, deadline time.Time, tracker *hitchoutcome.DispatchTracker) {
-	exchange, err := pool.Open(ctx, addr, r, deadline, tracker)
+func (x *endpointExchange) run(ctx context.Context) {
+	exchange, err := x.pool.Open(ctx, x.addr, x.request, x.deadline, x.tracker)
 	if err != nil {
 		x.deliver(exchangeMsg{err: err})
 		return
 	}
 	defer exchange.Close()
-	isWanted := x.deliver(exchangeMsg{response: exchange.Response})
+	response := exchange.Response
+	head := x.decode(response.StatusCode, response.Header, time.Now())
+	if !x.deliver(exchangeMsg{response: response, head: head}) {
+		return
+	}
+	if x.isStream(response.StatusCode, head) {
+		x.readStream(ctx, exchange)
+		return
+	}
+	body, err := exchange.ReadAll(maxResponseBytes)
+	if head.DidNotRun {
+		body = nil
+	}
+	x.deliver(exchangeMsg{data: body, err: endOf(ctx, exchange, err)})
+}
+
+// endOf returns the error of the last message: io.EOF or the failure.
+func endOf(ctx context.Context, exchange *hitchforward.Exchange, err error) error {
+	if err == nil || errors.Is(err, io.EOF) {
+		return io.EOF
+	}
+	return exchange.FailureFor(ctx, err)
+}
+
+// streamBufferBytes is the size of each of the two buffers for the bytes of a stream.
+const streamBufferBytes = 2048
+
+// readStream delivers the bytes of a stream as they arrive.
+func (x *endpointExchange) readStream(ctx context.Context, exchange *hitchforward.Exchange) {
 	// While the receiver uses one buffer, the next bytes are read into the other one.
-	var buffers [2][]byte
-	for i := 0; isWanted; i = 1 - i {
-		if buffers[i] == nil {
-			buffers[i] = make([]byte, exchangeBufferBytes)
+	var buffers [2][streamBufferBytes]byte
+	for i := 0; ; i = 1 - i {
+		n, err := exchange.Read(buffers[i][:])
+		if err != nil {
+			err = endOf(ctx, exchange, err)
 		}
-		n, err := exchange.Read(buffers[i])
-		if err != nil && !errors.Is(err, io.EOF) {
-			err = exchange.FailureFor(ctx, err)
+		if !x.deliver(exchangeMsg{data: buffers[i][:n], err: err}) || err != nil {
+			return
 		}
-		isWanted = x.deliver(exchangeMsg{data: buffers[i][:n], err: err}) && err == nil
 	}
 }
 
--- a/hitchingress/standby.go
+++ b/hitchingress/standby.go
@@ -91,7 +91,7 @@
 	a := f.current
 	switch {
 	case msg.response != nil:
-		f.gateway.observeHead(a, msg.response)
+		f.gateway.observeHead(a, msg)
 		return f.gateway.handleHead(f.req, a)
 	case a.response == nil:
 		return f.gateway.failedAttempt(f.req, a, msg.err), true
@@ -154,7 +154,7 @@
 // could send: a plain response isn't given up once its header has arrived.
 func (f *follower) isAwaited() bool {
 	a := f.current
-	return a.response == nil || f.req.isStream(a)
+	return a.response == nil || f.req.isStreaming(a)
 }
 
 // allowsStandby reports whether one more endpoint may run the request, if each open
@@ -212,7 +212,7 @@
 // takes over.
 func (f *follower) handleStandbyMsg(a *attempt, msg exchangeMsg) (attemptResult, bool) {
 	if msg.response != nil {
-		f.gateway.observeHead(a, msg.response)
+		f.gateway.observeHead(a, msg)
 	}
 	if a.response == nil {
 		f.standbyFailed(a, f.gateway.failedAttempt(f.req, a, msg.err))
@@ -223,7 +223,7 @@
 	case err != nil:
 		f.standbyFailed(a, attemptResult{outcome: hitchretry.Lost, balancerResult: hitchbalance.ResultFailed, err: err})
 	case a.head.DidNotRun && msg.err != nil:
-		f.standbyFailed(a, f.req.refusedResult(a, nil))
+		f.standbyFailed(a, f.req.refusedResult(a, msg.err))
 	case a.head.DidNotRun: // the rest of the refusal follows
 	case a.response.StatusCode >= http.StatusInternalServerError:
 		f.standbyFailed(a, attemptResult{outcome: hitchretry.Failed, balancerResult: hitchbalance.ResultFailed})
--- a/hitchingress/stream.go
+++ b/hitchingress/stream.go
@@ -34,6 +34,25 @@
 // was sent to the caller.
 var errEventOrder = errors.New("event ID isn't greater than the previous one")
 
+// handleStreamData handles bytes of a stream, and its end if err is io.EOF. It returns true
+// and a result if the attempt has ended.
+func (g *Gateway) handleStreamData(req *proxyRequest, a *attempt, data []byte, err error) (attemptResult, bool) {
+	if len(data) > 0 {
+		g.observeFirstData(req, a)
+		if result, ok := req.forwardEvents(a, data); !ok {
+			return result, true
+		}
+	}
+	switch {
+	case errors.Is(err, io.EOF):
+		return req.finishStream(a), true
+	case err != nil:
+		return g.failedAttempt(req, a, err), true
+	default:
+		return attemptResult{}, false
+	}
+}
+
 // forwardEvents buffers bytes of a response and sends the complete events to the
 // caller. It returns false and a result if the attempt has ended.
 func (req *proxyRequest) forwardEvents(a *attempt, b []byte) (attemptResult, bool) {
