hitchforward: a connection outlasts three seconds without an acknowledgement

What callers could see: the request of a booking, or a stream, whose endpoint's machine acknowledges nothing for a second is cut by the kernel (TCP_USER_TIMEOUT 1 s; for a stream in progress by a keep-alive probe after 2 s), though a sound endpoint may be silent for that long and go on.

An endpoint that stays silent is noticed sooner by the requests' own timeouts, which ask another one.

Test: TestConnectionOutlastsSilentEndpoint failed before (1s).

--- a/hitchforward/conn.go
+++ b/hitchforward/conn.go
@@ -15,10 +15,10 @@
 const (
 	// connectTimeout is how long establishing a connection may take.
 	connectTimeout = 400 * time.Millisecond
-	// unackedTimeoutMilliseconds is how long written bytes may remain
-	// unacknowledged before the connection is closed, as its network path is then
-	// assumed to be unreachable.
-	unackedTimeoutMilliseconds = 1_000
+	// unackedTimeoutMilliseconds is how long written bytes or keep-alive probes may
+	// remain unacknowledged before the connection is closed, as its network path is
+	// then assumed to be unreachable. A sound endpoint may be silent for two seconds.
+	unackedTimeoutMilliseconds = 3_000
 	// tcpUserTimeout is Linux's TCP_USER_TIMEOUT, which package syscall lacks.
 	tcpUserTimeout = 18
 	// defaultIdleTimeout is how long an idle connection is kept if its endpoint
