hitchingress: a standby takes over with its first event, not with its header

What callers saw: a stream whose endpoint was silent for 1.7 s and would have gone on was cut after 1.2 s, or hung until the route's timeout, if another endpoint sent the header of a response and then nothing, closed, stopped in its first event or sent events out of order. An answer that isn't streamed became 502 or 504, even if the first endpoint's header had come before the other's.

Cause: the header of a standby's response ended the silent attempt.

Change: what a standby brings is kept until it is a whole event that follows those the caller has, the end of the stream, or a whole response that isn't streamed. Only then does it take over. One that breaks off before that has failed like any other.

--- a/hitchingress/attempt.go
+++ b/hitchingress/attempt.go
@@ -31,6 +31,10 @@
 	// response and head are set once the header of the response has arrived.
 	response *http.Response
 	head     ResponseHead
+	// begun is what a standby has brought of a stream, or its whole other response, and
+	// isWhole is set once that is all of it.
+	begun   []byte
+	isWhole bool
 	// hasData is set once a byte of a stream's body has arrived.
 	hasData bool
 	// isWaitObserved is set once the wait for the first byte was recorded.
--- a/hitchingress/standby.go
+++ b/hitchingress/standby.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"io"
 	"net/http"
 	"slices"
 	"time"
@@ -56,7 +58,7 @@
 	}()
 	f.resetTimer()
 	if a.response != nil { // it arrived while the attempt was a standby
-		if result, ok := g.handleHead(req, a); ok {
+		if result, ok := f.takeOver(); ok {
 			return result
 		}
 	}
@@ -96,8 +98,13 @@
 	case a.response == nil:
 		return f.gateway.failedAttempt(f.req, a, msg.err), true
 	}
+	return f.handleData(msg.data, msg.err)
+}
+
+// handleData handles the body of the current attempt's response.
+func (f *follower) handleData(data []byte, err error) (attemptResult, bool) {
 	events := f.req.stream.eventCount
-	result, ok := f.gateway.handleData(f.req, a, msg.data, msg.err)
+	result, ok := f.gateway.handleData(f.req, f.current, data, err)
 	if !ok && f.req.stream.eventCount > events {
 		f.noteProgress()
 	}
@@ -208,8 +215,9 @@
 	return f.gateway.startAttempt(f.ctx, req, pick)
 }
 
-// handleStandbyMsg handles a message of a standby. Once it has accepted the request, it
-// takes over.
+// handleStandbyMsg handles a message of a standby. It takes over once it has brought a whole
+// event, or a whole response that isn't streamed: one that has only begun may still fail,
+// while the silent endpoint may go on.
 func (f *follower) handleStandbyMsg(a *attempt, msg exchangeMsg) (attemptResult, bool) {
 	if msg.response != nil {
 		f.gateway.observeHead(a, msg)
@@ -227,12 +235,64 @@
 	case a.head.DidNotRun: // the rest of the refusal follows
 	case a.response.StatusCode >= http.StatusInternalServerError:
 		f.standbyFailed(a, attemptResult{outcome: hitchretry.Failed, balancerResult: hitchbalance.ResultFailed})
-	default:
+	case msg.response == nil:
+		return f.handleStandbyData(a, msg)
+	}
+	return attemptResult{}, false
+}
+
+// handleStandbyData handles the body of a standby's response.
+func (f *follower) handleStandbyData(a *attempt, msg exchangeMsg) (attemptResult, bool) {
+	a.begun, a.isWhole = append(a.begun, msg.data...), errors.Is(msg.err, io.EOF)
+	isUsable, err := a.isWhole, msg.err
+	if a.isWhole {
+		err = nil
+	}
+	if err == nil && f.req.isStreaming(a) {
+		isUsable, err = f.req.checkBegunStream(a)
+	}
+	switch {
+	case err != nil:
+		f.standbyFailed(a, f.gateway.failedAttempt(f.req, a, err))
+	case isUsable:
 		return f.leaveSilent(a), true
 	}
 	return attemptResult{}, false
 }
 
+// checkBegunStream reports whether a standby has brought events that follow those that the
+// caller has, or the end of the stream. It returns an error if it has brought anything else.
+func (req *proxyRequest) checkBegunStream(a *attempt) (ok bool, err error) {
+	_, count, err := scanEvents(a.begun, req.stream.lastEventID)
+	switch {
+	case err != nil || count > 0:
+		return err == nil, err
+	case a.isWhole && len(a.begun) > 0:
+		return false, io.ErrUnexpectedEOF
+	case len(a.begun) > maxResponseBytes:
+		return false, errEventTooLarge
+	default:
+		return a.isWhole, nil
+	}
+}
+
+// takeOver handles what arrived from the current attempt while it was a standby. It returns
+// true and a result if the attempt has ended.
+func (f *follower) takeOver() (attemptResult, bool) {
+	a := f.current
+	result, ok := f.gateway.handleHead(f.req, a)
+	switch {
+	case ok:
+		return result, true
+	case a.isWhole:
+		return f.handleData(a.begun, io.EOF)
+	case len(a.begun) > 0:
+		return f.handleData(a.begun, nil)
+	default:
+		return attemptResult{}, false
+	}
+}
+
 // leaveSilent ends the current attempt, which a standby replaces.
 func (f *follower) leaveSilent(next *attempt) attemptResult {
 	f.req.observeWait(f.current)
--- a/hitchingress/stream.go
+++ b/hitchingress/stream.go
@@ -30,6 +30,9 @@
 // nothing for too long.
 var errSilent = errors.New("the endpoint is silent")
 
+// errEventTooLarge is the error of a standby whose first event doesn't end.
+var errEventTooLarge = errors.New("event is larger than the limit")
+
 // errEventOrder is returned if an endpoint's event doesn't follow the last event that
 // was sent to the caller.
 var errEventOrder = errors.New("event ID isn't greater than the previous one")
