hitchserver: a request that was read with the one before it outlasts the start of a shutdown

What callers saw: a caller that sends its next request before it has the response to the one before (pipelining) got 502 for it, or a cut stream, if the instance began to close its connections while the first one was handled.

Cause: between the two requests the connection counts as idle, and its read deadline is set to the past, so that no further request is read. The second one had been read already. Its handler ran, but net/http's background read met that deadline and canceled the request, as if its caller had left. Only a read that returned bytes lifted the deadline.

Evidence: TestPipelinedRequestOutlastsShutdown failed with 'canceled'.

Change: the deadline is set again when the handler starts.

--- a/hitchserver/conn.go
+++ b/hitchserver/conn.go
@@ -89,11 +89,13 @@
 	return nil
 }
 
+// setPhase sets the phase. A request that was read together with the one before it begins
+// without a read: its connection is no longer without one.
 func (c *conn) setPhase(p Phase) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.phase = p
-	if c.isStopping && !c.hasRequest() {
+	if c.isStopping {
 		_ = c.applyReadDeadline()
 	}
 }
