hitchretry: refusals before a part of the response don't count against later attempts

What callers saw: a stream whose endpoint was silent for a second, went on and later broke off was cut, although another endpoint was free and the route's MaxAttempts allowed it, if four others had refused the request during the silence.

Cause: at most three refusals are followed by another attempt. Those of standbys counted against the whole rest of the stream.

Evidence: TestRefusedStandbysDontPreventRetry failed with an unexpected EOF.

Change: Request.AfterProgress forgets them when an event arrives while attempts that may have run still count. The retry budget still limits how often others are asked.

--- a/hitchingress/standby.go
+++ b/hitchingress/standby.go
@@ -119,6 +119,7 @@
 			"SilentFor", now.Sub(f.progressAt), "Standbys", len(f.standbys))
 		f.dropStandbys()
 	}
+	f.req.retryState = f.req.retryState.AfterProgress()
 	f.progressAt = now
 	f.resetTimer()
 }
--- a/hitchingress/takeover_test.go
+++ b/hitchingress/takeover_test.go
@@ -6,7 +6,9 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"citronhitch.example/citronhitch/hitchfleet"
 	"citronhitch.example/citronhitch/hitchroute"
+	"citronhitch.example/citronhitch/hitchview"
 )
 
 // TestStreamOutlastsStandbyThatOnlyBegins covers a silent endpoint that goes on, while
@@ -56,3 +58,25 @@
 		})
 	}
 }
+
+// TestRefusedStandbysDontPreventRetry covers a silent endpoint that goes on after other endpoints
+// have refused the request, and later breaks off: the stream goes on at one that is free.
+func TestRefusedStandbysDontPreventRetry(t *testing.T) {
+	first := startScriptedBackend(t, chunkedHead+chunk(events12), silentThenGoesOn, chunk("id: 3\ndata: c\n\n"), pause(100*time.Millisecond))
+	backends := []*backend{&first.backend}
+	for range 4 {
+		backends = append(backends, &startScriptedBackend(t, notRunResponse).backend)
+	}
+	server := startGateway(t, resumableRoute, backends...)
+	g := server.Config.Handler.(*Gateway)
+	last := startScriptedBackend(t, chunkedHead+chunk("id: 4\ndata: d\n\n")+chunkedEnd)
+	time.AfterFunc(1500*time.Millisecond, func() { // the others have refused by then
+		view := g.View()
+		g.SetView(time.Now(), view.Update(hitchview.EndpointMsg{Revision: view.Revision + 1, Endpoint: hitchfleet.Endpoint{
+			ID: "last", Service: "s", Addr: last.addr, Zone: "last",
+		}}))
+	})
+	_, body, _, err := send(t, server, "k")
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, body, qt.Equals, events12+events34)
+}
--- a/hitchretry/retry.go
+++ b/hitchretry/retry.go
@@ -93,6 +93,13 @@
 	}
 }
 
+// AfterProgress returns the request after a part of its response has arrived. Endpoints that
+// refused it before that say nothing of those that may be asked later.
+func (r Request) AfterProgress() Request {
+	r.notRun = 0
+	return r
+}
+
 // allowsAttempt reports whether one more attempt may run.
 func (r Request) allowsAttempt() bool {
 	return r.possibleRuns == 0 || r.IsRetrySafe && r.possibleRuns < r.MaxAttempts
--- a/hitchretry/retry_test.go
+++ b/hitchretry/retry_test.go
@@ -79,3 +79,17 @@
 	r, _ = r.AfterAttempt(start, Lost)
 	qt.Assert(t, r.FinalDecision(Lost), qt.Equals, GiveUp)
 }
+
+func TestRefusalsBeforeProgressDontCount(t *testing.T) {
+	r := Request{IsRetrySafe: true, MaxAttempts: 3, Deadline: start.Add(time.Second)}
+	for range maxNotRun + 1 {
+		r, _ = r.AfterAttempt(start, Refused)
+	}
+	_, decision := r.AfterAttempt(start, Lost)
+	qt.Assert(t, decision, qt.Equals, GiveUp)
+	r, decision = r.AfterProgress().AfterAttempt(start, Lost)
+	qt.Assert(t, decision, qt.Equals, Retry)
+	r, _ = r.AfterProgress().AfterAttempt(start, Lost)
+	_, decision = r.AfterProgress().AfterAttempt(start, Lost)
+	qt.Assert(t, decision, qt.Equals, GiveUp)
+}
