--- a/cmd/citronhitch/soak.go
+++ b/cmd/citronhitch/soak.go
@@ -21,6 +21,7 @@
 	count := clause.Flag("soaks", "Number of soaks, each with the next seed.").Default("1").Int()
 	length := clause.Flag("soak-seconds", "Length of one soak, in seconds, at least 15.").Default("25").Int()
 	processes := clause.Flag("processes", "Number of instances, from 2 to 100.").Default("4").Int()
+	faults := clause.Flag("faults", "Set of faults: basic, or all.").Default(string(hitchsoak.BasicFaults)).Enum(hitchsoak.FaultSets()...)
 	logs := clause.Flag("log-dir", "Directory for the logs of processes when a service guarantee is violated.").Default("").String()
 	return command{clause, func(ctx context.Context) error {
 		if *processes < 2 || *processes > 100 {
@@ -37,7 +38,7 @@
 		for n := range *count {
 			s := &hitchsoak.Soak{
 				Seed: *seed + uint64(n), Program: program, Instances: *processes,
-				Length: time.Duration(*length) * time.Second, LogDir: *logs,
+				Length: time.Duration(*length) * time.Second, LogDir: *logs, Faults: hitchsoak.FaultSet(*faults),
 			}
 			report, err := s.Run(ctx)
 			if err = errors.Join(err, ctx.Err()); err != nil {
--- a/hitchsoak/plan.go
+++ b/hitchsoak/plan.go
@@ -100,9 +100,9 @@
 	maxFaultDuration = 4 * time.Second
 )
 
-// NewPlan returns random faults for a soak. Faults may overlap, but at most half of
+// NewPlan returns random faults of a set for a soak. Faults may overlap, but at most half of
 // the instances are affected at a time. The same arguments give the same plan.
-func NewPlan(seed uint64, length time.Duration, instances, endpoints, organisations int) []Fault {
+func NewPlan(set FaultSet, seed uint64, length time.Duration, instances, endpoints, organisations int) []Fault {
 	rng := rand.New(rand.NewPCG(seed, 1))
 	targets := map[FaultKind]int{
 		KillInstance: instances, StopInstance: instances, PauseInstance: instances,
@@ -111,7 +111,7 @@
 	}
 	var plan []Fault
 	for at := faultFreeStart; at < length-faultFreeEnd; at += time.Duration(rng.ExpFloat64() * float64(meanFaultInterval)) {
-		f := Fault{Kind: randomKind(rng), Begin: at}
+		f := Fault{Kind: set.randomKind(rng), Begin: at}
 		n, ok := targets[f.Kind]
 		if !ok {
 			n = endpoints
@@ -126,18 +126,6 @@
 	return plan
 }
 
-// stopShare is the share of planned stops among the faults, beyond their share as one
-// of the kinds.
-const stopShare = 0.2
-
-// randomKind returns a kind of fault.
-func randomKind(rng *rand.Rand) FaultKind {
-	if rng.Float64() < stopShare {
-		return StopInstance
-	}
-	return FaultKind(rng.IntN(int(faultKindCount)))
-}
-
 // isInstanceFault reports whether a fault affects a process.
 func isInstanceFault(k FaultKind) bool {
 	return k == KillInstance || k == StopInstance || k == PauseInstance
--- a/hitchsoak/soak.go
+++ b/hitchsoak/soak.go
@@ -32,6 +32,8 @@
 	Instances int
 	// Length is how long the soak runs; 0 means 25 s.
 	Length time.Duration
+	// Faults is the set of faults; the empty one means BasicFaults.
+	Faults FaultSet
 	// LogDir, if set, is the directory to which the processes' logs are written if
 	// there is a violation.
 	LogDir string
@@ -97,7 +99,7 @@
 	c := &checker{
 		start: now, end: now.Add(s.length()), runLog: &f.runLog,
 		addrs: f.addrs(),
-		plan:  NewPlan(s.Seed, s.length(), s.instances(), s.endpoints(), s.organisations()),
+		plan:  NewPlan(s.Faults, s.Seed, s.length(), s.instances(), s.endpoints(), s.organisations()),
 	}
 	calls := s.runCallsAndFaults(ctx, f, c)
 	report := newReport(c, calls)
--- a/hitchsoak/soak_test.go
+++ b/hitchsoak/soak_test.go
@@ -23,16 +23,16 @@
 
 func TestPlanIsDeterministic(t *testing.T) {
 	const length = 60 * time.Second
-	first := NewPlan(7, length, 4, 6, 5)
-	qt.Assert(t, NewPlan(7, length, 4, 6, 5), qt.DeepEquals, first)
-	qt.Assert(t, NewPlan(8, length, 4, 6, 5), qt.Not(qt.DeepEquals), first)
+	first := NewPlan(BasicFaults, 7, length, 4, 6, 5)
+	qt.Assert(t, NewPlan(BasicFaults, 7, length, 4, 6, 5), qt.DeepEquals, first)
+	qt.Assert(t, NewPlan(BasicFaults, 8, length, 4, 6, 5), qt.Not(qt.DeepEquals), first)
 	qt.Assert(t, len(first) > 20, qt.IsTrue)
 }
 
 func TestPlanAffectsAtMostHalfOfInstances(t *testing.T) {
 	const length = 120 * time.Second
 	for seed := range uint64(20) {
-		plan := NewPlan(seed, length, 4, 6, 5)
+		plan := NewPlan(BasicFaults, seed, length, 4, 6, 5)
 		for _, f := range plan {
 			qt.Assert(t, f.Begin >= faultFreeStart && f.End <= length-faultFreeEnd, qt.IsTrue)
 			if !isInstanceFault(f.Kind) {
