--- a/hitchsoak/fleet.go
+++ b/hitchsoak/fleet.go
@@ -192,7 +192,7 @@
 			keys = append(keys, key)
 		}
 	}
-	f.store.Put("op/config", hitchstandin.Config(f.version, keys))
+	f.store.Put("op/config", hitchstandin.Config(f.version, keys, hitchstandin.Variation{}))
 }
 
 // setKeyRevoked revokes or restores an organisation's key.
