hitchsoak: faults that concern answers, in a set of their own

No fault of the soak made a sound endpoint fall silent and go on, spoiled an answer, or changed the configuration by more than a key, so that nothing was seen of requests that end without an answer beside reloads and changes. The set "answers" has silences of 1 to 2 s, spoiled answers, series of several changes and of several SIGHUPs a second, and the faults that leave few endpoints to choose from; none of them touches a process or its connections. The set "all" has every kind.

--- a/cmd/citronhitch/soak.go
+++ b/cmd/citronhitch/soak.go
@@ -21,7 +21,7 @@
 	count := clause.Flag("soaks", "Number of soaks, each with the next seed.").Default("1").Int()
 	length := clause.Flag("soak-seconds", "Length of one soak, in seconds, at least 15.").Default("25").Int()
 	processes := clause.Flag("processes", "Number of instances, from 2 to 100.").Default("4").Int()
-	faults := clause.Flag("faults", "Set of faults: basic, or all.").Default(string(hitchsoak.BasicFaults)).Enum(hitchsoak.FaultSets()...)
+	faults := clause.Flag("faults", "Set of faults: the basic ones, those of answers, or all.").Default(string(hitchsoak.BasicFaults)).Enum(hitchsoak.FaultSets()...)
 	logs := clause.Flag("log-dir", "Directory for the logs of processes when a service guarantee is violated.").Default("").String()
 	return command{clause, func(ctx context.Context) error {
 		if *processes < 2 || *processes > 100 {
--- a/hitchsoak/fleet.go
+++ b/hitchsoak/fleet.go
@@ -35,6 +35,7 @@
 
 	mu              sync.Mutex
 	version         int
+	variation       hitchstandin.Variation
 	revoked         map[int]bool
 	processFailures []Violation
 }
@@ -45,11 +46,15 @@
 	program        string
 	settings       string
 	storeRelay     hitchfake.Relay
+	storeAddr      string
+
+	settingsMu sync.Mutex
 
 	mu         sync.Mutex
 	cmd        *exec.Cmd
 	log        bytes.Buffer
 	isStopping bool
+	startedAt  time.Time
 }
 
 // endpoint is a stand-in that instances reach through a relay.
@@ -141,14 +146,13 @@
 func (f *fleet) addInstance(ctx context.Context, s *Soak, n int, storeAddr string) error {
 	i := &instance{name: fmt.Sprintf("router-%d", n), ip: s.ip(n), zone: zoneOf(n), program: s.Program}
 	i.storeRelay.Target = storeAddr
-	addr, err := i.storeRelay.Listen("127.0.0.1:0")
-	if err != nil {
+	var err error
+	if i.storeAddr, err = i.storeRelay.Listen("127.0.0.1:0"); err != nil {
 		return err
 	}
 	context.AfterFunc(ctx, func() { _ = i.storeRelay.Close() })
 	i.settings = filepath.Join(f.dir, i.name+".toml")
-	text := hitchstandin.Settings(i.name, i.ip, i.zone, addr, []string{hitchstandin.ControlAddr(s.ip(0)), hitchstandin.ControlAddr(s.ip(1))})
-	if err := os.WriteFile(i.settings, []byte(text), 0o600); err != nil {
+	if err := i.writeSettings([]string{hitchstandin.ControlAddr(s.ip(0)), hitchstandin.ControlAddr(s.ip(1))}); err != nil {
 		return err
 	}
 	f.instances = append(f.instances, i)
@@ -192,7 +196,7 @@
 			keys = append(keys, key)
 		}
 	}
-	f.store.Put("op/config", hitchstandin.Config(f.version, keys, hitchstandin.Variation{}))
+	f.store.Put("op/config", hitchstandin.Config(f.version, keys, f.variation))
 }
 
 // setKeyRevoked revokes or restores an organisation's key.
@@ -229,7 +233,7 @@
 	if err := cmd.Start(); err != nil {
 		return err
 	}
-	i.cmd = cmd
+	i.cmd, i.startedAt = cmd, time.Now()
 	return nil
 }
 
--- a/hitchsoak/plan.go
+++ b/hitchsoak/plan.go
@@ -60,6 +60,21 @@
 	AnnounceLeave
 	// AskForPause makes an endpoint refuse requests and ask for a pause.
 	AskForPause
+	// FallSilentBeforeAnswer makes a sound endpoint silent for 1 to 2 s before answers that
+	// aren't streamed, and then go on.
+	FallSilentBeforeAnswer
+	// FallSilentBeforeFirstEvent makes a sound endpoint silent before the first events of
+	// streams.
+	FallSilentBeforeFirstEvent
+	// FallSilentInStream makes a sound endpoint silent in the middle of streams.
+	FallSilentInStream
+	// SpoilAnswers makes an endpoint spoil a part of its answers.
+	SpoilAnswers
+	// ChangeConfigs writes several versions of the configuration a second.
+	ChangeConfigs
+	// ReloadSeries changes the settings file of a process and sends it SIGHUP several times a
+	// second.
+	ReloadSeries
 	faultKindCount
 )
 
@@ -69,7 +84,8 @@
 		"KillInstance", "StopInstance", "PauseInstance", "SilenceEndpoint", "PauseEndpoint", "SilenceStore",
 		"PauseStore", "CompactStore", "LoseAnswers", "ShedRequests", "LeaveEndpoint", "RevokeKey",
 		"HangStreams", "ThrottleInstance", "ReloadInstance", "StopAgain", "RestoreStore",
-		"AnnounceLeave", "AskForPause",
+		"AnnounceLeave", "AskForPause", "FallSilentBeforeAnswer", "FallSilentBeforeFirstEvent", "FallSilentInStream",
+		"SpoilAnswers", "ChangeConfigs", "ReloadSeries",
 	}[k]
 }
 
@@ -108,6 +124,7 @@
 		KillInstance: instances, StopInstance: instances, PauseInstance: instances,
 		SilenceStore: instances, PauseStore: instances, CompactStore: 1, RestoreStore: 1, RevokeKey: organisations,
 		ThrottleInstance: instances, ReloadInstance: instances, StopAgain: instances,
+		ChangeConfigs: 1, ReloadSeries: instances,
 	}
 	var plan []Fault
 	for at := faultFreeStart; at < length-faultFreeEnd; at += time.Duration(rng.ExpFloat64() * float64(meanFaultInterval)) {
@@ -117,7 +134,7 @@
 			n = endpoints
 		}
 		f.Target = rng.IntN(n)
-		f.End = min(at+minFaultDuration+time.Duration(rng.Int64N(int64(maxFaultDuration-minFaultDuration))), length-faultFreeEnd)
+		f.End = min(at+f.Kind.randomDuration(rng), length-faultFreeEnd)
 		if isInstanceFault(f.Kind) && countAffectedInstances(plan, f) >= max(instances/2, 1) {
 			continue
 		}
--- a/hitchsoak/soak.go
+++ b/hitchsoak/soak.go
@@ -234,6 +234,8 @@
 		f.instances[n].signal(syscall.SIGHUP)
 	case StopAgain:
 		f.instances[n].signalIfStopping(syscall.SIGTERM)
+	default:
+		return f.startAnswerFault(fault)
 	}
 	return func() {}
 }
