--- a/hitchsoak/faultset_test.go
+++ b/hitchsoak/faultset_test.go
@@ -63,3 +63,20 @@
 		})
 	}
 }
+
+// TestSilencesLastFromOneToTwoSeconds checks the silences of plans, but for those that the
+// end of the faults cuts.
+func TestSilencesLastFromOneToTwoSeconds(t *testing.T) {
+	const length = time.Minute
+	silences := 0
+	for seed := range uint64(20) {
+		for _, f := range NewPlan(AnswerFaults, seed, length, 4, endpointCount, organisationCount) {
+			if _, ok := silencePoints[f.Kind]; !ok || f.End == length-faultFreeEnd {
+				continue
+			}
+			silences++
+			qt.Assert(t, f.End-f.Begin >= time.Second && f.End-f.Begin <= 2*time.Second, qt.IsTrue, qt.Commentf("%s", f))
+		}
+	}
+	qt.Assert(t, silences > 100, qt.IsTrue)
+}
