hitchsoak: what arrives before a connection ends must be the caller's own

Only a response that came whole was compared. Of one that breaks off, what had arrived is now compared with the beginning of the expected body: an event twice, left out or of another stream is a violation of OwnWholeAnswer there too.

--- a/hitchsoak/caller.go
+++ b/hitchsoak/caller.go
@@ -32,8 +32,8 @@
 	End      time.Time
 	Status   int
 	Err      error
-	// Mismatch describes how a successful response differs from the expected one; it
-	// is empty if they are equal.
+	// Mismatch describes how a successful response differs from the expected one, or from the
+	// beginning of it if the connection ended before; it is empty if they are equal.
 	Mismatch string
 	// IsDropped is set if the instance read the whole request and closed the connection
 	// without a byte of a response.
@@ -147,8 +147,12 @@
 	x.Status = res.StatusCode
 	x.SaysLeaving = hitchstandin.SaysLeaving(res.Header)
 	body, err := readAll(res.Body)
-	if err == nil && x.Status == http.StatusOK {
+	switch {
+	case x.Status != http.StatusOK:
+	case err == nil:
 		x.Mismatch = findMismatch(*x, res.Header, string(body))
+	default:
+		x.Mismatch = findWrongPart(*x, string(body))
 	}
 	return err
 }
@@ -159,11 +163,7 @@
 	if header.Get("X-Attempt-Id") != c.Attempt || header.Get("X-Response-Seal") == "" {
 		return fmt.Sprintf("response without digest or of another attempt: %q", header.Get("X-Attempt-Id"))
 	}
-	want := c.Attempt + " body of " + c.Attempt
-	if strings.HasPrefix(c.Path, "/stream/") {
-		want = streamBody(c.Attempt, hitchstandin.ShapeOf(c.Path))
-	}
-	if body != want {
+	if want := expectedBody(c); body != want {
 		return fmt.Sprintf("body %q, want %q", body, want)
 	}
 	return ""
