hitchsoak: silence of a sound endpoint is no reason to end an answer

What a call met at its endpoints is now known from their log. A call that met only silences, reloads and changes of the configuration must end whole or with a status: Undisturbed, and SilentStream for a stream that was cut. Allowed is a cut once the time of the caller or of the route is over, in a planned stop the last sixth of the grace period, and a cut after a spoiled answer. These cases need a silence or a spoiled answer, so that the checks of plans without them are as strict as before. The report counts the calls that met each.

--- a/hitchsoak/check.go
+++ b/hitchsoak/check.go
@@ -66,11 +66,9 @@
 		add("OwnWholeAnswer", "%s", x.Mismatch)
 	}
 	if stops, ok := c.plannedWork(x); ok && x.Err != nil {
-		guarantee := "Undisturbed"
-		if stops > 0 {
-			guarantee = "PlannedStop"
+		if guarantee := c.cutGuarantee(x, stops); guarantee != "" {
+			add(guarantee, "%s", c.describeCut(x))
 		}
-		add(guarantee, "%s at %s, %s after the start: %v", x.Path, x.Instance, x.Begin.Sub(c.start), x.Err)
 	}
 	if x.IsDropped && !c.wasKilled(x) {
 		add("Answered", "%s at %s, %s after the start: the request was read and the connection closed without a response", x.Path, x.Instance, x.Begin.Sub(c.start))
@@ -119,7 +117,8 @@
 // plannedWork returns the number of planned stops that could affect a call, and false if
 // another fault may make it fail. Planned stops, reloads, a small share of processor
 // time, revoked keys, endpoints that leave or ask for a pause, shed requests, compaction
-// of the store and its return from an older copy must not make a call fail.
+// of the store and its return from an older copy must not make a call fail, nor must
+// silence of a sound endpoint, and series of reloads and of configurations.
 func (c *checker) plannedWork(x call) (stops int, ok bool) {
 	for _, f := range c.plan {
 		if !c.overlaps(f, x.Begin.Add(-faultSettleTime), x.End) {
@@ -129,6 +128,8 @@
 		case StopInstance:
 			stops++
 		case RevokeKey, LeaveEndpoint, ShedRequests, CompactStore, ThrottleInstance, ReloadInstance, StopAgain, RestoreStore, AnnounceLeave, AskForPause:
+		case FallSilentBeforeAnswer, FallSilentBeforeFirstEvent, FallSilentInStream, ChangeConfigs, ReloadSeries:
+		case SpoilAnswers: // harmless to the calls whose responses weren't spoiled
 		default:
 			return 0, false
 		}
--- a/hitchsoak/soak.go
+++ b/hitchsoak/soak.go
@@ -41,20 +41,23 @@
 
 // Report is the result of a soak.
 type Report struct {
-	Seed       uint64
-	Faults     []Fault
-	Calls      int
-	Served     int
-	Refused    int
-	Failed     int
-	Recovered  float64
-	Violations []Violation
+	Seed      uint64
+	Faults    []Fault
+	Calls     int
+	Served    int
+	Refused   int
+	Failed    int
+	Recovered float64
+	// MetSilence and MetSpoil are the numbers of calls that met a silent endpoint, or one that
+	// spoiled their answer.
+	MetSilence, MetSpoil int
+	Violations           []Violation
 }
 
 // String returns the report's summary on one line.
 func (r Report) String() string {
-	return fmt.Sprintf("Soak=%d Faults=%d Calls=%d Served=%d Refused=%d Failed=%d Recovered=%.3f Violations=%d",
-		r.Seed, len(r.Faults), r.Calls, r.Served, r.Refused, r.Failed, r.Recovered, len(r.Violations))
+	return fmt.Sprintf("Soak=%d Faults=%d Calls=%d Served=%d Refused=%d Failed=%d Recovered=%.3f MetSilence=%d MetSpoil=%d Violations=%d",
+		r.Seed, len(r.Faults), r.Calls, r.Served, r.Refused, r.Failed, r.Recovered, r.MetSilence, r.MetSpoil, len(r.Violations))
 }
 
 func (s *Soak) instances() int {
@@ -161,6 +164,13 @@
 				servedAfterRecovery++
 			}
 		}
+		metSilence, metSpoil := c.met(x)
+		if metSilence {
+			r.MetSilence++
+		}
+		if metSpoil {
+			r.MetSpoil++
+		}
 		r.Violations = append(r.Violations, c.checkCall(x)...)
 	}
 	r.Violations = append(r.Violations, c.checkNotices(calls)...)
