hitchsoak: overlapping faults of one target last until the last one ends

A plan may revoke a key or remove an endpoint that is revoked or removed already. The stand-ins now do what the plan says, and the checks stay as they are.

--- a/hitchsoak/fleet.go
+++ b/hitchsoak/fleet.go
@@ -36,7 +36,7 @@
 	mu              sync.Mutex
 	version         int
 	variation       hitchstandin.Variation
-	revoked         map[int]bool
+	revocations     map[int]int // by organisation, those in force
 	processFailures []Violation
 }
 
@@ -62,8 +62,9 @@
 	hitchstandin.Endpoint
 	relay hitchfake.Relay
 
-	mu        sync.Mutex
-	isRemoved bool
+	mu sync.Mutex
+	// removals is the number of faults that keep the endpoint's entry removed.
+	removals int
 }
 
 // zoneOf returns the availability zone of instance or endpoint n, one of three.
@@ -172,7 +173,7 @@
 		f.keepCopy()
 		for _, e := range f.endpoints {
 			e.mu.Lock()
-			if !e.isRemoved {
+			if e.removals == 0 {
 				f.store.Put(e.Key(), e.Entry("ready"))
 			}
 			e.mu.Unlock()
@@ -192,31 +193,43 @@
 func (f *fleet) putConfig() {
 	var keys []string
 	for n, key := range f.keys {
-		if !f.revoked[n] {
+		if f.revocations[n] == 0 {
 			keys = append(keys, key)
 		}
 	}
 	f.store.Put("op/config", hitchstandin.Config(f.version, keys, f.variation))
 }
 
-// setKeyRevoked revokes or restores an organisation's key.
-func (f *fleet) setKeyRevoked(n int, isRevoked bool) {
+// revokeKey revokes an organisation's key and returns the function that restores it, unless
+// another revocation is still in force.
+func (f *fleet) revokeKey(n int) (undo func()) {
+	f.addRevocation(n, 1)
+	return func() { f.addRevocation(n, -1) }
+}
+
+func (f *fleet) addRevocation(n, change int) {
 	f.mu.Lock()
-	if f.revoked == nil {
-		f.revoked = make(map[int]bool)
+	if f.revocations == nil {
+		f.revocations = make(map[int]int)
 	}
-	f.revoked[n] = isRevoked
+	f.revocations[n] += change
 	f.mu.Unlock()
 	f.writeConfig()
 }
 
-// setEndpointRemoved deletes an endpoint's entry from the store or writes it again.
-func (f *fleet) setEndpointRemoved(n int, isRemoved bool) {
+// removeEndpoint deletes an endpoint's entry from the store and returns the function that
+// writes it again, unless another removal is still in force.
+func (f *fleet) removeEndpoint(n int) (undo func()) {
+	f.addRemoval(n, 1)
+	return func() { f.addRemoval(n, -1) }
+}
+
+func (f *fleet) addRemoval(n, change int) {
 	e := f.endpoints[n]
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.isRemoved = isRemoved
-	if isRemoved {
+	e.removals += change
+	if e.removals > 0 {
 		f.store.Delete(e.Key())
 	} else {
 		f.store.Put(e.Key(), e.Entry("ready"))
--- a/hitchsoak/restore.go
+++ b/hitchsoak/restore.go
@@ -48,7 +48,7 @@
 	f.mu.Unlock()
 	for _, e := range f.endpoints {
 		e.mu.Lock()
-		if e.isRemoved {
+		if e.removals > 0 {
 			f.store.Delete(e.Key())
 		}
 		e.mu.Unlock()
--- a/hitchsoak/soak.go
+++ b/hitchsoak/soak.go
@@ -222,11 +222,9 @@
 		f.endpoints[n].SetShedding(true)
 		return func() { f.endpoints[n].SetShedding(false) }
 	case LeaveEndpoint:
-		f.setEndpointRemoved(n, true)
-		return func() { f.setEndpointRemoved(n, false) }
+		return f.removeEndpoint(n)
 	case RevokeKey:
-		f.setKeyRevoked(n, true)
-		return func() { f.setKeyRevoked(n, false) }
+		return f.revokeKey(n)
 	case HangStreams:
 		f.endpoints[n].SetHangStreams(true)
 		return func() { f.endpoints[n].SetHangStreams(false) }
