--- a/hitchsoak/fleet.go
+++ b/hitchsoak/fleet.go
@@ -35,7 +35,8 @@
 
 	mu              sync.Mutex
 	version         int
-	revoked         map[int]bool
+	variation       hitchstandin.Variation
+	revocations     map[int]int // by organisation, those in force
 	processFailures []Violation
 }
 
@@ -45,11 +46,15 @@
 	program        string
 	settings       string
 	storeRelay     hitchfake.Relay
+	storeAddr      string
+
+	settingsMu sync.Mutex
 
 	mu         sync.Mutex
 	cmd        *exec.Cmd
 	log        bytes.Buffer
 	isStopping bool
+	startedAt  time.Time
 }
 
 // endpoint is a stand-in that instances reach through a relay.
@@ -57,8 +62,9 @@
 	hitchstandin.Endpoint
 	relay hitchfake.Relay
 
-	mu        sync.Mutex
-	isRemoved bool
+	mu sync.Mutex
+	// removals is the number of faults that keep the endpoint's entry removed.
+	removals int
 }
 
 // zoneOf returns the availability zone of instance or endpoint n, one of three.
@@ -141,14 +147,13 @@
 func (f *fleet) addInstance(ctx context.Context, s *Soak, n int, storeAddr string) error {
 	i := &instance{name: fmt.Sprintf("router-%d", n), ip: s.ip(n), zone: zoneOf(n), program: s.Program}
 	i.storeRelay.Target = storeAddr
-	addr, err := i.storeRelay.Listen("127.0.0.1:0")
-	if err != nil {
+	var err error
+	if i.storeAddr, err = i.storeRelay.Listen("127.0.0.1:0"); err != nil {
 		return err
 	}
 	context.AfterFunc(ctx, func() { _ = i.storeRelay.Close() })
 	i.settings = filepath.Join(f.dir, i.name+".toml")
-	text := hitchstandin.Settings(i.name, i.ip, i.zone, addr, []string{hitchstandin.ControlAddr(s.ip(0)), hitchstandin.ControlAddr(s.ip(1))})
-	if err := os.WriteFile(i.settings, []byte(text), 0o600); err != nil {
+	if err := i.writeSettings([]string{hitchstandin.ControlAddr(s.ip(0)), hitchstandin.ControlAddr(s.ip(1))}); err != nil {
 		return err
 	}
 	f.instances = append(f.instances, i)
@@ -168,7 +173,7 @@
 		f.keepCopy()
 		for _, e := range f.endpoints {
 			e.mu.Lock()
-			if !e.isRemoved {
+			if e.removals == 0 {
 				f.store.Put(e.Key(), e.Entry("ready"))
 			}
 			e.mu.Unlock()
@@ -188,31 +193,43 @@
 func (f *fleet) putConfig() {
 	var keys []string
 	for n, key := range f.keys {
-		if !f.revoked[n] {
+		if f.revocations[n] == 0 {
 			keys = append(keys, key)
 		}
 	}
-	f.store.Put("op/config", hitchstandin.Config(f.version, keys))
+	f.store.Put("op/config", hitchstandin.Config(f.version, keys, f.variation))
+}
+
+// revokeKey revokes an organisation's key and returns the function that restores it, unless
+// another revocation is still in force.
+func (f *fleet) revokeKey(n int) (undo func()) {
+	f.addRevocation(n, 1)
+	return func() { f.addRevocation(n, -1) }
 }
 
-// setKeyRevoked revokes or restores an organisation's key.
-func (f *fleet) setKeyRevoked(n int, isRevoked bool) {
+func (f *fleet) addRevocation(n, change int) {
 	f.mu.Lock()
-	if f.revoked == nil {
-		f.revoked = make(map[int]bool)
+	if f.revocations == nil {
+		f.revocations = make(map[int]int)
 	}
-	f.revoked[n] = isRevoked
+	f.revocations[n] += change
 	f.mu.Unlock()
 	f.writeConfig()
 }
 
-// setEndpointRemoved deletes an endpoint's entry from the store or writes it again.
-func (f *fleet) setEndpointRemoved(n int, isRemoved bool) {
+// removeEndpoint deletes an endpoint's entry from the store and returns the function that
+// writes it again, unless another removal is still in force.
+func (f *fleet) removeEndpoint(n int) (undo func()) {
+	f.addRemoval(n, 1)
+	return func() { f.addRemoval(n, -1) }
+}
+
+func (f *fleet) addRemoval(n, change int) {
 	e := f.endpoints[n]
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.isRemoved = isRemoved
-	if isRemoved {
+	e.removals += change
+	if e.removals > 0 {
 		f.store.Delete(e.Key())
 	} else {
 		f.store.Put(e.Key(), e.Entry("ready"))
@@ -229,7 +246,7 @@
 	if err := cmd.Start(); err != nil {
 		return err
 	}
-	i.cmd = cmd
+	i.cmd, i.startedAt = cmd, time.Now()
 	return nil
 }
 
--- a/hitchsoak/soak.go
+++ b/hitchsoak/soak.go
@@ -32,6 +32,8 @@
 	Instances int
 	// Length is how long the soak runs; 0 means 25 s.
 	Length time.Duration
+	// Faults is the set of faults; the empty one means BasicFaults.
+	Faults FaultSet
 	// LogDir, if set, is the directory to which the processes' logs are written if
 	// there is a violation.
 	LogDir string
@@ -39,20 +41,23 @@
 
 // Report is the result of a soak.
 type Report struct {
-	Seed       uint64
-	Faults     []Fault
-	Calls      int
-	Served     int
-	Refused    int
-	Failed     int
-	Recovered  float64
-	Violations []Violation
+	Seed      uint64
+	Faults    []Fault
+	Calls     int
+	Served    int
+	Refused   int
+	Failed    int
+	Recovered float64
+	// MetSilence and MetSpoil are the numbers of calls that met a silent endpoint, or one that
+	// spoiled their answer.
+	MetSilence, MetSpoil int
+	Violations           []Violation
 }
 
 // String returns the report's summary on one line.
 func (r Report) String() string {
-	return fmt.Sprintf("Soak=%d Faults=%d Calls=%d Served=%d Refused=%d Failed=%d Recovered=%.3f Violations=%d",
-		r.Seed, len(r.Faults), r.Calls, r.Served, r.Refused, r.Failed, r.Recovered, len(r.Violations))
+	return fmt.Sprintf("Soak=%d Faults=%d Calls=%d Served=%d Refused=%d Failed=%d Recovered=%.3f MetSilence=%d MetSpoil=%d Violations=%d",
+		r.Seed, len(r.Faults), r.Calls, r.Served, r.Refused, r.Failed, r.Recovered, r.MetSilence, r.MetSpoil, len(r.Violations))
 }
 
 func (s *Soak) instances() int {
@@ -97,7 +102,7 @@
 	c := &checker{
 		start: now, end: now.Add(s.length()), runLog: &f.runLog,
 		addrs: f.addrs(),
-		plan:  NewPlan(s.Seed, s.length(), s.instances(), s.endpoints(), s.organisations()),
+		plan:  NewPlan(s.Faults, s.Seed, s.length(), s.instances(), s.endpoints(), s.organisations()),
 	}
 	calls := s.runCallsAndFaults(ctx, f, c)
 	report := newReport(c, calls)
@@ -159,6 +164,13 @@
 				servedAfterRecovery++
 			}
 		}
+		metSilence, metSpoil := c.met(x)
+		if metSilence {
+			r.MetSilence++
+		}
+		if metSpoil {
+			r.MetSpoil++
+		}
 		r.Violations = append(r.Violations, c.checkCall(x)...)
 	}
 	r.Violations = append(r.Violations, c.checkNotices(calls)...)
@@ -210,11 +222,9 @@
 		f.endpoints[n].SetShedding(true)
 		return func() { f.endpoints[n].SetShedding(false) }
 	case LeaveEndpoint:
-		f.setEndpointRemoved(n, true)
-		return func() { f.setEndpointRemoved(n, false) }
+		return f.removeEndpoint(n)
 	case RevokeKey:
-		f.setKeyRevoked(n, true)
-		return func() { f.setKeyRevoked(n, false) }
+		return f.revokeKey(n)
 	case HangStreams:
 		f.endpoints[n].SetHangStreams(true)
 		return func() { f.endpoints[n].SetHangStreams(false) }
@@ -232,6 +242,8 @@
 		f.instances[n].signal(syscall.SIGHUP)
 	case StopAgain:
 		f.instances[n].signalIfStopping(syscall.SIGTERM)
+	default:
+		return f.startAnswerFault(fault)
 	}
 	return func() {}
 }
