--- a/hitchfleet/fleet.go
+++ b/hitchfleet/fleet.go
@@ -95,6 +95,9 @@
 	// Born is the start time of the endpoint, in Unix milliseconds. It changes when
 	// the endpoint restarts under the same ID.
 	Born int64
+	// Version is the version of the endpoint's software, such as v1.2. A stream may go on
+	// only at endpoints of the version that began it.
+	Version string
 }
 
 // Supersedes reports whether the state is at least as recent as the previous state
--- a/hitchview/view_test.go
+++ b/hitchview/view_test.go
@@ -162,7 +162,7 @@
 
 func TestPeerUpdateTransfersView(t *testing.T) {
 	cold := newEndpoint("x", 1)
-	cold.ColdUntil = start.Add(2 * time.Second)
+	cold.ColdUntil, cold.Version = start.Add(2*time.Second), "v1.2"
 	var sender, receiver Follower
 	clock := func() time.Time { return start }
 	sender.Now, receiver.Now = clock, clock
