--- a/hitchingress/gateway_test.go
+++ b/hitchingress/gateway_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -28,7 +29,8 @@
 // protocol is a minimal protocol for the tests.
 var protocol = Protocol{
 	DecodeRequest: func(r *http.Request, _ time.Time) Request {
-		return Request{ID: r.Header.Get("Id"), Key: r.Header.Get("Key"), Header: hitchforward.EndToEndHeader(r.Header)}
+		lastEventID, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+		return Request{ID: r.Header.Get("Id"), Key: r.Header.Get("Key"), Header: hitchforward.EndToEndHeader(r.Header), LastEventID: lastEventID, Resumes: r.Header.Get("Resumes")}
 	},
 	EncodeRoutingInfo: func(h http.Header, info RoutingInfo) {
 		h.Set("Endpoint", string(info.Endpoint))
@@ -48,6 +50,7 @@
 // request's ID.
 type backend struct {
 	addr        string
+	version     string // of its software, as listed in the view
 	requests    atomic.Int64
 	lastEventID atomic.Value // of the last request
 }
@@ -99,7 +102,7 @@
 	view := hitchview.View{}.Update(hitchview.TableMsg{Revision: 1, Table: table})
 	for i, backend := range backends {
 		view = view.Update(hitchview.EndpointMsg{Revision: hitchfleet.Revision(i + 2), Endpoint: hitchfleet.Endpoint{
-			ID: hitchfleet.EndpointID(fmt.Sprintf("e%d", i)), Service: "s", Addr: backend.addr, Zone: hitchfleet.AvailabilityZone(fmt.Sprint(i)),
+			ID: hitchfleet.EndpointID(fmt.Sprintf("e%d", i)), Service: "s", Addr: backend.addr, Zone: hitchfleet.AvailabilityZone(fmt.Sprint(i)), Version: backend.version,
 		}})
 	}
 	g := &Gateway{
@@ -115,11 +118,17 @@
 // send sends a request and returns the status, the body and the header of the
 // response. It returns an error if the response is truncated.
 func send(t *testing.T, server *httptest.Server, key string) (int, string, http.Header, error) {
+	return sendWith(t, server, map[string]string{"Id": "id-1", "Key": key})
+}
+
+// sendWith is send with a header.
+func sendWith(t *testing.T, server *httptest.Server, header map[string]string) (int, string, http.Header, error) {
 	r, err := http.NewRequestWithContext(context.Background(), http.MethodPost, server.URL+"/x", strings.NewReader("body"))
 	qt.Assert(t, err, qt.IsNil)
 	r.Host = "h.example"
-	r.Header.Set("Id", "id-1")
-	r.Header.Set("Key", key)
+	for name, value := range header {
+		r.Header.Set(name, value)
+	}
 	res, err := server.Client().Do(r)
 	if err != nil {
 		return 0, "", nil, err
