hitchbalance: a request may be limited to the endpoints of one version

Request.Version is a typed value whose zero value allows any version. Only endpoints of that version are candidates; if the service has others only, the refusal is OtherVersions. The mean load, and with it the load bound, stays that of the whole service, as the endpoints of other versions share its load. An endpoint whose entry changes its version is another one: its loads and failures start anew.

--- a/hitchbalance/balancer.go
+++ b/hitchbalance/balancer.go
@@ -65,9 +65,10 @@
 	removed []*endpoint
 	byRef   map[hitchdigest.EndpointRef]*endpoint
 	zones   map[hitchfleet.AvailabilityZone]*zoneHealth
-	// prefixKeys and byTier are buffers of the present call of Pick.
-	prefixKeys []hitchfleet.Key
-	byTier     [tierCount][]*endpoint
+	// prefixKeys, byTier and otherVersions are buffers of the present call of Pick.
+	prefixKeys    []hitchfleet.Key
+	byTier        [tierCount][]*endpoint
+	otherVersions []*endpoint // left out because of their version
 	// healthChanges are the changes since the last call of TakeHealthChanges.
 	healthChanges []HealthChange
 	// lastPickID counts the picks.
@@ -137,7 +138,7 @@
 	b.byRef = make(map[hitchdigest.EndpointRef]*endpoint, len(f.Endpoints))
 	for _, e := range slices.Concat(f.Endpoints, f.Leaving, f.InZonesOut) {
 		state := old[e.ID]
-		if state == nil || state.Born != e.Born || state.Addr != e.Addr {
+		if state == nil || state.Born != e.Born || state.Addr != e.Addr || state.Version != e.Version {
 			state = &endpoint{key: e.Key(), ref: hitchdigest.EndpointRefOf(e.ID), firstSeen: now}
 		}
 		state.Endpoint, state.zone = e, b.zoneHealthOf(e.Zone)
@@ -245,10 +246,10 @@
 	}
 }
 
-// endpointOf returns the endpoint of a pick, or nil if it has left the fleet or
-// restarted since.
+// endpointOf returns the endpoint of a pick, or nil if it has left the fleet,
+// restarted or changed its version since.
 func (b *Balancer) endpointOf(p Pick) *endpoint {
-	if e := b.byID[p.Endpoint.ID]; e != nil && e.Born == p.Endpoint.Born {
+	if e := b.byID[p.Endpoint.ID]; e != nil && e.Born == p.Endpoint.Born && e.Version == p.Endpoint.Version {
 		return e
 	}
 	return nil
--- a/hitchbalance/pick.go
+++ b/hitchbalance/pick.go
@@ -39,7 +39,7 @@
 	Load float64
 	// LoadUpdatedAt is when the last digest or load report arrived.
 	LoadUpdatedAt time.Time
-	// MeanLoad is the mean load estimate of the endpoints that may get the request.
+	// MeanLoad is the mean load estimate of the service's endpoints.
 	MeanLoad float64
 	// CacheSource is an engine from whose cache the chosen one can likely copy prefixes of
 	// the prompt; its ID is empty if there is none.
@@ -71,6 +71,9 @@
 	NotRefused Refusal = iota
 	// NoEndpoint means that no endpoint of the service may get requests.
 	NoEndpoint
+	// OtherVersions means that the service has endpoints, but none of the version to which
+	// the request is limited.
+	OtherVersions
 	// AllTried means that the request was sent to every endpoint that may get requests.
 	AllTried
 	// AllCold means that the remaining endpoints are in cold start and at their rate
@@ -82,7 +85,7 @@
 
 // String returns the refusal's name in logs.
 func (r Refusal) String() string {
-	return [...]string{"", "NoEndpoint", "AllTried", "AllCold", "AllPaused"}[r]
+	return [...]string{"", "NoEndpoint", "OtherVersions", "AllTried", "AllCold", "AllPaused"}[r]
 }
 
 // A prompt stays at its engine up to affinityBoundShare of the load bound that holds
--- a/hitchbalance/request.go
+++ b/hitchbalance/request.go
@@ -69,4 +69,6 @@
 	BacklogSlackTokens int
 	// UnreachableZones are the zones from which earlier attempts got no response.
 	UnreachableZones []hitchfleet.AvailabilityZone
+	// Version limits the endpoints to those of the version that began the stream.
+	Version VersionConstraint
 }
--- a/hitchbalance/tier.go
+++ b/hitchbalance/tier.go
@@ -61,7 +61,8 @@
 	best []*endpoint
 	tier Tier
 	// count is the number of endpoints that aren't ejected, and mean their mean load.
-	// If all are ejected, both cover the ejected ones.
+	// If all are ejected, both cover the ejected ones. Endpoints of other versions than
+	// the request's count too, as the load bound is that of the service.
 	count int
 	mean  float64
 	// pauseEnd is when the first of the paused endpoints wants requests again; the zero
@@ -74,11 +75,15 @@
 	for i := range b.byTier {
 		b.byTier[i] = b.byTier[i][:0]
 	}
+	b.otherVersions = b.otherVersions[:0]
 	refusal := NoEndpoint
 	for _, e := range b.byService[r.Service] {
 		notice := b.noticeOf(e)
 		switch {
 		case notice.IsLeaving:
+		case !r.Version.Allows(e.Endpoint):
+			refusal = max(refusal, OtherVersions)
+			b.otherVersions = append(b.otherVersions, e)
 		case now.Before(notice.PausedUntil):
 			refusal = AllPaused
 			if c.pauseEnd.IsZero() || notice.PausedUntil.Before(c.pauseEnd) {
@@ -109,6 +114,12 @@
 	if c.count == 0 {
 		return c, refusal
 	}
+	for _, e := range b.otherVersions {
+		if b.tierOf(now, e, r) != TierEjected {
+			sum += b.load(now, e)
+			c.count++
+		}
+	}
 	c.mean = sum / float64(c.count)
 	return c, NotRefused
 }
--- /dev/null
+++ b/hitchbalance/version.go
@@ -0,0 +1,20 @@
+package hitchbalance
+
+import "citronhitch.example/citronhitch/hitchfleet"
+
+// VersionConstraint limits a request to the endpoints of one version of their software.
+// The zero value allows any version.
+type VersionConstraint struct {
+	version string
+	isSet   bool
+}
+
+// OnlyVersion returns the constraint that allows one version, which may be empty.
+func OnlyVersion(version string) VersionConstraint {
+	return VersionConstraint{version: version, isSet: true}
+}
+
+// Allows reports whether an endpoint may get the request.
+func (c VersionConstraint) Allows(e hitchfleet.Endpoint) bool {
+	return !c.isSet || e.Version == c.version
+}
