hitchingress: streams go on at the version that began them

Cause: neither the instance's own resumption nor the caller's return knew of versions.

Change: the gateway records the origin of a stream before its first event is sent. Its own resumption picks endpoints of that version only. A caller's return is resolved first: an own record, one that another instance shared, the homes' answers, or the inference that the route has had one version only; otherwise it is refused as not run (OriginUnknown), and with OtherVersions if no endpoint of its version is left, both without a time to return. If the view may be old (Stale), nothing is resumed. An endpoint that was replaced in place after the pick, by another start or version under its ID, is left before its first byte is used. The origin stays that of the first attempt, under its ID. If the route leads to several services, a return goes to the one that began it.

New: TestReturnGoesOnAtItsVersion, TestReturnGoesToTheServiceThatBeganIt, TestEndpointReplacedInPlace, TestNothingIsResumedOnAnOldView.

Log lines name the origin's source, its version and that of the last endpoint; a metric counts resumptions by result. Instances don't exchange origins yet.

--- a/hitchbalance/version.go
+++ b/hitchbalance/version.go
@@ -7,6 +7,7 @@
 type VersionConstraint struct {
 	version string
 	isSet   bool
+	isNone  bool
 }
 
 // OnlyVersion returns the constraint that allows one version, which may be empty.
@@ -14,7 +15,10 @@
 	return VersionConstraint{version: version, isSet: true}
 }
 
+// NoVersion returns the constraint that allows no endpoint, as no version is known to fit.
+func NoVersion() VersionConstraint { return VersionConstraint{isNone: true} }
+
 // Allows reports whether an endpoint may get the request.
 func (c VersionConstraint) Allows(e hitchfleet.Endpoint) bool {
-	return !c.isSet || e.Version == c.version
+	return !c.isNone && (!c.isSet || e.Version == c.version)
 }
--- a/hitchbalance/version_test.go
+++ b/hitchbalance/version_test.go
@@ -30,6 +30,7 @@
 		"other versions only":                {[]string{"v1", "v1"}, OnlyVersion("v2"), nil, "", OtherVersions},
 		"no endpoint at all":                 {nil, OnlyVersion("v2"), nil, "", NoEndpoint},
 		"all of the version tried":           {[]string{"v1", "v2"}, OnlyVersion("v2"), []hitchfleet.EndpointID{"engine-1"}, "", AllTried},
+		"no version":                         {[]string{"v1", ""}, NoVersion(), nil, "", OtherVersions},
 		"any version":                        {[]string{"v1"}, VersionConstraint{}, nil, "engine-0", NotRefused},
 		"any version, all of them tried":     {[]string{"v1"}, VersionConstraint{}, []hitchfleet.EndpointID{"engine-0"}, "", AllTried},
 		"next one of the version":            {[]string{"v1", "v2", "v1"}, OnlyVersion("v1"), []hitchfleet.EndpointID{"engine-0"}, "engine-2", NotRefused},
--- a/hitchingress/attempt.go
+++ b/hitchingress/attempt.go
@@ -145,6 +145,9 @@
 	if err := req.checkHead(a); err != nil {
 		return attemptResult{outcome: hitchretry.Lost, balancerResult: hitchbalance.ResultFailed, err: err}, true
 	}
+	if err := g.checkVersion(req, a.pick); err != nil && !a.head.DidNotRun {
+		return attemptResult{outcome: hitchretry.Lost, balancerResult: hitchbalance.ResultAbandoned, err: err}, true
+	}
 	if req.isStreaming(a) {
 		req.stream.buffered = req.stream.buffered[:0]
 	} else if !a.head.DidNotRun {
--- a/hitchingress/gateway.go
+++ b/hitchingress/gateway.go
@@ -20,6 +20,7 @@
 	"citronhitch.example/citronhitch/hitchbalance"
 	"citronhitch.example/citronhitch/hitchfleet"
 	"citronhitch.example/citronhitch/hitchforward"
+	"citronhitch.example/citronhitch/hitchorigin"
 	"citronhitch.example/citronhitch/hitchretry"
 	"citronhitch.example/citronhitch/hitchview"
 )
@@ -40,6 +41,10 @@
 	// StartedAt is when the instance started, from which on it lacks a configuration
 	// until the first view.
 	StartedAt time.Time
+	// Origins tracks at which versions streams began, and OriginExchange shares that with
+	// other instances.
+	Origins        hitchorigin.Tracker
+	OriginExchange OriginExchange
 
 	view     atomic.Pointer[hitchview.View]
 	drain    atomic.Pointer[Drain] // nil unless the instance shuts down
@@ -71,7 +76,8 @@
 		InZonesOut: view.EndpointsInZonesOut(),
 		Table:      view.Table,
 	})
-	g.view.Store(&view)
+	isFirst := g.view.Swap(&view) == nil
+	g.updateOrigins(now, view, isFirst)
 	g.updateRetrySlack(len(view.Instances()))
 	if view.Table != nil {
 		g.setConfigured()
--- a/hitchingress/log.go
+++ b/hitchingress/log.go
@@ -37,7 +37,7 @@
 	g.Metrics.countFailedAttempt(result)
 	g.Log.Info("attempt failed", "ID", req.ID, "Route", req.route.Name, "Attempt", req.logEntry.attempts,
 		"Endpoint", pick.Endpoint.ID, "Addr", pick.Endpoint.Addr, "Why", pick.Reason, "Tier", pick.Tier, "Load", pick.Load, "Mean", pick.MeanLoad,
-		"Unread", pick.UncachedTokens, "Usual", req.serviceState.firstByteLatency.Mean(), "Result", result.balancerResult, "Outcome", result.outcome, "Events", req.stream.eventCount, "Error", result.err, "Decision", decision)
+		"Unread", pick.UncachedTokens, "Usual", req.serviceState.firstByteLatency.Mean(), "Result", result.balancerResult, "Outcome", result.outcome, "Events", req.stream.eventCount, "Origin", req.origin.source, "Version", req.origin.Version, "LastVersion", pick.Endpoint.Version, "Error", result.err, "Decision", decision)
 }
 
 // logHealthChanges logs each endpoint or zone that was ejected after failures or is
@@ -74,6 +74,7 @@
 		"Table", req.logEntry.tableVersion, "Revision", req.logEntry.viewRevision, "Attempts", req.logEntry.attempts, "Endpoint", req.logEntry.lastPick.Endpoint.ID,
 		"Why", req.logEntry.lastPick.Reason, "Tier", req.logEntry.lastPick.Tier, "Source", req.logEntry.lastPick.CacheSource.ID, "Unread", req.logEntry.lastPick.UncachedTokens, "Load", req.logEntry.lastPick.Load, "Mean", req.logEntry.lastPick.MeanLoad,
 		"LoadAge", req.logEntry.loadAge(req.receivedAt), "Held", req.logEntry.prefillWaitUntil.Sub(req.logEntry.prefillWaitFrom),
+		"Origin", req.origin.source, "Version", req.origin.Version, "LastVersion", req.logEntry.lastPick.Endpoint.Version,
 		"End", req.logEntry.end, "Status", req.logEntry.status, "Events", req.stream.eventCount,
 		"First", timeToFirstEvent, "Took", now.Sub(req.receivedAt), "Error", req.logEntry.err)
 }
--- a/hitchingress/metrics.go
+++ b/hitchingress/metrics.go
@@ -18,10 +18,13 @@
 // Metrics counts requests and failed attempts, and records latencies. The zero value
 // is ready to use. Its methods are safe for concurrent use.
 type Metrics struct {
-	mu        sync.Mutex
-	requests  map[requestKey]int64
-	failures  map[string]int64
-	latencies map[string]*hdrhistogram.Histogram
+	mu       sync.Mutex
+	requests map[requestKey]int64
+	failures map[string]int64
+	// resumptions counts streams that were to go on, by how their origin was known, or
+	// why they can't.
+	resumptions map[string]int64
+	latencies   map[string]*hdrhistogram.Histogram
 }
 
 // requestKey holds the labels of the request counter.
@@ -73,6 +76,25 @@
 	m.failures[result.outcome.String()]++
 }
 
+// Results of resumptions beside the sources of origins.
+const (
+	resumptionNoEndpoint = "NoEndpoint"
+	resumptionStale      = "Stale"
+)
+
+// countResumption counts a stream that is to go on.
+func (m *Metrics) countResumption(result string) {
+	if m == nil {
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.resumptions == nil {
+		m.resumptions = make(map[string]int64)
+	}
+	m.resumptions[result]++
+}
+
 // quantiles are the exported latency quantiles, in percent.
 var quantiles = []float64{50, 90, 99}
 
@@ -87,6 +109,9 @@
 	for outcome, count := range m.failures {
 		out.printf("citronhitch_failed_attempts_total{outcome=%q} %d\n", outcome, count)
 	}
+	for result, count := range m.resumptions {
+		out.printf("citronhitch_stream_resumptions_total{result=%q} %d\n", result, count)
+	}
 	for kind, histogram := range m.latencies {
 		for _, quantile := range quantiles {
 			out.printf("citronhitch_first_answer_milliseconds{kind=%q,quantile=\"%g\"} %d\n", kind, quantile/100, histogram.ValueAtQuantile(quantile))
--- /dev/null
+++ b/hitchingress/origin.go
@@ -0,0 +1,206 @@
+package hitchingress
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"time"
+
+	"citronhitch.example/citronhitch/hitchbalance"
+	"citronhitch.example/citronhitch/hitchfleet"
+	"citronhitch.example/citronhitch/hitchorigin"
+	"citronhitch.example/citronhitch/hitchoutcome"
+	"citronhitch.example/citronhitch/hitchroute"
+	"citronhitch.example/citronhitch/hitchview"
+)
+
+// Limits of the time in which other instances are asked where a stream began: maxAskTime,
+// and the request's remaining time divided by askTimeDivisor.
+const (
+	maxAskTime     = 300 * time.Millisecond
+	askTimeDivisor = 8
+)
+
+// errOtherVersion is returned if an endpoint isn't of the version that began the stream, or
+// was replaced in place after it was picked.
+var errOtherVersion = errors.New("the stream began at another version than the endpoint's, or the endpoint was replaced after the pick")
+
+// OriginExchange exchanges the origins of streams with other instances. The zero value is
+// that of an instance that is alone.
+type OriginExchange struct {
+	// Share sends origins to their homes.
+	Share func(origins []hitchorigin.Origin)
+	// Ask returns what the homes of a stream know about it. It ends at the first record.
+	Ask func(ctx context.Context, stream hitchfleet.Key, route string) []hitchorigin.Answer
+	// IsAlone reports whether there are no other instances.
+	IsAlone func() bool
+	// IsViewCurrent reports whether the view shows the endpoints as they are, but for
+	// the usual delay. If it isn't current, the version of an endpoint isn't known.
+	IsViewCurrent func() bool
+}
+
+// share sends origins to their homes.
+func (x OriginExchange) share(origins []hitchorigin.Origin) {
+	if x.Share != nil && len(origins) > 0 {
+		x.Share(origins)
+	}
+}
+
+// ask returns what the homes of a stream know, and whether there are no other instances.
+func (x OriginExchange) ask(ctx context.Context, stream hitchfleet.Key, route string) (answers []hitchorigin.Answer, isAlone bool) {
+	if x.Ask == nil {
+		return nil, true
+	}
+	return x.Ask(ctx, stream, route), x.IsAlone != nil && x.IsAlone()
+}
+
+// isViewCurrent reports whether the view is kept up to date.
+func (x OriginExchange) isViewCurrent() bool { return x.IsViewCurrent == nil || x.IsViewCurrent() }
+
+// streamOrigin is the origin of a request's stream, as far as it is known. The zero value
+// is that of a stream without events.
+type streamOrigin struct {
+	hitchorigin.Origin
+	source hitchorigin.Source
+}
+
+// updateOrigins passes a new view to the tracker of origins. An instance that finds its
+// own entry in its first view was there before, and has lost what it knew.
+func (g *Gateway) updateOrigins(now time.Time, view hitchview.View, isFirst bool) {
+	if isFirst {
+		if _, _, ok := view.RegisteredInstance(g.Self.ID); ok {
+			g.Origins.RecordGap(now)
+		}
+	}
+	g.OriginExchange.share(g.Origins.SetFleet(now, view.AllEndpoints(), view.Table))
+}
+
+// RecordGap records that the instance wasn't in touch for a while until now, and may have
+// missed versions that came and went.
+func (g *Gateway) RecordGap(now time.Time) { g.OriginExchange.share(g.Origins.RecordGap(now)) }
+
+// ReceiveOrigins records origins that another instance shares.
+func (g *Gateway) ReceiveOrigins(now time.Time, origins []hitchorigin.Origin) {
+	g.OriginExchange.share(g.Origins.Receive(now, origins))
+}
+
+// AnswerOrigin returns what this instance knows about the origin of a stream. Unless it
+// is in touch, that is its records only.
+func (g *Gateway) AnswerOrigin(now time.Time, stream hitchfleet.Key, route string) hitchorigin.Answer {
+	answer := g.Origins.Answer(now, stream, route)
+	if answer.Knowledge == hitchorigin.KnowsOnly && !g.OriginExchange.isViewCurrent() {
+		return hitchorigin.Answer{}
+	}
+	return answer
+}
+
+// resolveOrigin finds the origin of a stream that the caller takes up again. It returns
+// a refusal if that isn't known.
+func (g *Gateway) resolveOrigin(ctx context.Context, req *proxyRequest) *hitchoutcome.Refusal {
+	if req.route.Kind != hitchroute.Streaming || req.LastEventID <= 0 {
+		return nil
+	}
+	stream := hitchorigin.StreamKey(cmp.Or(req.Resumes, req.ID))
+	req.origin.Origin, req.origin.source = g.Origins.Find(stream)
+	if req.origin.source == hitchorigin.SourceUnknown {
+		req.origin.Origin, req.origin.source = g.askOrigin(ctx, req, stream)
+	}
+	req.origin.Stream = stream
+	switch {
+	case isEnded(ctx):
+		return endedRefusal()
+	case req.origin.source == hitchorigin.SourceUnknown:
+		g.Metrics.countResumption(req.origin.source.String())
+		return hitchoutcome.RefuseNotRun(hitchoutcome.ReasonOriginUnknown, time.Time{}, "the version that began the stream isn't known")
+	case !g.OriginExchange.isViewCurrent():
+		g.Metrics.countResumption(resumptionStale)
+		return hitchoutcome.RefuseNotRun(hitchoutcome.ReasonStale, jitteredRetryTime(time.Now(), meanRetryAfter), "the versions of the endpoints may have changed")
+	}
+	if req.origin.Service == "" {
+		req.origin.Service = req.service
+	} else if req.route.LeadsTo(req.origin.Service) {
+		req.service = req.origin.Service
+	}
+	g.Metrics.countResumption(req.origin.source.String())
+	return nil
+}
+
+// askOrigin asks the homes of a stream for its origin.
+func (g *Gateway) askOrigin(ctx context.Context, req *proxyRequest, stream hitchfleet.Key) (hitchorigin.Origin, hitchorigin.Source) {
+	now := time.Now()
+	ctx, cancel := context.WithDeadline(ctx, now.Add(min(maxAskTime, req.effectiveDeadline.Sub(now)/askTimeDivisor)))
+	defer cancel()
+	answers, isAlone := g.OriginExchange.ask(ctx, stream, req.route.Name)
+	own := g.AnswerOrigin(time.Now(), stream, req.route.Name)
+	if own.Knowledge == hitchorigin.KnowsRecord { // it was shared meanwhile
+		return g.Origins.Find(stream)
+	}
+	return hitchorigin.Combine(own, answers, isAlone)
+}
+
+// beginStream records the origin of a stream before its first event is sent to the
+// caller. pick is the endpoint that wrote the event. A caller that returns names the
+// first attempt again, so that the origin is also kept for that one.
+func (g *Gateway) beginStream(req *proxyRequest, pick hitchbalance.Pick) {
+	if req.origin.source == hitchorigin.SourceNone {
+		req.origin = streamOrigin{
+			Origin: hitchorigin.Origin{Stream: hitchorigin.StreamKey(req.ID), Service: pick.Endpoint.Service, Version: pick.Endpoint.Version},
+			source: hitchorigin.SourceBegun,
+		}
+		if !g.OriginExchange.isViewCurrent() || !g.isAsPicked(pick) {
+			req.origin.source = hitchorigin.SourceUnknown
+			return
+		}
+	}
+	if g.Origins.Begin(time.Now(), req.route.Name, req.origin.Origin) {
+		g.OriginExchange.share([]hitchorigin.Origin{req.origin.Origin})
+	}
+}
+
+// endStream records that the response of a stream has ended.
+func (g *Gateway) endStream(req *proxyRequest) {
+	if req.origin.source != hitchorigin.SourceNone {
+		g.Origins.End(time.Now(), req.origin.Stream)
+	}
+}
+
+// isAsPicked reports whether the view still has the endpoint as it was picked. One that
+// is no longer listed goes on for a while.
+func (g *Gateway) isAsPicked(pick hitchbalance.Pick) bool {
+	e, ok := g.View().Endpoint(pick.Endpoint.ID)
+	return !ok || e.Born == pick.Endpoint.Born && e.Version == pick.Endpoint.Version
+}
+
+// checkVersion returns an error if a stream that has begun would go on at an endpoint of
+// another version: one that was picked before the first event, or that has been replaced
+// in place since.
+func (g *Gateway) checkVersion(req *proxyRequest, pick hitchbalance.Pick) error {
+	if req.origin.source == hitchorigin.SourceNone {
+		return nil
+	}
+	if !g.versionConstraint(req).Allows(pick.Endpoint) || !g.isAsPicked(pick) {
+		return errOtherVersion
+	}
+	return nil
+}
+
+// versionConstraint returns which versions may go on with the request's stream: any if it
+// has no event yet, and none if the origin, or the versions of the endpoints, aren't
+// known.
+func (g *Gateway) versionConstraint(req *proxyRequest) hitchbalance.VersionConstraint {
+	switch {
+	case req.origin.source == hitchorigin.SourceNone:
+		return hitchbalance.VersionConstraint{}
+	case req.origin.source == hitchorigin.SourceUnknown || !g.OriginExchange.isViewCurrent():
+		return hitchbalance.NoVersion()
+	default:
+		return hitchbalance.OnlyVersion(req.origin.Version)
+	}
+}
+
+// refuseOtherVersions ends a request to take up a stream again for which no endpoint of
+// the stream's version is left. A later return would find none either.
+func (g *Gateway) refuseOtherVersions(req *proxyRequest) {
+	g.Metrics.countResumption(resumptionNoEndpoint)
+	g.writeRefusal(req, req.dispatchTracker.Refuse(hitchoutcome.ReasonOtherVersions, time.Time{}, "no endpoint has version %q, which began the stream", req.origin.Version))
+}
--- a/hitchingress/origin_test.go
+++ b/hitchingress/origin_test.go
@@ -1,12 +1,20 @@
 package hitchingress
 
 import (
+	"context"
+	"fmt"
 	"net/http"
+	"slices"
+	"strings"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
+	"citronhitch.example/citronhitch/hitchfleet"
+	"citronhitch.example/citronhitch/hitchorigin"
 	"citronhitch.example/citronhitch/hitchroute"
+	"citronhitch.example/citronhitch/hitchview"
 )
 
 // Responses of a stream with four events.
@@ -77,3 +85,166 @@
 		qt.Assert(t, header.Get("Retry-After"), qt.Equals, "")
 	}
 }
+
+// connect makes a gateway exchange origins with others, as hitchedge does.
+func connect(g *Gateway, others ...*Gateway) {
+	g.OriginExchange = OriginExchange{
+		Share: func(origins []hitchorigin.Origin) {
+			for _, other := range others {
+				other.ReceiveOrigins(time.Now(), origins)
+			}
+		},
+		Ask: func(_ context.Context, stream hitchfleet.Key, route string) (answers []hitchorigin.Answer) {
+			for _, other := range others {
+				answers = append(answers, other.AnswerOrigin(time.Now(), stream, route))
+			}
+			return answers
+		},
+		IsAlone: func() bool { return false },
+	}
+}
+
+// TestReturnGoesOnAtItsVersion covers a caller that takes up a stream again at an instance
+// that didn't begin it, and which is gone: all that is left is what it shared.
+func TestReturnGoesOnAtItsVersion(t *testing.T) {
+	returning := map[string]string{"Id": "id-2", "Key": "k", "Last-Event-Id": "2", "Resumes": "id-1"}
+	notStreaming := map[string]string{"Id": "id-2", "Key": "k", "Resumes": "id-1"}
+	tests := map[string]struct {
+		others     []string // versions of the endpoints that the second instance prefers
+		isGone     bool     // the version has no endpoint left
+		isNotKnown bool     // nothing was shared
+		isStale    bool     // the view of the second instance
+		header     map[string]string
+		status     int
+		reason     string
+		source     string
+		retryAfter bool
+	}{
+		"the version has an endpoint":         {[]string{"v2"}, false, false, false, returning, 200, "", "Shared", false},
+		"among many others":                   {[]string{"v2", "v3", "v2"}, false, false, false, returning, 200, "", "Shared", false},
+		"the version has none left":           {[]string{"v2"}, true, false, false, returning, 503, "OtherVersions", "Shared", false},
+		"not known, two versions":             {[]string{"v2"}, false, true, false, returning, 503, "OriginUnknown", "Unknown", false},
+		"not known, and the version has none": {[]string{"v2"}, true, true, false, returning, 503, "OriginUnknown", "Unknown", false},
+		"not known, one version":              {nil, false, true, false, returning, 200, "", "Inferred", false},
+		"the view may be old":                 {[]string{"v2"}, false, false, true, returning, 503, "Stale", "Stale", true},
+		"no event was received":               {[]string{"v2"}, false, true, false, notStreaming, 200, "", "", false},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			route := hitchroute.Route{Kind: hitchroute.Streaming, IsResumable: true, MaxAttempts: 1, GapMilliseconds: 400}
+			v1 := startVersion(t, "v1", brokenStream, remainingStream)
+			backends := []*backend{}
+			for _, version := range test.others {
+				backends = append(backends, startVersion(t, version, remainingStream))
+			}
+			backends = append(backends, v1)
+			begun, returned := startGateway(t, route, append([]*backend{v1}, backends[:len(test.others)]...)...), startGateway(t, route, backends...)
+			beginning, resuming := begun.Config.Handler.(*Gateway), returned.Config.Handler.(*Gateway)
+			if test.isGone {
+				last := hitchfleet.EndpointID(fmt.Sprint("e", len(test.others)))
+				resuming.SetView(time.Now(), resuming.View().Update(hitchview.EndpointRemovedMsg{Revision: 20, ID: last}))
+			}
+			if !test.isNotKnown {
+				connect(beginning, resuming)
+			}
+			third := startGateway(t, route, backends...).Config.Handler.(*Gateway)
+			connect(resuming, third) // a home that has no record
+			resuming.OriginExchange.IsViewCurrent = func() bool { return !test.isStale }
+			_, _, _, err := send(t, begun, "k")
+			qt.Assert(t, err, qt.IsNotNil)
+			status, body, header, err := sendWith(t, returned, test.header)
+			qt.Assert(t, err, qt.IsNil)
+			qt.Assert(t, status, qt.Equals, test.status)
+			qt.Assert(t, strings.HasPrefix(body, test.reason), qt.IsTrue, qt.Commentf("%s", body))
+			qt.Assert(t, header.Get("Retry-After") != "", qt.Equals, test.retryAfter)
+			if test.source != "" {
+				qt.Assert(t, resuming.Metrics.resumptions[test.source], qt.Equals, int64(1))
+			}
+			if test.header["Last-Event-Id"] == "" {
+				return
+			}
+			for _, other := range backends[:len(test.others)] {
+				qt.Assert(t, other.requests.Load(), qt.Equals, int64(0))
+			}
+			if test.status == http.StatusOK {
+				qt.Assert(t, body, qt.Equals, events34)
+				o, source := resuming.Origins.Find(hitchorigin.StreamKey("id-1")) // a third try is served
+				qt.Assert(t, source, qt.Equals, hitchorigin.SourceOwn)
+				qt.Assert(t, o.Version, qt.Equals, "v1")
+			}
+		})
+	}
+}
+
+// TestReturnGoesToTheServiceThatBeganIt covers a route that is split between services.
+func TestReturnGoesToTheServiceThatBeganIt(t *testing.T) {
+	lastResponse := streamHead + "Connection: close\r\n" + chunked(events34) + "0\r\n\r\n" // on its connection
+	v1, v2 := startVersion(t, "v1", lastResponse), startVersion(t, "v2", lastResponse)
+	server := startGateway(t, hitchroute.Route{Kind: hitchroute.Streaming, IsResumable: true, MaxAttempts: 1}, v1)
+	g := server.Config.Handler.(*Gateway)
+	cfg := g.View().Table.Config()
+	cfg.Routes = slices.Clone(cfg.Routes)
+	cfg.Routes[0].Splits = []hitchroute.Split{{Service: "s", Weight: 1}, {Service: "other", Weight: 99}}
+	view := g.View().Update(hitchview.TableMsg{Revision: 20, Table: hitchroute.NewTable(cfg)})
+	g.SetView(time.Now(), view.Update(hitchview.EndpointMsg{Revision: 21, Endpoint: hitchfleet.Endpoint{ID: "o", Service: "other", Addr: v2.addr, Version: "v2"}}))
+	g.ReceiveOrigins(time.Now(), []hitchorigin.Origin{{Stream: hitchorigin.StreamKey("id-1"), Service: "s", Version: "v1"}})
+	for n := range 10 {
+		status, _, _, err := sendWith(t, server, map[string]string{"Id": fmt.Sprint("id-", n+2), "Key": "k", "Last-Event-Id": "2", "Resumes": "id-1"})
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, status, qt.Equals, http.StatusOK)
+	}
+	qt.Assert(t, v2.requests.Load(), qt.Equals, int64(0))
+}
+
+// TestEndpointReplacedInPlace covers an endpoint that starts again under its ID, with
+// another version, between the pick and its response: only the view tells.
+func TestEndpointReplacedInPlace(t *testing.T) {
+	tests := map[string]struct {
+		born    int64
+		version string
+		isGone  bool
+		body    string
+	}{
+		"as it was":        {0, "v1", false, events12 + events34},
+		"no longer listed": {0, "v1", true, events12 + events34},
+		"another version":  {0, "v2", false, events12},
+		"another start":    {7, "v1", false, events12},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			first, second := startVersion(t, "v1", brokenStream), startVersion(t, "v1", remainingStream)
+			server := startGateway(t, hitchroute.Route{Kind: hitchroute.Streaming, IsResumable: true, MaxAttempts: 2, GapMilliseconds: 400}, first, second)
+			g := server.Config.Handler.(*Gateway)
+			g.Protocol.EncodeRoutingInfo = func(h http.Header, info RoutingInfo) {
+				protocol.EncodeRoutingInfo(h, info)
+				if info.LastEventID == 0 {
+					return
+				}
+				e, _ := g.View().Endpoint(info.Endpoint)
+				e.Born, e.Version = test.born, test.version
+				view := g.View().Update(hitchview.EndpointMsg{Revision: 20, Endpoint: e})
+				if test.isGone {
+					view = view.Update(hitchview.EndpointRemovedMsg{Revision: 20, ID: e.ID})
+				}
+				g.SetView(time.Now(), view)
+			}
+			_, body, _, err := send(t, server, "k")
+			qt.Assert(t, err != nil, qt.Equals, test.body == events12)
+			if err == nil || body != "" {
+				qt.Assert(t, body, qt.Equals, test.body)
+			}
+		})
+	}
+}
+
+// TestNothingIsResumedOnAnOldView covers an instance that was paused or is cut off.
+func TestNothingIsResumedOnAnOldView(t *testing.T) {
+	first, second := startVersion(t, "v1", brokenStream), startVersion(t, "v1", remainingStream)
+	server := startGateway(t, hitchroute.Route{Kind: hitchroute.Streaming, IsResumable: true, MaxAttempts: 2, GapMilliseconds: 400}, first, second)
+	server.Config.Handler.(*Gateway).OriginExchange.IsViewCurrent = func() bool { return false }
+	_, _, _, err := send(t, server, "k")
+	qt.Assert(t, err, qt.IsNotNil)
+	qt.Assert(t, second.requests.Load(), qt.Equals, int64(0))
+	status, _, _, _ := sendWith(t, startGateway(t, hitchroute.Route{Kind: hitchroute.Streaming}, second), map[string]string{"Id": "id-2", "Key": "k"})
+	qt.Assert(t, status, qt.Equals, http.StatusOK) // a new stream begins
+}
--- a/hitchingress/prepare.go
+++ b/hitchingress/prepare.go
@@ -58,7 +58,10 @@
 		return hitchoutcome.RefuseNotRun(hitchoutcome.ReasonNoEndpoint, jitteredRetryTime(time.Now(), meanRetryAfter), "the route has no service")
 	}
 	req.initState()
-	return g.refuseLate(req)
+	if refusal := g.refuseLate(req); refusal != nil {
+		return refusal
+	}
+	return g.resolveOrigin(ctx, req)
 }
 
 // isEnded reports whether the instance's shutdown ended a request.
--- a/hitchingress/run.go
+++ b/hitchingress/run.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"citronhitch.example/citronhitch/hitchbalance"
-	"citronhitch.example/citronhitch/hitchfleet"
 	"citronhitch.example/citronhitch/hitchoutcome"
 	"citronhitch.example/citronhitch/hitchretry"
 )
@@ -65,7 +64,7 @@
 // there is none, and the request has its final response.
 func (g *Gateway) nextAttempt(ctx context.Context, req *proxyRequest) *attempt {
 	for {
-		pick, refusal := g.Balancer.Pick(time.Now(), req.pickRequest(g.Self.Zone))
+		pick, refusal := g.Balancer.Pick(time.Now(), g.pickRequest(req))
 		if refusal != hitchbalance.NotRefused {
 			g.finishWithoutEndpoint(req, refusal, pick.RetryAt)
 			return nil
@@ -79,11 +78,12 @@
 
 // pickRequest returns the properties of the request that decide which endpoint gets its
 // next attempt.
-func (req *proxyRequest) pickRequest(zone hitchfleet.AvailabilityZone) hitchbalance.Request {
+func (g *Gateway) pickRequest(req *proxyRequest) hitchbalance.Request {
 	return hitchbalance.Request{
-		Service: req.service, Prompt: req.Prompt, Zone: zone, Tried: req.triedEndpoints,
+		Service: req.service, Prompt: req.Prompt, Zone: g.Self.Zone, Tried: req.triedEndpoints,
 		BacklogSlackTokens: req.slackTokens(),
 		IsRetrySafe:        req.retryState.IsRetrySafe, UnreachableZones: slices.Clone(req.unreachableZones),
+		Version: g.versionConstraint(req),
 	}
 }
 
@@ -138,6 +138,10 @@
 		req.abortStream("no endpoint to resume the stream: " + refusal.String())
 		return
 	}
+	if refusal == hitchbalance.OtherVersions {
+		g.refuseOtherVersions(req)
+		return
+	}
 	g.writeRefusal(req, req.dispatchTracker.Refuse(hitchoutcome.ReasonNoEndpoint, jitteredRetryTime(later(time.Now(), returnAt), meanRetryAfter), "%s", refusal))
 }
 
--- a/hitchingress/serve.go
+++ b/hitchingress/serve.go
@@ -36,6 +36,7 @@
 	// request in time.
 	unreachableZones []hitchfleet.AvailabilityZone
 	stream           streamState
+	origin           streamOrigin
 	logEntry         logEntry
 }
 
@@ -51,6 +52,7 @@
 	g.inFlight.add(req, cancel)
 	defer g.inFlight.remove(req)
 	defer g.logFinished(req)
+	defer g.endStream(req)
 	if refusal := g.prepare(ctx, req); refusal != nil {
 		g.writeRefusal(req, refusal)
 		return
--- a/hitchingress/standby.go
+++ b/hitchingress/standby.go
@@ -193,7 +193,7 @@
 	if !req.serviceState.retryBudget.AllowsRetry(now) {
 		return nil
 	}
-	request := req.pickRequest(f.gateway.Self.Zone)
+	request := f.gateway.pickRequest(req)
 	request.UnreachableZones = append(request.UnreachableZones, f.current.pick.Endpoint.Zone)
 	pick, refusal := f.gateway.Balancer.Pick(now, request)
 	if refusal != hitchbalance.NotRefused {
--- a/hitchingress/stream.go
+++ b/hitchingress/stream.go
@@ -39,7 +39,7 @@
 func (g *Gateway) handleStreamData(req *proxyRequest, a *attempt, data []byte, err error) (attemptResult, bool) {
 	if len(data) > 0 {
 		g.observeFirstData(req, a)
-		if result, ok := req.forwardEvents(a, data); !ok {
+		if result, ok := g.forwardEvents(req, a, data); !ok {
 			return result, true
 		}
 	}
@@ -55,7 +55,7 @@
 
 // forwardEvents buffers bytes of a response and sends the complete events to the
 // caller. It returns false and a result if the attempt has ended.
-func (req *proxyRequest) forwardEvents(a *attempt, b []byte) (attemptResult, bool) {
+func (g *Gateway) forwardEvents(req *proxyRequest, a *attempt, b []byte) (attemptResult, bool) {
 	req.stream.buffered = append(req.stream.buffered, b...)
 	completeLength := bytes.LastIndex(req.stream.buffered, eventDelimiter)
 	if completeLength < 0 {
@@ -67,6 +67,7 @@
 		return attemptResult{outcome: hitchretry.Lost, balancerResult: hitchbalance.ResultFailed, err: err}, false
 	}
 	if !req.stream.headerSent {
+		g.beginStream(req, a.pick)
 		copyHeader(req.writer.Header(), a.response.Header)
 		req.writer.Header().Del("Content-Length")
 		req.writer.WriteHeader(a.response.StatusCode)
--- a/hitchoutcome/refusal.go
+++ b/hitchoutcome/refusal.go
@@ -27,9 +27,13 @@
 	ReasonTimeout         Reason = "Timeout"
 	ReasonStoreOut        Reason = "StoreOut"
 	ReasonStale           Reason = "Stale"
-	ReasonLeaving         Reason = "Leaving"
-	ReasonConflict        Reason = "Conflict"
-	ReasonInternal        Reason = "Internal"
+	// ReasonOriginUnknown and ReasonOtherVersions are for streams that can't go on: it
+	// isn't known which version of the endpoints began it, or there is none of it.
+	ReasonOriginUnknown Reason = "OriginUnknown"
+	ReasonOtherVersions Reason = "OtherVersions"
+	ReasonLeaving       Reason = "Leaving"
+	ReasonConflict      Reason = "Conflict"
+	ReasonInternal      Reason = "Internal"
 )
 
 // Refusal is the final response to a request that the system doesn't serve or has
--- a/hitchroute/route.go
+++ b/hitchroute/route.go
@@ -10,6 +10,8 @@
 package hitchroute
 
 import (
+	"slices"
+
 	"citronhitch.example/citronhitch/hitchfleet"
 )
 
@@ -91,6 +93,11 @@
 	return "", false
 }
 
+// LeadsTo reports whether requests on the route may go to a service.
+func (r *Route) LeadsTo(service ServiceID) bool {
+	return slices.ContainsFunc(r.Splits, func(s Split) bool { return s.Service == service && s.Weight > 0 })
+}
+
 // Service is the configuration of a group of endpoints.
 type Service struct {
 	ID ServiceID
--- a/hitchview/view.go
+++ b/hitchview/view.go
@@ -319,6 +319,22 @@
 	return out
 }
 
+// Endpoint returns an endpoint, whether it gets new requests or not, and false if the view
+// doesn't list it.
+func (v View) Endpoint(id hitchfleet.EndpointID) (hitchfleet.Endpoint, bool) {
+	e, ok := v.endpoints[id]
+	return e.value, ok
+}
+
+// AllEndpoints returns all endpoints, whether they get new requests or not.
+func (v View) AllEndpoints() []hitchfleet.Endpoint {
+	out := make([]hitchfleet.Endpoint, 0, len(v.endpoints))
+	for _, e := range v.endpoints {
+		out = append(out, e.value)
+	}
+	return out
+}
+
 // EndpointsInZonesOut returns the endpoints that get no new requests because
 // operators took their availability zones out of service.
 func (v View) EndpointsInZonesOut() []hitchfleet.Endpoint {
