hitchedge, hitchdigest: instances share where streams began

Change: while a route is mixed, the origin of each stream goes by datagram to three homes before its first event is sent, and those of the recent streams in batches when it becomes mixed. A return asks up to five instances at once over the server for other instances (/v1/origin), for at most 0.3 s and an eighth of the request's time. With one version nothing is sent, and a home in touch answers that there has been one only. Homes are taken from all regions, as directories name the instances of all.

An instance that was paused for more than a second, by either clock, doesn't trust its view for 1.5 s: the statuses of hubs that it reads first were sent meanwhile. After more than 3 s out of touch it infers nothing for a minute, as versions may have come and gone.

Measured: TestOriginOutlivesItsInstance failed without the exchange (0 homes have the origin, want 3) in the three mixed cases; with it, returns go on at the version at each of the instances that are left, also with a home killed besides. Three runs with the race detector pass.

--- a/hitchdigest/message.go
+++ b/hitchdigest/message.go
@@ -20,6 +20,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"citronhitch.example/citronhitch/hitchfleet"
+	"citronhitch.example/citronhitch/hitchorigin"
 )
 
 // EndpointRef identifies an endpoint in four bytes.
@@ -113,6 +114,9 @@
 	Report      *Report
 	Digest      *Digest
 	CacheUpdate *CacheUpdate
+	// Origins are those of streams on routes whose endpoints have several versions. The
+	// receiver is one of their homes.
+	Origins []hitchorigin.Origin
 }
 
 // Encode returns the packet's CBOR encoding.
--- a/hitchedge/digest.go
+++ b/hitchedge/digest.go
@@ -41,6 +41,7 @@
 	if err != nil {
 		return err
 	}
+	e.socket.Store(socket)
 	stop := context.AfterFunc(ctx, func() { _ = socket.Close() })
 	defer stop()
 	go e.readDatagrams(ctx, socket)
@@ -167,6 +168,9 @@
 	if packet.CacheUpdate != nil {
 		e.handleCacheUpdate(*packet.CacheUpdate)
 	}
+	if len(packet.Origins) > 0 {
+		e.gateway.ReceiveOrigins(now, packet.Origins)
+	}
 	if packet.Digest != nil {
 		e.handleDigest(now, *packet.Digest)
 	}
--- a/hitchedge/edge.go
+++ b/hitchedge/edge.go
@@ -10,6 +10,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"os"
 	"os/signal"
@@ -67,6 +68,9 @@
 	peerUpdateCache peerUpdateCache
 	loggedView      viewSummary
 	seeds           atomic.Pointer[[]string]
+	// socket sends datagrams. It is nil before the instance listens for them.
+	socket   atomic.Pointer[net.UDPConn]
+	currency currency
 }
 
 // Run runs an instance with the settings file at path until ctx ends, and then shuts
@@ -139,10 +143,11 @@
 	group.Go(func() error {
 		return serveUntil(runCtx, settings.ReadyAddr, hitchplatform.Readiness{IsReady: e.gateway.IsReady})
 	})
-	group.Go(func() error { return serveUntil(runCtx, settings.Self.PeerAddr, http.HandlerFunc(e.serveView)) })
+	group.Go(func() error { return serveUntil(runCtx, settings.Self.PeerAddr, http.HandlerFunc(e.servePeers)) })
 	group.Go(func() error { e.runMetrics(runCtx); return nil })
 	group.Go(func() error { e.follower.Run(runCtx); return nil })
 	group.Go(func() error { return e.exchangeDatagrams(runCtx) })
+	group.Go(func() error { e.trackCurrency(runCtx); return nil })
 	leaving, leave := context.WithCancel(runCtx)
 	defer leave()
 	stopLeave := context.AfterFunc(ctx, leave)
@@ -179,6 +184,8 @@
 		RetryRatio: settings.Bounds.RetryRatio,
 		RetrySlack: settings.Bounds.RetrySlack,
 		StartedAt:  time.Now(),
+
+		OriginExchange: e.originExchange(),
 	}
 	feed := &hitchplatform.StoreFeed{Store: &e.store, Log: e.Log, Self: settings.Self.ID}
 	e.peerClient = newPeerClient()
