hitchingress: a silent stream's standby is of the stream's version

A stream whose endpoint is silent keeps it until another one has accepted it, which is the second place that picks an endpoint. It asks for the stream's version too; a standby that was sent before the first event, or replaced in place since, is left before it takes over, so that the silent endpoint keeps the stream.

Measured: without the constraint, TestSilentStreamGoesOnAtItsVersion sends the rest of the stream to v2 (1 request, want 0, in two cases); without the check, the stream is cut (unexpected EOF) in the third. New: TestAttemptFromBeforeTheFirstEvent. Resumptions within a response are counted, also those that no endpoint may take. Origins of routes whose streams can't be resumed aren't shared.

--- a/hitchingress/attempt.go
+++ b/hitchingress/attempt.go
@@ -55,6 +55,9 @@
 func (g *Gateway) startAttempt(ctx context.Context, req *proxyRequest, pick hitchbalance.Pick) *attempt {
 	req.triedEndpoints = append(req.triedEndpoints, pick.Endpoint.ID)
 	req.logEntry.attempts++
+	if req.stream.headerSent {
+		g.Metrics.countResumption(req.origin.source.String())
+	}
 	a := &attempt{pick: pick, sentAt: time.Now()}
 	if expected, ok := req.serviceState.firstByteLatency.OverdueAfter(pick.UncachedTokens); ok {
 		g.Balancer.ExpectResponseBy(pick, a.sentAt.Add(expected))
--- a/hitchingress/origin.go
+++ b/hitchingress/origin.go
@@ -152,7 +152,7 @@
 			return
 		}
 	}
-	if g.Origins.Begin(time.Now(), req.route.Name, req.origin.Origin) {
+	if g.Origins.Begin(time.Now(), req.route.Name, req.origin.Origin) && req.route.IsResumable {
 		g.OriginExchange.share([]hitchorigin.Origin{req.origin.Origin})
 	}
 }
@@ -198,9 +198,20 @@
 	}
 }
 
+// countNoResumption counts a stream that can't go on as no endpoint may do that.
+func (g *Gateway) countNoResumption(req *proxyRequest) {
+	switch {
+	case req.origin.source == hitchorigin.SourceUnknown:
+		g.Metrics.countResumption(req.origin.source.String())
+	case !g.OriginExchange.isViewCurrent():
+		g.Metrics.countResumption(resumptionStale)
+	default:
+		g.Metrics.countResumption(resumptionNoEndpoint)
+	}
+}
+
 // refuseOtherVersions ends a request to take up a stream again for which no endpoint of
 // the stream's version is left. A later return would find none either.
 func (g *Gateway) refuseOtherVersions(req *proxyRequest) {
-	g.Metrics.countResumption(resumptionNoEndpoint)
 	g.writeRefusal(req, req.dispatchTracker.Refuse(hitchoutcome.ReasonOtherVersions, time.Time{}, "no endpoint has version %q, which began the stream", req.origin.Version))
 }
--- a/hitchingress/origin_test.go
+++ b/hitchingress/origin_test.go
@@ -11,6 +11,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"citronhitch.example/citronhitch/hitchbalance"
 	"citronhitch.example/citronhitch/hitchfleet"
 	"citronhitch.example/citronhitch/hitchorigin"
 	"citronhitch.example/citronhitch/hitchroute"
@@ -248,3 +249,77 @@
 	status, _, _, _ := sendWith(t, startGateway(t, hitchroute.Route{Kind: hitchroute.Streaming}, second), map[string]string{"Id": "id-2", "Key": "k"})
 	qt.Assert(t, status, qt.Equals, http.StatusOK) // a new stream begins
 }
+
+// TestSilentStreamGoesOnAtItsVersion covers a stream whose endpoint falls silent, so that
+// another one is asked while it keeps the stream.
+func TestSilentStreamGoesOnAtItsVersion(t *testing.T) {
+	isSilent := []any{chunkedHead + chunk(events12), silentThenGoesOn, chunk(events34) + chunkedEnd}
+	hangs := []any{chunkedHead + chunk(events12), hang{}}
+	accepts := []any{remainingStream}
+	tests := map[string]struct {
+		first    []any
+		others   []string
+		requests []int64
+		replaced bool // the other endpoint is replaced in place once it is asked
+		isKept   bool // the first endpoint isn't left
+	}{
+		"its version takes over":         {hangs, []string{"v2", "v1"}, []int64{0, 1}, false, false},
+		"there is another version only":  {isSilent, []string{"v2", "v2"}, []int64{0, 0}, false, true},
+		"the other is replaced in place": {isSilent, []string{"v1"}, []int64{1}, true, true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			first := startScriptedBackend(t, test.first...)
+			first.version = "v1"
+			backends := []*backend{&first.backend}
+			for _, version := range test.others {
+				other := startScriptedBackend(t, accepts...)
+				other.version = version
+				backends = append(backends, &other.backend)
+			}
+			server := startGateway(t, resumableRoute, backends...)
+			g := server.Config.Handler.(*Gateway)
+			g.Protocol.EncodeRoutingInfo = func(h http.Header, info RoutingInfo) {
+				protocol.EncodeRoutingInfo(h, info)
+				if e, _ := g.View().Endpoint(info.Endpoint); test.replaced && info.LastEventID > 0 {
+					e.Born = 7
+					g.SetView(time.Now(), g.View().Update(hitchview.EndpointMsg{Revision: 20, Endpoint: e}))
+				}
+			}
+			_, body, _, err := send(t, server, "k")
+			qt.Assert(t, err, qt.IsNil)
+			qt.Assert(t, body, qt.Equals, events12+events34)
+			for i, want := range test.requests {
+				qt.Assert(t, backends[i+1].requests.Load(), qt.Equals, want)
+			}
+			if test.isKept {
+				qt.Assert(t, first.closedEarly.Load(), qt.Equals, int64(0))
+			}
+		})
+	}
+}
+
+// TestAttemptFromBeforeTheFirstEvent covers an attempt that was sent to an endpoint of any
+// version, before the stream began elsewhere.
+func TestAttemptFromBeforeTheFirstEvent(t *testing.T) {
+	tests := map[string]struct {
+		origin  streamOrigin
+		version string
+		isError bool
+	}{
+		"nothing has begun":  {streamOrigin{}, "v2", false},
+		"the same version":   {streamOrigin{hitchorigin.Origin{Version: "v2"}, hitchorigin.SourceBegun}, "v2", false},
+		"another version":    {streamOrigin{hitchorigin.Origin{Version: "v1"}, hitchorigin.SourceBegun}, "v2", true},
+		"the empty version":  {streamOrigin{hitchorigin.Origin{}, hitchorigin.SourceBegun}, "v2", true},
+		"begun, not known":   {streamOrigin{hitchorigin.Origin{Version: "v2"}, hitchorigin.SourceUnknown}, "v2", true},
+		"known by its homes": {streamOrigin{hitchorigin.Origin{Version: "v2"}, hitchorigin.SourceAsked}, "v2", false},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			g := &Gateway{}
+			err := g.checkVersion(&proxyRequest{origin: test.origin}, hitchbalance.Pick{Endpoint: hitchfleet.Endpoint{ID: "e", Version: test.version}})
+			qt.Assert(t, err != nil, qt.Equals, test.isError)
+		})
+	}
+}
--- a/hitchingress/run.go
+++ b/hitchingress/run.go
@@ -134,6 +134,9 @@
 // finishWithoutEndpoint ends a request for which no endpoint is left to try. Its caller
 // may return once one wants requests again, at returnAt, unless that is the zero time.
 func (g *Gateway) finishWithoutEndpoint(req *proxyRequest, refusal hitchbalance.Refusal, returnAt time.Time) {
+	if refusal == hitchbalance.OtherVersions {
+		g.countNoResumption(req)
+	}
 	if req.stream.headerSent {
 		req.abortStream("no endpoint to resume the stream: " + refusal.String())
 		return
--- a/hitchingress/standby.go
+++ b/hitchingress/standby.go
@@ -225,6 +225,8 @@
 	case a.head.DidNotRun && msg.err != nil:
 		f.standbyFailed(a, f.req.refusedResult(a, msg.err))
 	case a.head.DidNotRun: // the rest of the refusal follows
+	case f.gateway.checkVersion(f.req, a.pick) != nil:
+		f.standbyFailed(a, attemptResult{outcome: hitchretry.Lost, balancerResult: hitchbalance.ResultAbandoned, err: errOtherVersion})
 	case a.response.StatusCode >= http.StatusInternalServerError:
 		f.standbyFailed(a, attemptResult{outcome: hitchretry.Failed, balancerResult: hitchbalance.ResultFailed})
 	default:
