hitchedge: returns in a fleet that runs; small fleets ask every instance for an origin

Up to eight other instances are all asked: the one that began the stream may be alive (the caller lost its connection only), and a part of the homes may have been restarted.

TestReturnsInRunningFleet runs four instances with a store and hubs as on the platform, each of which begins a stream that is taken up again at all four while two versions serve.

--- a/hitchedge/origin_test.go
+++ b/hitchedge/origin_test.go
@@ -7,7 +7,9 @@
 	"net/http"
 	"net/http/httptest"
 	"os"
+	"path/filepath"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -280,3 +282,76 @@
 		qt.Assert(t, c.record(now.Add(currencyInterval), true), qt.IsFalse)
 	}
 }
+
+// TestReturnsInRunningFleet covers returns to instances that run as they do on the
+// platform, with views from the store and the hubs.
+func TestReturnsInRunningFleet(t *testing.T) {
+	const instances = 4
+	var store hitchstandin.Store
+	var runLog hitchstandin.RunLog
+	versions := map[string]string{"e0": "v1", "e1": "v2", "e2": "v1", "e3": "v2"}
+	storeServer := httptest.NewServer(&store)
+	defer storeServer.CloseClientConnections() // the test's last watches
+	store.Put("op/config", hitchstandin.Config(1, nil))
+	for id, version := range versions {
+		e := &hitchstandin.Endpoint{ID: id, Service: "engines", Zone: "a", Version: version, RunLog: &runLog}
+		server := httptest.NewServer(e)
+		t.Cleanup(server.Close)
+		e.Addr = strings.TrimPrefix(server.URL, "http://")
+		store.Put(e.Key(), e.Entry("ready"))
+	}
+	pid := os.Getpid()
+	ip := func(n int) string { return fmt.Sprintf("127.%d.%d.%d", 192+pid%32, pid/32%256, 10+n) }
+	ctx, stop := context.WithCancel(t.Context())
+	var running sync.WaitGroup
+	defer running.Wait()
+	defer stop()
+	var edges []*Edge
+	for n := range instances {
+		path := filepath.Join(t.TempDir(), "node.toml")
+		text := hitchstandin.Settings(fmt.Sprint("n", n), ip(n), "a", strings.TrimPrefix(storeServer.URL, "http://"), []string{hitchstandin.ControlAddr(ip(0))})
+		qt.Assert(t, os.WriteFile(path, []byte(text), 0o600), qt.IsNil)
+		settings, err := hitchplatform.ReadSettings(path)
+		qt.Assert(t, err, qt.IsNil)
+		e := &Edge{Settings: settings, Log: hclog.NewNullLogger()}
+		e.initialize()
+		edges = append(edges, e)
+		running.Go(func() { qt.Check(t, e.Run(ctx), qt.IsNil) })
+	}
+	isReady := func(e *Edge) bool {
+		view := e.gateway.View()
+		return len(view.Instances()) == instances && len(view.Endpoints()) == len(versions) && e.isViewCurrent()
+	}
+	for _, e := range edges {
+		for startedAt := time.Now(); !isReady(e) && time.Since(startedAt) < 20*time.Second; {
+			tick(t)
+		}
+		qt.Assert(t, isReady(e), qt.IsTrue)
+	}
+	request := func(n int, id, resumes string) int {
+		r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+hitchstandin.FrontAddr(ip(n))+"/stream/100x20/x", strings.NewReader("b"))
+		qt.Assert(t, err, qt.IsNil)
+		r.Host, r.Close = "soak.example", true
+		r.Header.Set("X-Attempt-Id", id)
+		if resumes != "" {
+			r.Header.Set("Resumes", resumes)
+			r.Header.Set("Last-Event-Id", "1")
+		}
+		res, err := http.DefaultClient.Do(r)
+		qt.Assert(t, err, qt.IsNil)
+		_, err = bufio.NewReader(res.Body).ReadString('\n')
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, res.Body.Close(), qt.IsNil) // the caller loses its connection
+		return res.StatusCode
+	}
+	for n := range instances {
+		first := fmt.Sprint("first-", n)
+		qt.Assert(t, request(n, first, ""), qt.Equals, http.StatusOK)
+		begun := versions[runLog.Runs(first)[0].Endpoint]
+		for m := range instances {
+			id := fmt.Sprint("return-", n, "-", m)
+			qt.Assert(t, request(m, id, first), qt.Equals, http.StatusOK)
+			qt.Assert(t, versions[runLog.Runs(id)[0].Endpoint], qt.Equals, begun)
+		}
+	}
+}
--- a/hitchorigin/homes.go
+++ b/hitchorigin/homes.go
@@ -10,6 +10,10 @@
 // of them may be lost together with the one that began the stream.
 const homeCount = 3
 
+// askAllCount is the number of other instances up to which all are asked: the one that
+// began the stream may be alive, and each of the others has a part of the origins.
+const askAllCount = 8
+
 // Homes returns the instances with which the instance self shares the origin of a stream:
 // the first others in the rendezvous order of its key. They aren't all in one zone if
 // there are others.
@@ -23,14 +27,14 @@
 }
 
 // AskedHomes returns the instances that may have the origin of a stream that began at
-// another instance than self. They are one more than its homes, as self may be where the
-// stream began, or have taken the place of the instance that did.
+// another instance than self. In a large fleet they are one more than its homes, as the
+// instance where it began may be among the first.
 func AskedHomes(stream hitchfleet.Key, instances []hitchfleet.Instance, self hitchfleet.InstanceID) []hitchfleet.Instance {
 	order := rank(stream, instances, self)
-	asked := slices.Clone(order[:min(homeCount+1, len(order))])
-	if len(asked) <= homeCount {
-		return asked
+	if len(order) <= askAllCount {
+		return order
 	}
+	asked := slices.Clone(order[:homeCount+1])
 	if other := firstInOtherZone(order, asked[:homeCount]); other > homeCount {
 		asked = append(asked, order[other])
 	}
--- a/hitchorigin/homes_test.go
+++ b/hitchorigin/homes_test.go
@@ -30,6 +30,7 @@
 		"two instances":       {instances(2, func(i int) int { return i }), 1},
 		"three instances":     {instances(3, func(i int) int { return i }), 2},
 		"four instances":      {instances(4, func(i int) int { return i % 2 }), 3},
+		"all but one asked":   {instances(10, func(i int) int { return i % 3 }), 3},
 		"one zone":            {instances(9, func(int) int { return 0 }), 3},
 		"two zones":           {instances(9, func(i int) int { return i % 2 }), 3},
 		"one outside":         {instances(40, func(i int) int { return i / 39 }), 3},
