hitchorigin: streams that begin after a mixed minute are shared at the next release

Found by reading: whether a route's origins have been shared was only looked at when the fleet changed. A stream that began in a calm hour after a release or a restart, with no change in between, wasn't shared when the next version came; after a kill of its instance it would have been refused.

Measured: TestStreamsOfCalmHoursAreShared failed before (nothing is shared, want the stream).

--- a/hitchorigin/tracker.go
+++ b/hitchorigin/tracker.go
@@ -164,7 +164,13 @@
 		t.inFlight = make(map[hitchfleet.Key]record)
 	}
 	t.inFlight[o.Stream] = record{Origin: o.interned(), route: route, at: now}
-	return t.knowledge(now, route) != Answer{Knowledge: KnowsOnly, Version: o.Version}
+	if t.knowledge(now, route) != (Answer{Knowledge: KnowsOnly, Version: o.Version}) {
+		return true
+	}
+	if r := t.routes[route]; r != nil {
+		r.isShared = false // no longer, so that the stream is when the route becomes mixed again
+	}
+	return false
 }
 
 // End records that a response of the stream has ended.
--- a/hitchorigin/tracker_test.go
+++ b/hitchorigin/tracker_test.go
@@ -120,6 +120,31 @@
 	qt.Assert(t, tracker.Receive(at(93), []Origin{origin("y", "v3")}), qt.HasLen, 0)
 }
 
+// TestStreamsOfCalmHoursAreShared covers a route that becomes mixed a second time, long
+// after the first, with no change of the fleet in between.
+func TestStreamsOfCalmHoursAreShared(t *testing.T) {
+	tests := map[string]func(*Tracker){
+		"after a release": func(tracker *Tracker) {
+			tracker.SetFleet(at(0), endpoints("v0", "v1"), table("s"))
+			tracker.SetFleet(at(10), endpoints("v1"), table("s"))
+		},
+		"after a restart": func(tracker *Tracker) {
+			tracker.RecordGap(at(0))
+			tracker.SetFleet(at(0), endpoints("v1"), table("s"))
+		},
+	}
+	for name, prepare := range tests {
+		t.Run(name, func(t *testing.T) {
+			var tracker Tracker
+			prepare(&tracker)
+			qt.Assert(t, tracker.Begin(at(30), "r", origin("mixed", "v1")), qt.IsTrue)
+			tracker.End(at(31), StreamKey("mixed"))
+			qt.Assert(t, tracker.Begin(at(1000), "r", origin("calm", "v1")), qt.IsFalse)
+			qt.Assert(t, tracker.SetFleet(at(1001), endpoints("v1", "v2"), table("s")), qt.DeepEquals, []Origin{origin("calm", "v1")})
+		})
+	}
+}
+
 // TestEarlyVersionIsShared covers an instance that picks an endpoint of a new version
 // whose entry others haven't seen yet.
 func TestEarlyVersionIsShared(t *testing.T) {
