--- a/hitchingress/attempt.go
+++ b/hitchingress/attempt.go
@@ -59,6 +59,9 @@
 func (g *Gateway) startAttempt(ctx context.Context, req *proxyRequest, pick hitchbalance.Pick) *attempt {
 	req.triedEndpoints = append(req.triedEndpoints, pick.Endpoint.ID)
 	req.logEntry.attempts++
+	if req.stream.headerSent {
+		g.Metrics.countResumption(req.origin.source.String())
+	}
 	a := &attempt{pick: pick, sentAt: time.Now()}
 	if expected, ok := req.serviceState.firstByteLatency.OverdueAfter(pick.UncachedTokens); ok {
 		g.Balancer.ExpectResponseBy(pick, a.sentAt.Add(expected))
@@ -149,6 +152,9 @@
 	if err := req.checkHead(a); err != nil {
 		return attemptResult{outcome: hitchretry.Lost, balancerResult: hitchbalance.ResultFailed, err: err}, true
 	}
+	if err := g.checkVersion(req, a.pick); err != nil && !a.head.DidNotRun {
+		return attemptResult{outcome: hitchretry.Lost, balancerResult: hitchbalance.ResultAbandoned, err: err}, true
+	}
 	if req.isStreaming(a) {
 		req.stream.buffered = req.stream.buffered[:0]
 	} else if !a.head.DidNotRun {
--- a/hitchingress/standby.go
+++ b/hitchingress/standby.go
@@ -201,7 +201,7 @@
 	if !req.serviceState.retryBudget.AllowsRetry(now) {
 		return nil
 	}
-	request := req.pickRequest(f.gateway.Self.Zone)
+	request := f.gateway.pickRequest(req)
 	request.UnreachableZones = append(request.UnreachableZones, f.current.pick.Endpoint.Zone)
 	pick, refusal := f.gateway.Balancer.Pick(now, request)
 	if refusal != hitchbalance.NotRefused {
@@ -234,6 +234,8 @@
 	case a.head.DidNotRun && msg.err != nil:
 		f.standbyFailed(a, f.req.refusedResult(a, msg.err))
 	case a.head.DidNotRun: // the rest of the refusal follows
+	case f.gateway.checkVersion(f.req, a.pick) != nil:
+		f.standbyFailed(a, attemptResult{outcome: hitchretry.Lost, balancerResult: hitchbalance.ResultAbandoned, err: errOtherVersion})
 	case a.response.StatusCode >= http.StatusInternalServerError:
 		f.standbyFailed(a, attemptResult{outcome: hitchretry.Failed, balancerResult: hitchbalance.ResultFailed})
 	case msg.response == nil:
