hitchedge: the test of returns waits for instances that a busy machine has paused

TestReturnsInRunningFleet sends a request to an instance only while that trusts its view: one that was paused for more than a second refuses returns (Stale), which is as it should be.

--- a/hitchedge/origin_test.go
+++ b/hitchedge/origin_test.go
@@ -322,13 +322,17 @@
 		view := e.gateway.View()
 		return len(view.Instances()) == instances && len(view.Endpoints()) == len(versions) && e.isViewCurrent()
 	}
-	for _, e := range edges {
+	awaitReady := func(e *Edge) {
 		for startedAt := time.Now(); !isReady(e) && time.Since(startedAt) < 20*time.Second; {
 			tick(t)
 		}
 		qt.Assert(t, isReady(e), qt.IsTrue)
 	}
+	for _, e := range edges {
+		awaitReady(e)
+	}
 	request := func(n int, id, resumes string) int {
+		awaitReady(edges[n]) // a busy machine may pause it
 		r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+hitchstandin.FrontAddr(ip(n))+"/stream/100x20/x", strings.NewReader("b"))
 		qt.Assert(t, err, qt.IsNil)
 		r.Host, r.Close = "soak.example", true
