hitchingress: a request that names a stream's first attempt is a return, also without an event's ID

A caller that names the first attempt and no event would have begun anew at any version, and had events of two over its tries. One that names an event and no attempt was a return already: it goes on if there has been one version only. Found by reading; the users' callers send both.

Measured: the case "without an event's ID" of TestReturnGoesOnAtItsVersion has status 200 without the change, and is refused now (OriginUnknown); a caller that names neither begins anew. The case "no event was received" held the former; "the caller begins anew" holds what was meant by it.

--- a/hitchingress/origin.go
+++ b/hitchingress/origin.go
@@ -97,7 +97,8 @@
 // resolveOrigin finds the origin of a stream that the caller takes up again. It returns
 // a refusal if that isn't known.
 func (g *Gateway) resolveOrigin(ctx context.Context, req *proxyRequest) *hitchoutcome.Refusal {
-	if req.route.Kind != hitchroute.Streaming || req.LastEventID <= 0 {
+	isReturn := req.LastEventID > 0 || req.Resumes != ""
+	if req.route.Kind != hitchroute.Streaming || !isReturn {
 		return nil
 	}
 	stream := hitchorigin.StreamKey(cmp.Or(req.Resumes, req.ID))
--- a/hitchingress/origin_test.go
+++ b/hitchingress/origin_test.go
@@ -1,6 +1,7 @@
 package hitchingress
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"net/http"
@@ -109,7 +110,9 @@
 // that didn't begin it, and which is gone: all that is left is what it shared.
 func TestReturnGoesOnAtItsVersion(t *testing.T) {
 	returning := map[string]string{"Id": "id-2", "Key": "k", "Last-Event-Id": "2", "Resumes": "id-1"}
-	notStreaming := map[string]string{"Id": "id-2", "Key": "k", "Resumes": "id-1"}
+	withoutEvent := map[string]string{"Id": "id-2", "Key": "k", "Resumes": "id-1"}
+	withoutName := map[string]string{"Id": "id-2", "Key": "k", "Last-Event-Id": "2"}
+	anew := map[string]string{"Id": "id-2", "Key": "k"}
 	tests := map[string]struct {
 		others     []string // versions of the endpoints that the second instance prefers
 		isGone     bool     // the version has no endpoint left
@@ -128,7 +131,10 @@
 		"not known, and the version has none": {[]string{"v2"}, true, true, false, returning, 503, "OriginUnknown", "Unknown", false},
 		"not known, one version":              {nil, false, true, false, returning, 200, "", "Inferred", false},
 		"the view may be old":                 {[]string{"v2"}, false, false, true, returning, 503, "Stale", "Stale", true},
-		"no event was received":               {[]string{"v2"}, false, true, false, notStreaming, 200, "", "", false},
+		"without an event's ID":               {[]string{"v2"}, false, true, false, withoutEvent, 503, "OriginUnknown", "Unknown", false},
+		"without a name, two versions":        {[]string{"v2"}, false, false, false, withoutName, 503, "OriginUnknown", "Unknown", false},
+		"without a name, one version":         {nil, false, true, false, withoutName, 200, "", "Inferred", false},
+		"the caller begins anew":              {[]string{"v2"}, false, true, false, anew, 200, "", "", false},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -161,15 +167,15 @@
 			if test.source != "" {
 				qt.Assert(t, resuming.Metrics.resumptions[test.source], qt.Equals, int64(1))
 			}
-			if test.header["Last-Event-Id"] == "" {
-				return
+			if test.source == "" {
+				return // any version may begin
 			}
 			for _, other := range backends[:len(test.others)] {
 				qt.Assert(t, other.requests.Load(), qt.Equals, int64(0))
 			}
 			if test.status == http.StatusOK {
 				qt.Assert(t, body, qt.Equals, events34)
-				o, source := resuming.Origins.Find(hitchorigin.StreamKey("id-1")) // a third try is served
+				o, source := resuming.Origins.Find(hitchorigin.StreamKey(cmp.Or(test.header["Resumes"], "id-2"))) // a third try is served
 				qt.Assert(t, source, qt.Equals, hitchorigin.SourceOwn)
 				qt.Assert(t, o.Version, qt.Equals, "v1")
 			}
