--- a/hitchedge/origin_test.go
+++ b/hitchedge/origin_test.go
@@ -292,7 +292,7 @@
 	versions := map[string]string{"e0": "v1", "e1": "v2", "e2": "v1", "e3": "v2"}
 	storeServer := httptest.NewServer(&store)
 	defer storeServer.CloseClientConnections() // the test's last watches
-	store.Put("op/config", hitchstandin.Config(1, nil))
+	store.Put("op/config", hitchstandin.Config(1, nil, hitchstandin.Variation{}))
 	for id, version := range versions {
 		e := &hitchstandin.Endpoint{ID: id, Service: "engines", Zone: "a", Version: version, RunLog: &runLog}
 		server := httptest.NewServer(e)
