hitchsoak: engines of several versions, and faults that replace them

What was missing: the soak's endpoints were all alike and stayed for its whole length, so that no fault could put an endpoint of another version in the place of one.

Change: a variant of the soak, VariantVersions, with eight engines of two or three versions and a plan of its own. Its faults replace engines (new ones first), start another one at the address of one or, rarely, under its ID, and kill all instances together; the others are those of the soak so far. The new kinds have numbers of their own, so that the plans of NewPlan stay as they are.

--- a/hitchsoak/fleet.go
+++ b/hitchsoak/fleet.go
@@ -33,6 +33,9 @@
 	// copies are the store's last copies, the newest at the end.
 	copies []hitchstandin.Copy
 
+	// engines are the endpoints of a soak of VariantVersions. Otherwise it is nil.
+	engines *engineSet
+
 	mu              sync.Mutex
 	version         int
 	revoked         map[int]bool
@@ -92,6 +95,11 @@
 		f.keys = append(f.keys, fmt.Sprintf("key-%d", n))
 	}
 	f.writeConfig()
+	if s.isVersions() {
+		if err := f.startEngines(ctx, s); err != nil {
+			return err
+		}
+	}
 	for n := range s.endpoints() {
 		if err := f.addEndpoint(ctx, n); err != nil {
 			return err
--- a/hitchsoak/plan.go
+++ b/hitchsoak/plan.go
@@ -65,6 +65,9 @@
 
 // String returns the kind's name as it is printed in reports.
 func (k FaultKind) String() string {
+	if name, ok := versionKindNames[k]; ok {
+		return name
+	}
 	return [...]string{
 		"KillInstance", "StopInstance", "PauseInstance", "SilenceEndpoint", "PauseEndpoint", "SilenceStore",
 		"PauseStore", "CompactStore", "LoseAnswers", "ShedRequests", "LeaveEndpoint", "RevokeKey",
--- a/hitchsoak/soak.go
+++ b/hitchsoak/soak.go
@@ -35,6 +35,8 @@
 	// LogDir, if set, is the directory to which the processes' logs are written if
 	// there is a violation.
 	LogDir string
+	// Variant is VariantVersions or VariantFaults; empty means VariantFaults.
+	Variant string
 }
 
 // Report is the result of a soak.
@@ -62,7 +64,14 @@
 	return defaultInstances
 }
 
-func (s *Soak) endpoints() int     { return endpointCount }
+// endpoints returns the number of endpoints besides the engines of VariantVersions.
+func (s *Soak) endpoints() int {
+	if s.isVersions() {
+		return 0
+	}
+	return endpointCount
+}
+
 func (s *Soak) organisations() int { return organisationCount }
 
 func (s *Soak) length() time.Duration {
@@ -97,7 +106,7 @@
 	c := &checker{
 		start: now, end: now.Add(s.length()), runLog: &f.runLog,
 		addrs: f.addrs(),
-		plan:  NewPlan(s.Seed, s.length(), s.instances(), s.endpoints(), s.organisations()),
+		plan:  s.plan(),
 	}
 	calls := s.runCallsAndFaults(ctx, f, c)
 	report := newReport(c, calls)
@@ -110,17 +119,19 @@
 }
 
 // runCallsAndFaults runs the callers and the plan's faults, and returns the calls.
-func (s *Soak) runCallsAndFaults(ctx context.Context, f *fleet, c *checker) []call {
+func (s *Soak) runCallsAndFaults(ctx context.Context, f *fleet, c *checker) (calls []call) {
 	callCtx, cancel := context.WithDeadline(ctx, c.end)
 	defer cancel()
 	var mu sync.Mutex
-	var calls []call
 	record := func(done call) {
 		mu.Lock()
 		defer mu.Unlock()
 		calls = append(calls, done)
 	}
 	var wg sync.WaitGroup
+	for _, fault := range c.plan {
+		wg.Go(func() { f.runFault(callCtx, c.start, fault) })
+	}
 	for n := range callersPerInstance * s.instances() {
 		x := &caller{seed: s.Seed<<16 + uint64(n), fleet: f}
 		wg.Go(func() { x.run(callCtx, record) })
@@ -129,9 +140,6 @@
 		x := &openCaller{caller: caller{seed: s.Seed<<16 + openCallerSeed + uint64(n), fleet: f}, isSlow: n%openCallersPerInstance == 0}
 		wg.Go(func() { x.run(callCtx, record) })
 	}
-	for _, fault := range c.plan {
-		wg.Go(func() { f.runFault(callCtx, c.start, fault) })
-	}
 	wg.Wait()
 	return calls
 }
@@ -176,7 +184,10 @@
 	if !sleepUntil(ctx, start.Add(fault.Begin)) {
 		return
 	}
-	undo := f.startFault(fault)
+	undo, ok := f.startEngineFault(ctx, fault)
+	if !ok {
+		undo = f.startFault(fault)
+	}
 	sleepUntil(ctx, start.Add(fault.End))
 	undo()
 }
