hitchsoak: callers that take up streams, and checks of whole streams

What was missing: a caller that lost a stream never came back for its rest, so that no soak could show a stream of two versions, one with a gap between two tries, or one that no instance goes on with.

Change: callers of the variant lose or drop streams in their middle and take them up at another instance, with Last-Event-Id and Resumes.

--- a/cmd/citronhitch/soak.go
+++ b/cmd/citronhitch/soak.go
@@ -22,6 +22,7 @@
 	length := clause.Flag("soak-seconds", "Length of one soak, in seconds, at least 15.").Default("25").Int()
 	processes := clause.Flag("processes", "Number of instances, from 2 to 100.").Default("4").Int()
 	logs := clause.Flag("log-dir", "Directory for the logs of processes when a service guarantee is violated.").Default("").String()
+	variant := clause.Flag("variant", "Variant of the soak: faults, or versions of the endpoints' software side by side.").Default(hitchsoak.VariantFaults).Enum(hitchsoak.VariantFaults, hitchsoak.VariantVersions)
 	return command{clause, func(ctx context.Context) error {
 		if *processes < 2 || *processes > 100 {
 			return &SettingError{Flag: "processes", Value: strconv.Itoa(*processes), Allowed: "2 to 100"}
@@ -38,6 +39,7 @@
 			s := &hitchsoak.Soak{
 				Seed: *seed + uint64(n), Program: program, Instances: *processes,
 				Length: time.Duration(*length) * time.Second, LogDir: *logs,
+				Variant: *variant,
 			}
 			report, err := s.Run(ctx)
 			if err = errors.Join(err, ctx.Err()); err != nil {
@@ -57,6 +59,9 @@
 // the injected faults.
 func (p *program) printSoakReport(r hitchsoak.Report) {
 	p.printf("%s\n", r)
+	for _, note := range r.Notes {
+		p.printf("%s\n", note)
+	}
 	if len(r.Violations) == 0 {
 		return
 	}
--- a/hitchsoak/caller.go
+++ b/hitchsoak/caller.go
@@ -40,6 +40,8 @@
 	IsDropped bool
 	// SaysLeaving is set if the response says that its endpoint leaves.
 	SaysLeaving bool
+	// IsResumption is set if the request is for the rest of a stream.
+	IsResumption bool
 }
 
 // caller sends requests one at a time, on reused connections, to the instances that
--- a/hitchsoak/check.go
+++ b/hitchsoak/check.go
@@ -149,7 +149,7 @@
 }
 
 // isAfterRecovery reports whether a call began more than recoveryBound after the last
-// fault.
+// fault. The rest of a stream isn't counted, as no endpoint of its version may be left.
 func (c *checker) isAfterRecovery(x call) bool {
-	return x.Begin.After(c.end.Add(recoveryBound - faultFreeEnd))
+	return !x.IsResumption && x.Begin.After(c.end.Add(recoveryBound-faultFreeEnd))
 }
--- a/hitchsoak/soak.go
+++ b/hitchsoak/soak.go
@@ -49,6 +49,8 @@
 	Failed     int
 	Recovered  float64
 	Violations []Violation
+	// Notes are lines about what was counted, which are printed in any case.
+	Notes []string
 }
 
 // String returns the report's summary on one line.
@@ -108,8 +110,12 @@
 		addrs: f.addrs(),
 		plan:  s.plan(),
 	}
-	calls := s.runCallsAndFaults(ctx, f, c)
+	calls, streams := s.runCallsAndFaults(ctx, f, c)
 	report := newReport(c, calls)
+	if s.isVersions() {
+		violations, notes := c.checkStreams(streams, f.engines.countServing)
+		report.Violations, report.Notes = append(report.Violations, violations...), notes
+	}
 	report.Seed = s.Seed
 	report.Violations = append(report.Violations, f.processViolations()...)
 	if s.LogDir != "" && len(report.Violations) > 0 {
@@ -118,8 +124,9 @@
 	return report, err
 }
 
-// runCallsAndFaults runs the callers and the plan's faults, and returns the calls.
-func (s *Soak) runCallsAndFaults(ctx context.Context, f *fleet, c *checker) (calls []call) {
+// runCallsAndFaults runs the callers and the plan's faults, and returns the calls, and the
+// streams of VariantVersions.
+func (s *Soak) runCallsAndFaults(ctx context.Context, f *fleet, c *checker) (calls []call, streams []stream) {
 	callCtx, cancel := context.WithDeadline(ctx, c.end)
 	defer cancel()
 	var mu sync.Mutex
@@ -129,19 +136,22 @@
 		calls = append(calls, done)
 	}
 	var wg sync.WaitGroup
-	for _, fault := range c.plan {
-		wg.Go(func() { f.runFault(callCtx, c.start, fault) })
+	if s.isVersions() {
+		wg.Go(func() { streams = s.runStreams(callCtx, f, record) })
 	}
-	for n := range callersPerInstance * s.instances() {
+	for n := range s.callers(callersPerInstance) {
 		x := &caller{seed: s.Seed<<16 + uint64(n), fleet: f}
 		wg.Go(func() { x.run(callCtx, record) })
 	}
-	for n := range openCallersPerInstance * s.instances() {
+	for n := range s.callers(openCallersPerInstance) {
 		x := &openCaller{caller: caller{seed: s.Seed<<16 + openCallerSeed + uint64(n), fleet: f}, isSlow: n%openCallersPerInstance == 0}
 		wg.Go(func() { x.run(callCtx, record) })
 	}
+	for _, fault := range c.plan {
+		wg.Go(func() { f.runFault(callCtx, c.start, fault) })
+	}
 	wg.Wait()
-	return calls
+	return calls, streams
 }
 
 // openCallerSeed separates the seeds of callers that keep connections open from those of
--- a/hitchsoak/versions.go
+++ b/hitchsoak/versions.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"syscall"
 )
 
@@ -21,6 +22,15 @@
 // isVersions reports whether the soak is of VariantVersions.
 func (s *Soak) isVersions() bool { return s.Variant == VariantVersions }
 
+// callers returns the number of callers of a kind that doesn't take up streams. A soak of
+// VariantVersions has none.
+func (s *Soak) callers(perInstance int) int {
+	if s.isVersions() {
+		return 0
+	}
+	return perInstance * s.instances()
+}
+
 // plan returns the faults of the soak.
 func (s *Soak) plan() []Fault {
 	if s.isVersions() {
@@ -45,6 +55,29 @@
 	return join(undos...)
 }
 
+// runStreams runs the callers that take up streams until ctx ends. It records each of their
+// tries as a call, and returns the streams.
+func (s *Soak) runStreams(ctx context.Context, f *fleet, record func(call)) []stream {
+	var mu sync.Mutex
+	var streams []stream
+	var wg sync.WaitGroup
+	for n := range streamCallersPerInstance * s.instances() {
+		x := &streamCaller{caller: caller{seed: s.Seed<<16 + uint64(n), fleet: f}}
+		wg.Go(func() {
+			x.run(ctx, func(done stream) {
+				for _, t := range done.Tries {
+					record(t.call)
+				}
+				mu.Lock()
+				defer mu.Unlock()
+				streams = append(streams, done)
+			})
+		})
+	}
+	wg.Wait()
+	return streams
+}
+
 // startEngineFault starts a fault of the engines. It returns false for a fault of another
 // kind, and if the soak has no engines.
 func (f *fleet) startEngineFault(ctx context.Context, fault Fault) (undo func(), ok bool) {
