hitchsoak: a try of a stream is counted in one place

What was missing: nothing in behaviour; the counts of tries went through a method without a receiver, and a slot's engine was read twice.

--- a/hitchsoak/engine.go
+++ b/hitchsoak/engine.go
@@ -65,7 +65,7 @@
 
 // start starts an engine in each slot, with the versions in turns.
 func (s *engineSet) start(ctx context.Context) error {
-	s.removed = make(map[string]bool)
+	s.slots, s.removed = make([]*engine, engineSlots), make(map[string]bool)
 	s.newContext = func() (context.Context, context.CancelFunc) { return context.WithCancel(ctx) }
 	for n := range engineSlots {
 		e, err := s.startEngine(s.newID(), s.versions[n%len(s.versions)], s.ip+":0", 0)
@@ -121,9 +121,6 @@
 func (s *engineSet) register(slot int, e *engine) (previous *engine) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if len(s.slots) <= slot {
-		s.slots = append(s.slots, nil)
-	}
 	previous, s.slots[slot] = s.slots[slot], e
 	e.from = time.Now()
 	s.fleet.store.Put(e.Key(), e.Entry("ready"))
@@ -193,11 +190,8 @@
 		if err != nil {
 			return undo, err
 		}
-		s.mu.Lock()
 		// The old one keeps its entry until it is removed.
-		old = append(old, s.slots[n%engineSlots])
-		s.mu.Unlock()
-		s.register(n%engineSlots, e)
+		old = append(old, s.register(n%engineSlots, e))
 	}
 	for _, e := range old {
 		s.remove(e)
--- a/hitchsoak/streamcheck.go
+++ b/hitchsoak/streamcheck.go
@@ -93,12 +93,13 @@
 		goesOn := len(t.Events) > 0
 		isUndisturbed := c.isInstanceUndisturbed(t.Instance, t.Begin, t.answeredAt())
 		switch {
-		case !t.IsResumption:
-			n.add(&n.New, &n.Begun, isUndisturbed, goesOn)
-		default:
-			isServed := countServing(version, t.Begin.Add(-servingTime), t.answeredAt()) >= minServing
-			n.add(&n.AllTakenUp, &n.AllGoneOn, true, goesOn)
-			n.add(&n.TakenUp, &n.GoneOn, isUndisturbed && isServed, goesOn)
+		case !t.IsResumption && isUndisturbed:
+			countTry(&n.New, &n.Begun, goesOn)
+		case t.IsResumption:
+			countTry(&n.AllTakenUp, &n.AllGoneOn, goesOn)
+			if isUndisturbed && countServing(version, t.Begin.Add(-servingTime), t.answeredAt()) >= minServing {
+				countTry(&n.TakenUp, &n.GoneOn, goesOn)
+			}
 		}
 		if version == "" && goesOn {
 			version = t.Events[0].Version
@@ -106,13 +107,11 @@
 	}
 }
 
-// add counts a try, and its success, if it is counted at all.
-func (*streamCounts) add(tries, successes *int, isCounted, isSuccess bool) {
-	if isCounted {
-		*tries++
-		if isSuccess {
-			*successes++
-		}
+// countTry counts a try, and its success if it was one.
+func countTry(tries, successes *int, isSuccess bool) {
+	*tries++
+	if isSuccess {
+		*successes++
 	}
 }
 
