--- a/cmd/citronhitch/soak.go
+++ b/cmd/citronhitch/soak.go
@@ -23,6 +23,7 @@
 	processes := clause.Flag("processes", "Number of instances, from 2 to 100.").Default("4").Int()
 	faults := clause.Flag("faults", "Set of faults: the basic ones, those of answers, or all.").Default(string(hitchsoak.BasicFaults)).Enum(hitchsoak.FaultSets()...)
 	logs := clause.Flag("log-dir", "Directory for the logs of processes when a service guarantee is violated.").Default("").String()
+	variant := clause.Flag("variant", "Variant of the soak: faults, or versions of the endpoints' software side by side.").Default(hitchsoak.VariantFaults).Enum(hitchsoak.VariantFaults, hitchsoak.VariantVersions)
 	return command{clause, func(ctx context.Context) error {
 		if *processes < 2 || *processes > 100 {
 			return &SettingError{Flag: "processes", Value: strconv.Itoa(*processes), Allowed: "2 to 100"}
@@ -39,6 +40,7 @@
 			s := &hitchsoak.Soak{
 				Seed: *seed + uint64(n), Program: program, Instances: *processes,
 				Length: time.Duration(*length) * time.Second, LogDir: *logs, Faults: hitchsoak.FaultSet(*faults),
+				Variant: *variant,
 			}
 			report, err := s.Run(ctx)
 			if err = errors.Join(err, ctx.Err()); err != nil {
@@ -58,6 +60,9 @@
 // the injected faults.
 func (p *program) printSoakReport(r hitchsoak.Report) {
 	p.printf("%s\n", r)
+	for _, note := range r.Notes {
+		p.printf("%s\n", note)
+	}
 	if len(r.Violations) == 0 {
 		return
 	}
--- a/hitchsoak/soak.go
+++ b/hitchsoak/soak.go
@@ -37,6 +37,8 @@
 	// LogDir, if set, is the directory to which the processes' logs are written if
 	// there is a violation.
 	LogDir string
+	// Variant is VariantVersions or VariantFaults; empty means VariantFaults.
+	Variant string
 }
 
 // Report is the result of a soak.
@@ -52,6 +54,8 @@
 	// spoiled their answer.
 	MetSilence, MetSpoil int
 	Violations           []Violation
+	// Notes are lines about what was counted, which are printed in any case.
+	Notes []string
 }
 
 // String returns the report's summary on one line.
@@ -67,7 +71,14 @@
 	return defaultInstances
 }
 
-func (s *Soak) endpoints() int     { return endpointCount }
+// endpoints returns the number of endpoints besides the engines of VariantVersions.
+func (s *Soak) endpoints() int {
+	if s.isVersions() {
+		return 0
+	}
+	return endpointCount
+}
+
 func (s *Soak) organisations() int { return organisationCount }
 
 func (s *Soak) length() time.Duration {
@@ -102,10 +113,14 @@
 	c := &checker{
 		start: now, end: now.Add(s.length()), runLog: &f.runLog,
 		addrs: f.addrs(),
-		plan:  NewPlan(s.Faults, s.Seed, s.length(), s.instances(), s.endpoints(), s.organisations()),
+		plan:  s.plan(),
 	}
-	calls := s.runCallsAndFaults(ctx, f, c)
+	calls, streams := s.runCallsAndFaults(ctx, f, c)
 	report := newReport(c, calls)
+	if s.isVersions() {
+		violations, notes := c.checkStreams(streams, f.engines.countServing)
+		report.Violations, report.Notes = append(report.Violations, violations...), notes
+	}
 	report.Seed = s.Seed
 	report.Violations = append(report.Violations, f.processViolations()...)
 	if s.LogDir != "" && len(report.Violations) > 0 {
@@ -114,23 +129,26 @@
 	return report, err
 }
 
-// runCallsAndFaults runs the callers and the plan's faults, and returns the calls.
-func (s *Soak) runCallsAndFaults(ctx context.Context, f *fleet, c *checker) []call {
+// runCallsAndFaults runs the callers and the plan's faults, and returns the calls, and the
+// streams of VariantVersions.
+func (s *Soak) runCallsAndFaults(ctx context.Context, f *fleet, c *checker) (calls []call, streams []stream) {
 	callCtx, cancel := context.WithDeadline(ctx, c.end)
 	defer cancel()
 	var mu sync.Mutex
-	var calls []call
 	record := func(done call) {
 		mu.Lock()
 		defer mu.Unlock()
 		calls = append(calls, done)
 	}
 	var wg sync.WaitGroup
-	for n := range callersPerInstance * s.instances() {
+	if s.isVersions() {
+		wg.Go(func() { streams = s.runStreams(callCtx, f, record) })
+	}
+	for n := range s.callers(callersPerInstance) {
 		x := &caller{seed: s.Seed<<16 + uint64(n), fleet: f}
 		wg.Go(func() { x.run(callCtx, record) })
 	}
-	for n := range openCallersPerInstance * s.instances() {
+	for n := range s.callers(openCallersPerInstance) {
 		x := &openCaller{caller: caller{seed: s.Seed<<16 + openCallerSeed + uint64(n), fleet: f}, isSlow: n%openCallersPerInstance == 0}
 		wg.Go(func() { x.run(callCtx, record) })
 	}
@@ -138,7 +156,7 @@
 		wg.Go(func() { f.runFault(callCtx, c.start, fault) })
 	}
 	wg.Wait()
-	return calls
+	return calls, streams
 }
 
 // openCallerSeed separates the seeds of callers that keep connections open from those of
@@ -188,7 +206,10 @@
 	if !sleepUntil(ctx, start.Add(fault.Begin)) {
 		return
 	}
-	undo := f.startFault(fault)
+	undo, ok := f.startEngineFault(ctx, fault)
+	if !ok {
+		undo = f.startFault(fault)
+	}
 	sleepUntil(ctx, start.Add(fault.End))
 	undo()
 }
