hitchforward: the head of a response has a limit

An instance would have grown until it was killed.

Cause: http.ReadResponse reads from a bufio.Reader without a limit. A status line, a header line, header lines or interim responses could go on for as long as the attempt's deadline allowed.

Change: the connection's reader fails after 8 KB while a head is read; interim responses count. The failure is FailureTooLarge, which the gateway retries elsewhere if it may; the balancer counts it as a lost connection, and the connection is closed. 8 KB because a parsed header takes up to 20 times its size (trial: 160 KB live and 277 KB allocated for 8 KB of short lines) and hundreds of requests may be in flight; the heads of sound endpoints have under 1 KB.

Measured: TestEndlessHeadFails (7 cases, each up to 64 MB sent).

After: each under 1 MB, the bound of the test; all seven in 0.02 s.

--- a/hitchforward/attempt.go
+++ b/hitchforward/attempt.go
@@ -19,7 +19,7 @@
 var (
 	errNoData       = errors.New("no data received within the inactivity timeout")
 	errWrongAttempt = errors.New("the response has the ID of another attempt")
-	errTooLarge     = errors.New("the response body exceeds the size limit")
+	errTooLarge     = errors.New("the response exceeds the size limit")
 	errCallerGone   = errors.New("the caller disconnected")
 )
 
--- a/hitchforward/conn.go
+++ b/hitchforward/conn.go
@@ -39,6 +39,8 @@
 type conn struct {
 	net.Conn
 	br *bufio.Reader
+	// limit is what br reads from.
+	limit limitedReader
 	// idleDeadline is until when the idle connection may be reused.
 	idleDeadline time.Time
 	// wasUsed is set once the connection has carried an exchange.
@@ -63,7 +65,13 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: nc, br: bufio.NewReaderSize(nc, readBufferBytes)}, nil
+	return newConn(nc), nil
+}
+
+func newConn(nc net.Conn) *conn {
+	c := &conn{Conn: nc, limit: limitedReader{Reader: nc}}
+	c.br = bufio.NewReaderSize(&c.limit, readBufferBytes)
+	return c
 }
 
 // readBufferBytes is the size of a connection's read buffer.
--- /dev/null
+++ b/hitchforward/endless_test.go
@@ -0,0 +1,98 @@
+package hitchforward
+
+import (
+	"bufio"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"runtime"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"citronhitch.example/citronhitch/hitchoutcome"
+)
+
+// endlessBytes is how much an endpoint without end sends at most, so that a test without
+// a limit fails rather than uses up the memory.
+const endlessBytes = 64 << 20
+
+// maxEndlessAllocBytes is how much memory may be allocated, in total, for an exchange
+// with an endpoint whose response has no end.
+const maxEndlessAllocBytes = 1 << 20
+
+// startEndlessEndpoint starts an endpoint that responds to each request with start and
+// then with repetitions of unit until the connection is closed.
+func startEndlessEndpoint(t *testing.T, start, unit string) (addr string, closed <-chan struct{}) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(func() { _ = l.Close() })
+	ended := make(chan struct{}, 16)
+	block := []byte(strings.Repeat(unit, max(1, (64<<10)/len(unit))))
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = c.Close(); ended <- struct{}{} }()
+				r, err := http.ReadRequest(bufio.NewReader(c))
+				if err != nil {
+					return
+				}
+				_, _ = io.Copy(io.Discard, r.Body)
+				if _, err := io.WriteString(c, start); err != nil {
+					return
+				}
+				for sent := 0; sent < endlessBytes; sent += len(block) {
+					if _, err := c.Write(block); err != nil {
+						return
+					}
+				}
+			}()
+		}
+	}()
+	return l.Addr().String(), ended
+}
+
+// allocatedBytes returns how much memory the process has allocated since its start.
+func allocatedBytes() uint64 {
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.TotalAlloc
+}
+
+// TestEndlessHeadFails covers endpoints whose status line, header or interim responses
+// have no end.
+func TestEndlessHeadFails(t *testing.T) {
+	tests := map[string]struct{ start, unit string }{
+		"status line":             {"HTTP/1.1 200 ", "a"},
+		"header line":             {"HTTP/1.1 200 OK\r\nA: ", "a"},
+		"continued header line":   {"HTTP/1.1 200 OK\r\nA: a\r\n", " a\r\n"},
+		"header lines":            {"HTTP/1.1 200 OK\r\n", "A: a\r\n"},
+		"interim responses":       {"", "HTTP/1.1 100 Continue\r\n\r\n"},
+		"interim header lines":    {"HTTP/1.1 103 Early Hints\r\n", "A: a\r\n"},
+		"bytes that are no lines": {"", "\x00\xff"},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			addr, closed := startEndlessEndpoint(t, test.start, test.unit)
+			var p ConnPool
+			var tracker hitchoutcome.DispatchTracker
+			before := allocatedBytes()
+			_, err := p.Open(t.Context(), addr, Request{Method: http.MethodGet, Target: "/", Host: "h"}, time.Now().Add(5*time.Second), &tracker)
+			allocated := allocatedBytes() - before
+			qt.Assert(t, allocated < maxEndlessAllocBytes, qt.IsTrue, qt.Commentf("%d bytes", allocated))
+			var f *Failure
+			qt.Assert(t, errors.As(err, &f), qt.IsTrue)
+			qt.Assert(t, f.Kind, qt.Equals, FailureTooLarge)
+			qt.Assert(t, tracker.Outcome(), qt.Equals, hitchoutcome.Unknown)
+			<-closed
+			qt.Assert(t, p.idle[addr], qt.HasLen, 0)
+		})
+	}
+}
--- a/hitchforward/exchange.go
+++ b/hitchforward/exchange.go
@@ -125,10 +125,17 @@
 	return b.Bytes()
 }
 
-// readHead reads the header of the final response, skipping interim ones.
+// readHead reads the header of the final response, skipping interim ones. All of them
+// together may have maxHeadBytes.
 func (x *Exchange) readHead(method string) (*http.Response, error) {
+	// The reader may fill its buffer with the start of the body.
+	x.conn.limit.setLimit(maxHeadBytes + readBufferBytes)
+	defer x.conn.limit.removeLimit()
 	for {
 		res, err := http.ReadResponse(x.conn.br, &http.Request{Method: method})
+		if err != nil && x.conn.limit.isReached() {
+			return nil, errTooLarge
+		}
 		if err != nil {
 			return nil, err
 		}
