hitchforward: a response with a status outside of HTTP is no response

What callers saw: statuses from 600 to 999 were passed on as the endpoint's error.

Cause: http.ReadResponse accepts three digits, also 000 and +99. Those below 100 were skipped like interim responses, and so was 101, after which the endpoint no longer speaks HTTP; those above 599 were taken as errors of the endpoint.

Change: only 100 and 102 to 199 are interim, and a final status is one from 200 to 599 (RFC 9110, 15). Any other is a lost connection.

Measured: TestInvalidStatusFails failed before, for 000, 020, +99 and 101 with "malformed HTTP version "okHTTP/1.1"" (the bytes after the head were read as the next response), for 600 and 999 with "got nil error but want non-nil".

--- a/hitchforward/endless_test.go
+++ b/hitchforward/endless_test.go
@@ -96,3 +96,19 @@
 		})
 	}
 }
+
+// TestInvalidStatusFails covers status codes that the caller's server can't write, and
+// those that aren't of HTTP: net/http's WriteHeader panics below 100.
+func TestInvalidStatusFails(t *testing.T) {
+	for _, status := range []string{"000", "020", "+99", "101", "600", "999"} {
+		t.Run(status, func(t *testing.T) {
+			e := startTestEndpoint(t, func(int64, *http.Request) (string, bool) {
+				return "HTTP/1.1 " + status + " X\r\nContent-Length: 2\r\n\r\nok" + completeResponse, true
+			})
+			var p ConnPool
+			_, err := get(t, &p, e.addr)
+			qt.Assert(t, err, qt.ErrorIs, errInvalidStatus)
+			qt.Assert(t, p.idle[e.addr], qt.HasLen, 0)
+		})
+	}
+}
--- a/hitchforward/exchange.go
+++ b/hitchforward/exchange.go
@@ -139,8 +139,8 @@
 		if err != nil {
 			return nil, err
 		}
-		if res.StatusCode >= http.StatusOK {
-			return res, nil
+		if !isInterim(res.StatusCode) {
+			return res, checkStatus(res.StatusCode)
 		}
 	}
 }
