hitchforward: response bodies share a bounded part of the memory

By the limit of 16 MB for each response, 18 endless bodies at once exceed the 284 MB of an instance, and 12 the 184 MB of others; a body was read up to the limit also if it declared a longer one.

Change: a response that isn't streamed may have 1 MB, and those above 32 KB draw on 16 MB that all of them share. So 400 requests at once hold at most 29 MB of bodies, where 400 of 1 MB would hold 400; sound answers, which have under a kilobyte, don't depend on the shared part. A body that is too long by its declared length fails at once, and one is held no longer than its exchange.

Ruled out: a small limit alone (64 KB x 400 requests would do for the memory, but a service with answers of 100 KB would fail always).

Measured: TestBodiesShareMemory before: 64 of 64 bodies of 1 MB complete, want 16 ("values are not equal, got int(64), want int(16)"). TestEndlessBodyFails passed before too: net/http bounds chunk extensions (16 KB) and trailers (the read buffer); it keeps that so.

--- a/hitchforward/conn.go
+++ b/hitchforward/conn.go
@@ -109,6 +109,8 @@
 	mu   sync.Mutex
 	idle map[string][]*conn
 
+	bodyMemory bodyMemory
+
 	// Dialed counts the connections that were opened.
 	Dialed counter
 }
--- a/hitchforward/endless_test.go
+++ b/hitchforward/endless_test.go
@@ -112,3 +112,77 @@
 		})
 	}
 }
+
+// TestEndlessBodyFails covers endpoints whose response body, chunk extensions or trailers
+// have no end.
+func TestEndlessBodyFails(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\n"
+	tests := map[string]struct {
+		start, unit string
+		want        FailureKind
+	}{
+		"until the close":   {head + "\r\n", "a", FailureTooLarge},
+		"declared length":   {head + "Content-Length: 1000000000000\r\n\r\n", "a", FailureTooLarge},
+		"chunks":            {head + "Transfer-Encoding: chunked\r\n\r\n", "4\r\naaaa\r\n", FailureTooLarge},
+		"one chunk":         {head + "Transfer-Encoding: chunked\r\n\r\nffffffffff\r\n", "a", FailureTooLarge},
+		"chunk of no size":  {head + "Transfer-Encoding: chunked\r\n\r\n", "0", FailureCut},
+		"chunk extension":   {head + "Transfer-Encoding: chunked\r\n\r\n1;", "a", FailureCut},
+		"chunk extensions":  {head + "Transfer-Encoding: chunked\r\n\r\n", "1;" + strings.Repeat("a", 1000) + "\r\na\r\n", FailureCut},
+		"trailer line":      {head + "Transfer-Encoding: chunked\r\n\r\n0\r\nA: ", "a", FailureCut},
+		"trailer lines":     {head + "Transfer-Encoding: chunked\r\n\r\n0\r\n", "A: a\r\n", FailureCut},
+		"declared trailers": {head + "Transfer-Encoding: chunked\r\nTrailer: A\r\n\r\n0\r\n", "A: a\r\n", FailureCut},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			addr, closed := startEndlessEndpoint(t, test.start, test.unit)
+			var p ConnPool
+			before := allocatedBytes()
+			x, err := p.Open(t.Context(), addr, Request{Method: http.MethodGet, Target: "/", Host: "h"}, time.Now().Add(5*time.Second), &hitchoutcome.DispatchTracker{})
+			qt.Assert(t, err, qt.IsNil)
+			_, err = x.ReadAll(testBodyBytes)
+			allocated := allocatedBytes() - before
+			qt.Assert(t, x.FailureFor(t.Context(), err).Kind, qt.Equals, test.want, qt.Commentf("%v", err))
+			qt.Assert(t, allocated < maxEndlessAllocBytes, qt.IsTrue, qt.Commentf("%d bytes", allocated))
+			x.Close()
+			<-closed
+			qt.Assert(t, p.idle[addr], qt.HasLen, 0)
+			qt.Assert(t, p.bodyMemory.used.Load(), qt.Equals, int64(0))
+		})
+	}
+}
+
+// testBodyBytes is the limit of a body in the tests.
+const testBodyBytes = 256 << 10
+
+// TestBodiesShareMemory covers many endless bodies at once beside short ones. Each is
+// within its own limit, and together they would exceed the memory of an instance.
+func TestBodiesShareMemory(t *testing.T) {
+	const exchanges, limit = 64, 1 << 20
+	body := strings.Repeat("a", limit)
+	large := startTestEndpoint(t, func(int64, *http.Request) (string, bool) {
+		return "HTTP/1.1 200 OK\r\nContent-Length: 1048576\r\n\r\n" + body, true
+	})
+	small := startTestEndpoint(t, func(int64, *http.Request) (string, bool) { return completeResponse, true })
+	var p ConnPool
+	open := func(addr string) *Exchange {
+		x, err := p.Open(t.Context(), addr, Request{Method: http.MethodGet, Target: "/", Host: "h"}, time.Now().Add(30*time.Second), &hitchoutcome.DispatchTracker{})
+		qt.Assert(t, err, qt.IsNil)
+		return x
+	}
+	complete := 0
+	for range exchanges {
+		x := open(large.addr)
+		t.Cleanup(x.Close)
+		if _, err := x.ReadAll(limit); err == nil {
+			complete++
+		} else {
+			qt.Assert(t, err, qt.ErrorIs, errTooLarge)
+		}
+		y := open(small.addr)
+		b, err := y.ReadAll(limit)
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, string(b), qt.Equals, "ok")
+		y.Close()
+	}
+	qt.Assert(t, complete, qt.Equals, maxBodyMemoryBytes/limit)
+}
--- a/hitchforward/exchange.go
+++ b/hitchforward/exchange.go
@@ -40,6 +40,8 @@
 	stopCancelWatch func() bool
 	writeResult     chan error
 	complete        bool
+	// reservedBytes is the part of the pool's memory for bodies that this one uses.
+	reservedBytes int64
 }
 
 // Open sends a request and reads the header of its response. It fails when the
@@ -155,24 +157,13 @@
 	return n, err
 }
 
-// ReadAll reads the complete body. It fails if the body is longer than the limit.
-func (x *Exchange) ReadAll(limit int64) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(x, limit+1))
-	if err != nil {
-		return nil, err
-	}
-	if int64(len(body)) > limit {
-		return nil, errTooLarge
-	}
-	return body, nil
-}
-
 // Close ends the exchange. Its connection returns to the pool only if the response
 // was read completely and no unread bytes remain.
 func (x *Exchange) Close() {
 	if x.conn == nil {
 		return
 	}
+	x.pool.bodyMemory.used.Add(-x.reservedBytes)
 	canceled := x.stopCancelWatch != nil && !x.stopCancelWatch()
 	if idleDeadline, ok := x.reusable(time.Now()); ok && !canceled {
 		x.pool.putIdle(x.addr, x.conn, idleDeadline)
--- a/hitchingress/response.go
+++ b/hitchingress/response.go
@@ -7,8 +7,9 @@
 	"citronhitch.example/citronhitch/hitchforward"
 )
 
-// maxResponseBytes limits the body of a response that isn't streamed.
-const maxResponseBytes = 16 << 20
+// maxResponseBytes limits the body of a response that isn't streamed. Responses are held
+// in memory as a whole, since a truncated one must not reach the caller.
+const maxResponseBytes = 1 << 20
 
 // unaryResponse is an endpoint's complete response that isn't streamed.
 type unaryResponse struct {
