hitchingress: a refusal's body is read for 50 ms and 16 KB at most

What callers saw: a request that an endpoint had refused waited for the rest of the refusal's body, up to the request's deadline, and was then refused itself (503).

Cause: the body is read only so that the connection can be used again, but with the deadline and the limit of an answer.

Change: Exchange.Drain. A body that isn't complete after 50 ms, or is longer than 16 KB, is left, and the connection is closed; the request goes on to its next attempt at once. Beyond 16 KB the endpoint also counts as failed, as a refusal has under a kilobyte; a late body alone may be the network's fault.

Measured: before, TestEndlessRefusal: bytes allocated for two requests (with the limit of bodies 6672488), want under 4 MB; and the second request was sent to the same endpoint again. TestSlowRefusalIsRetriedAtOnce: status 503 after 5.03 s, want 200 within a second.

--- a/hitchforward/body.go
+++ b/hitchforward/body.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"sync/atomic"
+	"time"
 )
 
 // Limits of response bodies that are read as a whole.
@@ -15,6 +16,10 @@
 	// the memory that all of them share, maxBodyMemoryBytes.
 	freeBodyBytes      = 32 << 10
 	maxBodyMemoryBytes = 16 << 20
+	// maxDrainBytes and maxDrainTime limit a body that isn't needed. Waiting longer would
+	// cost more than a new connection.
+	maxDrainBytes = 16 << 10
+	maxDrainTime  = 50 * time.Millisecond
 )
 
 // bodyMemory counts the memory of the bodies that are longer than freeBodyBytes, so that
@@ -73,3 +78,11 @@
 	}
 	return append(make([]byte, 0, size), body...), nil
 }
+
+// Drain reads a body that isn't needed, so that the connection can be used again. It fails
+// if the body is too long, or isn't complete soon.
+func (x *Exchange) Drain() error {
+	x.SetReadDeadline(time.Now().Add(maxDrainTime))
+	_, err := x.ReadAll(maxDrainBytes)
+	return err
+}
--- a/hitchingress/attempt.go
+++ b/hitchingress/attempt.go
@@ -169,8 +169,12 @@
 		result.balancerResult = hitchbalance.ResultConnectionLost
 	}
 	req.dispatchTracker.MarkUnsent()
-	if _, err := exchange.ReadAll(maxResponseBytes); err != nil {
-		result.err = exchange.FailureFor(ctx, err)
+	if err := exchange.Drain(); err != nil {
+		failure := exchange.FailureFor(ctx, err)
+		result.err = failure
+		if failure.Kind == hitchforward.FailureTooLarge {
+			result.balancerResult = hitchbalance.ResultConnectionLost
+		}
 	}
 	return result
 }
--- /dev/null
+++ b/hitchingress/endless_test.go
@@ -0,0 +1,127 @@
+package hitchingress
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"runtime"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"citronhitch.example/citronhitch/hitchroute"
+)
+
+// endlessBytes is how much an endpoint without end sends at most, so that a test without
+// a limit fails rather than uses up the memory.
+const endlessBytes = 64 << 20
+
+// endlessResponse is a response that starts and then repeats a unit until the connection
+// is closed. It pauses before each unit unless interval is zero.
+type endlessResponse struct {
+	start, unit string
+	interval    time.Duration
+}
+
+// startEndlessBackend starts a backend that sends an endless response to each request.
+func startEndlessBackend(t *testing.T, response endlessResponse) *backend {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(func() { _ = listener.Close() })
+	b := &backend{addr: listener.Addr().String()}
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go b.sendEndless(conn, response)
+		}
+	}()
+	return b
+}
+
+func (b *backend) sendEndless(conn net.Conn, response endlessResponse) {
+	defer func() { _ = conn.Close() }()
+	r, err := http.ReadRequest(bufio.NewReader(conn))
+	if err != nil {
+		return
+	}
+	_, _ = io.Copy(io.Discard, r.Body)
+	b.requests.Add(1)
+	if _, err := io.WriteString(conn, strings.ReplaceAll(response.start, "{id}", r.Header.Get("Id"))); err != nil {
+		return
+	}
+	unit := []byte(response.unit)
+	if response.interval == 0 {
+		unit = []byte(strings.Repeat(response.unit, 1+(16<<10)/len(response.unit)))
+	}
+	for sent := 0; sent < endlessBytes; sent += len(unit) {
+		time.Sleep(response.interval)
+		if _, err := conn.Write(unit); err != nil {
+			return
+		}
+	}
+}
+
+// allocatedBytes returns how much memory the process has allocated since its start.
+func allocatedBytes() uint64 {
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.TotalAlloc
+}
+
+// checkEndless sends a request whose first endpoint sends without end. The caller must get
+// the response of the second endpoint, within the time, and the first endpoint must
+// count as failed, so that it doesn't get the next request.
+func checkEndless(t *testing.T, route hitchroute.Route, response endlessResponse, second, want string, within time.Duration) {
+	first := startEndlessBackend(t, response)
+	server := startGateway(t, route, first, startBackend(t, second))
+	before, sentAt := allocatedBytes(), time.Now()
+	for range 2 {
+		status, body, _, err := send(t, server, "k")
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, status, qt.Equals, http.StatusOK)
+		qt.Assert(t, body, qt.Equals, want)
+	}
+	took, allocated := time.Since(sentAt), allocatedBytes()-before
+	qt.Assert(t, took < within, qt.IsTrue, qt.Commentf("%s", took))
+	qt.Assert(t, allocated < maxEndlessAllocBytes, qt.IsTrue, qt.Commentf("%d bytes", allocated))
+	qt.Assert(t, first.requests.Load(), qt.Equals, int64(1))
+}
+
+// maxEndlessAllocBytes is how much memory two requests may allocate, of which one meets an
+// endless response.
+const maxEndlessAllocBytes = 4 << 20
+
+// TestEndlessRefusal covers an endpoint that refuses a request and sends a body without
+// end. The request was never run, and another endpoint serves it at once.
+func TestEndlessRefusal(t *testing.T) {
+	const refusal = "HTTP/1.1 503 Full\r\nNot-Run: 1\r\n\r\n"
+	tests := map[string]endlessResponse{
+		"until the close": {refusal, "a", 0},
+		"declared":        {"HTTP/1.1 503 Full\r\nNot-Run: 1\r\nContent-Length: 1000000000\r\n\r\n", "a", 0},
+	}
+	for name, response := range tests {
+		t.Run(name, func(t *testing.T) {
+			checkEndless(t, hitchroute.Route{Kind: hitchroute.NonIdempotent, MaxAttempts: 2}, response, okResponse, "ok", time.Second)
+		})
+	}
+}
+
+// TestSlowRefusalIsRetriedAtOnce covers an endpoint that refuses a request and sends a
+// body slowly. It may be sound, but the request doesn't wait for the rest.
+func TestSlowRefusalIsRetriedAtOnce(t *testing.T) {
+	slow := startEndlessBackend(t, endlessResponse{"HTTP/1.1 503 Full\r\nNot-Run: 1\r\n\r\n", "a", 20 * time.Millisecond})
+	server := startGateway(t, hitchroute.Route{Kind: hitchroute.NonIdempotent, MaxAttempts: 2}, slow, startBackend(t, okResponse))
+	sentAt := time.Now()
+	status, body, _, err := send(t, server, "k")
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, status, qt.Equals, http.StatusOK)
+	qt.Assert(t, body, qt.Equals, "ok")
+	took := time.Since(sentAt)
+	qt.Assert(t, took < time.Second, qt.IsTrue, qt.Commentf("%s", took))
+}
