hitchingress: a stream is a series of events of at most 64 KB

What callers saw: bytes that aren't events passed through to them if they had two line ends in a row. An event without end was held in memory until the request's deadline.

Cause: only the IDs that were there had to increase, and the buffer for an incomplete event had no limit.

Change: each event must have an ID above the last one (PROTOCOL.md: "a series of events with increasing ids"); comments and empty lines of the format are let through. Between two events an endpoint may send 64 KB, comments included, which is bufio.Scanner's limit too: 400 streams hold at most 26 MB. Else the stream goes on at another endpoint, or is aborted, and the endpoint counts as failed; that holds now for a repeated event as well, which counted as a response.

--- a/hitchingress/stream.go
+++ b/hitchingress/stream.go
@@ -21,8 +21,10 @@
 	// lastEventID is the ID of the last event that was sent to the caller.
 	lastEventID int
 	// buffered holds bytes that weren't sent yet, as their event is incomplete.
-	buffered   []byte
-	eventCount int
+	buffered []byte
+	// bytesSinceEvent counts what the endpoint has sent since its last event.
+	bytesSinceEvent int
+	eventCount      int
 	// isAborted reports whether the connection must be aborted, so that the caller sees
 	// that the response is incomplete.
 	isAborted bool
@@ -42,7 +44,7 @@
 // forwardStream forwards the events of an endpoint's response to the caller, complete
 // events only.
 func (g *Gateway) forwardStream(ctx context.Context, req *proxyRequest, exchange *hitchforward.Exchange, pick hitchbalance.Pick, sentAt time.Time) attemptResult {
-	req.stream.buffered = req.stream.buffered[:0]
+	req.stream.buffered, req.stream.bytesSinceEvent = req.stream.buffered[:0], 0
 	buf := make([]byte, 4<<10)
 	exchange.SetReadDeadline(req.firstByteDeadline(sentAt))
 	awaitsFirstByte := true
@@ -85,15 +87,12 @@
 // forwardEvents buffers bytes of a response and sends the complete events to the
 // caller. It returns false and a result if the attempt has ended.
 func (g *Gateway) forwardEvents(req *proxyRequest, exchange *hitchforward.Exchange, b []byte) (attemptResult, bool) {
-	req.stream.buffered = append(req.stream.buffered, b...)
-	completeLength := bytes.LastIndex(req.stream.buffered, eventDelimiter)
-	if completeLength < 0 {
-		return attemptResult{}, true
-	}
-	completeLength += len(eventDelimiter)
-	lastID, count, err := scanEvents(req.stream.buffered[:completeLength], req.stream.lastEventID)
+	completeLength, lastID, count, err := req.stream.takeEvents(b)
 	if err != nil {
-		return attemptResult{outcome: hitchretry.Lost, balancerResult: hitchbalance.ResultFailed, err: err}, false
+		return attemptResult{outcome: hitchretry.Lost, balancerResult: hitchbalance.ResultConnectionLost, err: err}, false
+	}
+	if completeLength == 0 {
+		return attemptResult{}, true
 	}
 	if !req.stream.headerSent {
 		copyHeader(req.writer.Header(), exchange.Response.Header)
@@ -118,8 +117,8 @@
 // eventDelimiter separates the events of a stream.
 var eventDelimiter = []byte("\n\n")
 
-// scanEvents checks that the IDs of complete events increase from lastID on. It
-// returns the last ID and the number of events.
+// scanEvents checks that complete events have IDs that increase from lastID on. It
+// returns the last ID and the number of events. Comments aren't counted.
 func scanEvents(b []byte, lastID int) (_ int, count int, err error) {
 	for len(b) > 0 {
 		end := bytes.Index(b, eventDelimiter)
@@ -131,8 +130,10 @@
 				return lastID, count, errEventOrder
 			}
 			lastID = id
+			count++
+		} else if !isComment(b[:end]) {
+			return lastID, count, errNoEventID
 		}
-		count++
 		b = b[end+len(eventDelimiter):]
 	}
 	return lastID, count, nil
