hitchingress: the timeout between events runs from the last whole event

What callers saw: a stream whose endpoint sent single bytes stayed at it until the request's deadline.

Cause: each read moved the deadline of the next event, also one that completed none.

Change: the deadline moves with the first byte and then with each event.

Measured: TestSlowBytesEndInTime before, after 5.0 s each: first_event got 504, want 200; later_event and comments got "unexpected EOF" (the aborted stream). Its four cases of a slow head passed before: the deadline of a head is a fixed time. After: within two seconds each.

--- a/hitchingress/endless_test.go
+++ b/hitchingress/endless_test.go
@@ -184,3 +184,24 @@
 		})
 	}
 }
+
+// TestSlowBytesEndInTime covers endpoints that send a byte now and then, so that some byte
+// always arrives in time, and never complete a head or an event.
+func TestSlowBytesEndInTime(t *testing.T) {
+	const interval = 20 * time.Millisecond
+	tests := map[string]endlessResponse{
+		"status line":       {"HTTP/1.1 200 ", "a", interval},
+		"header line":       {"HTTP/1.1 200 OK\r\nA: ", "a", interval},
+		"header lines":      {"HTTP/1.1 200 OK\r\n", "A: a\r\n", interval},
+		"interim responses": {"", "HTTP/1.1 100 Continue\r\n\r\n", interval},
+		"first event":       {streamHead + "\r\nid: 1\ndata: ", "a", interval},
+		"later event":       {streamHead + "\r\n" + events12 + "id: 3\ndata: ", "a", interval},
+		"comments":          {streamHead + "\r\n" + events12, ": a\n\n", interval},
+	}
+	for name, response := range tests {
+		t.Run(name, func(t *testing.T) {
+			route := hitchroute.Route{Kind: hitchroute.Streaming, IsResumable: true, MaxAttempts: 2, GapMilliseconds: 100, ObjectiveMilliseconds: 500}
+			checkEndless(t, route, response, startStreamBackend(t), events12+events34, 2*minEventTimeout)
+		})
+	}
+}
--- a/hitchingress/stream.go
+++ b/hitchingress/stream.go
@@ -55,13 +55,18 @@
 			awaitsFirstByte = false
 			if n > 0 {
 				g.Balancer.ObservePrefill(time.Now(), pick)
+				exchange.SetReadDeadline(req.nextEventDeadline(time.Now()))
 			}
 		}
 		if n > 0 {
-			exchange.SetReadDeadline(req.nextEventDeadline(time.Now()))
+			eventCount := req.stream.eventCount
 			if result, ok := g.forwardEvents(req, exchange, buf[:n]); !ok {
 				return result
 			}
+			// Bytes alone don't move the deadline, as an endpoint may send some forever.
+			if req.stream.eventCount > eventCount {
+				exchange.SetReadDeadline(req.nextEventDeadline(time.Now()))
+			}
 		}
 		if errors.Is(err, io.EOF) {
 			return g.finishStream(req, pick, exchange)
