hitchedge: the view of another instance has a limit as decompressed

A response of some hundred kilobytes that gzip had made of white space would have filled an instance's memory within the half second that such a call may take.

Cause: the transport decompresses a view, and it was decoded whatever its size.

Change: http.MaxBytesReader with 8 MB on the decompressed body, and 16 KB for the header.

--- a/hitchedge/peerview.go
+++ b/hitchedge/peerview.go
@@ -32,6 +32,11 @@
 	maxPeersPerQuery = 3
 	// peerIdleTimeout is how long an idle connection to another instance is kept.
 	peerIdleTimeout = 5 * time.Second
+	// maxPeerHeadBytes and maxViewBytes limit the response of another instance, its body as
+	// decompressed. The largest part of a view is the configuration, of at most 1 MB in the
+	// store.
+	maxPeerHeadBytes = 16 << 10
+	maxViewBytes     = 8 << 20
 )
 
 // serveView sends another instance the changes since the revision that it has.
@@ -129,7 +134,7 @@
 		return batch, nil
 	case http.StatusOK:
 		var update hitchview.PeerUpdate
-		err = json.NewDecoder(res.Body).Decode(&update)
+		err = json.NewDecoder(http.MaxBytesReader(nil, res.Body, maxViewBytes)).Decode(&update)
 		return update.Batch(time.Now()), err
 	case http.StatusServiceUnavailable:
 		return batch, hitchview.ErrNoView
@@ -143,6 +148,8 @@
 	return http.Client{Transport: &http.Transport{
 		DialContext:     (&net.Dialer{Timeout: peerDialTimeout}).DialContext,
 		IdleConnTimeout: peerIdleTimeout,
+
+		MaxResponseHeaderBytes: maxPeerHeadBytes,
 	}}
 }
 
