hitchforward: the client of the own API limits heads and checks statuses

Change: a head may have 8 KB, interim responses included, and a response with a status outside of 200 to 599 is a lost connection.

Measured, before: TestClientLimitsHead: status_line bytes allocated, header_line, header_lines, interim_responses, want under 1 MB. TestClientFailsOnInvalidStatus: "got nil error but want non-nil" for 020, 101 and 600.

--- a/hitchforward/attempt.go
+++ b/hitchforward/attempt.go
@@ -62,6 +62,9 @@
 		return nil, a.readFailure(err)
 	}
 	a.resetWatchdog()
+	if err := checkStatus(a.response.StatusCode); err != nil {
+		return nil, a.newFailure(FailureCut, err)
+	}
 	if err := a.checkAttemptID(); err != nil {
 		return nil, err
 	}
@@ -107,7 +110,7 @@
 // resetWatchdog restarts the inactivity timeout after data has arrived.
 func (a *attempt) resetWatchdog() { a.watchdog.Reset(a.client.inactivityTimeout()) }
 
-// Read reads the response body under the inactivity timeout.
+// Read reads the body of a response that isn't streamed, under the inactivity timeout.
 func (a *attempt) Read(p []byte) (int, error) {
 	n, err := a.response.Body.Read(p)
 	if n > 0 {
--- a/hitchforward/forward.go
+++ b/hitchforward/forward.go
@@ -71,7 +71,7 @@
 	if dial == nil {
 		dial = (&net.Dialer{Timeout: dialTimeout}).DialContext
 	}
-	return &http.Transport{DialContext: dial, DisableCompression: true}
+	return &http.Transport{DialContext: dial, DisableCompression: true, MaxResponseHeaderBytes: maxHeadBytes}
 }
 
 // transportFor returns the transport for a call. Calls that aren't idempotent get a
