hitchforward: the client of the own API limits events

A stream whose engine sent single bytes stayed at it until the request's deadline; without one it stayed for good.

Cause: a line could have 1 MB, an event any number of lines, and each read restarted the inactivity timeout.

Change: an event may have 64 KB, with the comments and empty lines before it; beyond, the stream goes on at another engine and isn't resumed at the same one. The inactivity timeout runs from the last complete event or comment: engines send comments while they have no new tokens.

--- /dev/null
+++ b/hitchforward/clientevents_test.go
@@ -0,0 +1,74 @@
+package hitchforward
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"citronhitch.example/citronhitch/hitchoutcome"
+)
+
+// endlessStream serves a stream that starts and then repeats a unit until the connection
+// is closed. It pauses before each unit unless interval is zero. It can't be resumed.
+func endlessStream(start, unit string, interval time.Duration) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(AttemptHeader, r.Header.Get(AttemptHeader))
+		if r.Method != http.MethodPost {
+			w.WriteHeader(http.StatusNotFound)
+			return
+		}
+		block := unit
+		if interval == 0 {
+			block = strings.Repeat(unit, 1+(64<<10)/len(unit))
+		}
+		_, _ = io.WriteString(w, start)
+		for sent := 0; sent < endlessBytes; sent += len(block) {
+			time.Sleep(interval)
+			if _, err := io.WriteString(w, block); err != nil || http.NewResponseController(w).Flush() != nil {
+				return
+			}
+		}
+	})
+}
+
+// TestClientLimitsEvents covers the API's endpoints whose stream has an event without end.
+// The caller gets the rest from another one.
+func TestClientLimitsEvents(t *testing.T) {
+	const event = "id: 1\ndata: {\"choices\":[{\"delta\":{\"content\":\"a\"}}]}\n\n"
+	tests := map[string]struct {
+		start, unit string
+		interval    time.Duration
+	}{
+		"line":           {event + "data: ", "a", 0},
+		"lines":          {event, "data: a\n", 0},
+		"unknown fields": {event, "a: a\n", 0},
+		"comments":       {event, ": a\n\n", 0},
+		"empty lines":    {event, "\n", 0},
+		"slow line":      {event + "data: ", "a", testInactivityMillis * time.Millisecond / 10},
+		"slow lines":     {event, "data: a\n", testInactivityMillis * time.Millisecond / 10},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			endpoint := startEndpoint(t, "endless", endlessStream(test.start, test.unit, test.interval))
+			client := &Client{InactivityTimeoutMillis: testInactivityMillis}
+			call, _ := chatCall(t, name)
+			call.Deadline = time.Now().Add(5 * time.Second)
+			var caller collector
+			before, sentAt := allocatedBytes(), time.Now()
+			var tracker hitchoutcome.DispatchTracker
+			err := client.Stream(t.Context(), &Stream{Call: call, Deliver: caller.deliver}, endpoint, &tracker)
+			allocated, took := allocatedBytes()-before, time.Since(sentAt)
+			var f *Failure
+			qt.Assert(t, errors.As(err, &f), qt.IsTrue)
+			qt.Assert(t, f.MayRetry(), qt.IsTrue, qt.Commentf("%v", err))
+			qt.Assert(t, caller.text.String(), qt.Equals, "a")
+			qt.Assert(t, allocated < 4*maxEndlessAllocBytes, qt.IsTrue, qt.Commentf("%d bytes", allocated))
+			qt.Assert(t, took < 2*time.Second, qt.IsTrue, qt.Commentf("%s", took))
+		})
+	}
+}
--- a/hitchforward/event.go
+++ b/hitchforward/event.go
@@ -8,8 +8,8 @@
 	"strconv"
 )
 
-// maxLineBytes is the maximum length of one line of a streamed response.
-const maxLineBytes = 1 << 20
+// maxEventBytes limits an event of a streamed response, with the comments before it.
+const maxEventBytes = 64 << 10
 
 // doneData is the data of the event that ends a streamed response.
 const doneData = "[DONE]"
@@ -44,11 +44,14 @@
 // eventReader reads the events of a stream.
 type eventReader struct {
 	scanner *bufio.Scanner
+	// onBlock is called after each event or comment, as these show that the endpoint is
+	// alive. It may be nil.
+	onBlock func()
 }
 
 func newEventReader(r io.Reader) *eventReader {
 	s := bufio.NewScanner(r)
-	s.Buffer(nil, maxLineBytes)
+	s.Buffer(nil, maxEventBytes)
 	return &eventReader{scanner: s}
 }
 
@@ -56,9 +59,16 @@
 // dropped, since the stream ended within it.
 func (e *eventReader) next() (Event, error) {
 	var event Event
+	size := 0
 	for e.scanner.Scan() {
 		line := e.scanner.Bytes()
+		if size += len(line) + 1; size > maxEventBytes {
+			return Event{}, errTooLarge
+		}
 		if len(line) == 0 {
+			if e.onBlock != nil {
+				e.onBlock()
+			}
 			if event.Data != nil {
 				return event, nil
 			}
@@ -66,7 +76,9 @@
 		}
 		event = event.withField(line)
 	}
-	if err := e.scanner.Err(); err != nil {
+	if err := e.scanner.Err(); errors.Is(err, bufio.ErrTooLong) {
+		return Event{}, errTooLarge
+	} else if err != nil {
 		return Event{}, err
 	}
 	return Event{}, errIncompleteStream
--- a/hitchforward/stream.go
+++ b/hitchforward/stream.go
@@ -59,10 +59,10 @@
 	return errors.As(err, &f) && f.Kind != FailureUnsent && f.Kind != FailureBusy
 }
 
-// canResume reports whether the engine may still have the stream.
+// canResume reports whether the engine may still have the stream, and sends events.
 func canResume(err error) bool {
 	var f *Failure
-	return errors.As(err, &f) && (f.Kind == FailureSilent || f.Kind == FailureCut)
+	return errors.As(err, &f) && !errors.Is(err, errTooLarge) && (f.Kind == FailureSilent || f.Kind == FailureCut)
 }
 
 // newResumeCall returns the call that requests the rest of a stream from its
@@ -114,7 +114,9 @@
 
 // deliverEvents delivers events until the final one.
 func (a *attempt) deliverEvents(s *Stream, tracker *hitchoutcome.DispatchTracker) error {
-	events := newEventReader(a)
+	// Bytes alone don't restart the inactivity timeout, as an endpoint may send some forever.
+	events := newEventReader(a.response.Body)
+	events.onBlock = a.resetWatchdog
 	for {
 		event, err := events.next()
 		if err != nil {
