hitchforward: the client of the own API limits bodies to 1 MB

Cause: a response that isn't streamed could have 16 MB, and was read up to that size also if it declared a longer one.

Change: 1 MB, of which a home stores 256 KiB at most anyway. Bodies above 32 KB that are being read share 16 MB, as in ConnPool.

--- a/hitchforward/body.go
+++ b/hitchforward/body.go
@@ -38,16 +38,23 @@
 	return false
 }
 
-// ReadAll reads the complete body. It fails if the body is longer than the limit, at once
-// if its declared length is, or if long bodies use up the memory for them. The body may
-// be used until Close.
-func (x *Exchange) ReadAll(limit int64) ([]byte, error) {
-	if x.Response.Body != http.NoBody && x.Response.ContentLength > limit {
+// bodyReader reads one body as a whole.
+type bodyReader struct {
+	memory *bodyMemory
+	// reservedBytes is the part of the memory that the body uses.
+	reservedBytes int64
+}
+
+// readAll reads the complete body of a response from r. It fails if the body is longer than
+// the limit, at once if its declared length is, or if long bodies use up the memory for
+// them.
+func (b *bodyReader) readAll(r io.Reader, response *http.Response, limit int64) ([]byte, error) {
+	if response.Body != http.NoBody && response.ContentLength > limit {
 		return nil, errTooLarge
 	}
 	body := make([]byte, 0, firstBodyBytes)
 	for {
-		n, err := x.Read(body[len(body):cap(body)])
+		n, err := r.Read(body[len(body):cap(body)])
 		body = body[:len(body)+n]
 		if int64(len(body)) > limit {
 			return nil, errTooLarge
@@ -59,26 +66,37 @@
 			return nil, err
 		}
 		if len(body) == cap(body) {
-			if body, err = x.growBody(body, limit); err != nil {
+			if body, err = b.grow(body, limit); err != nil {
 				return nil, err
 			}
 		}
 	}
 }
 
-// growBody returns the body in a buffer of twice the size, one byte beyond the limit at
-// most.
-func (x *Exchange) growBody(body []byte, limit int64) ([]byte, error) {
+// grow returns the body in a buffer of twice the size, one byte beyond the limit at most.
+func (b *bodyReader) grow(body []byte, limit int64) ([]byte, error) {
 	size := min(2*int64(cap(body)), limit+1)
-	if n := min(size, limit) - x.reservedBytes; size > freeBodyBytes && n > 0 {
-		if !x.pool.bodyMemory.reserve(n) {
+	if n := min(size, limit) - b.reservedBytes; size > freeBodyBytes && n > 0 {
+		if !b.memory.reserve(n) {
 			return nil, errTooLarge
 		}
-		x.reservedBytes += n
+		b.reservedBytes += n
 	}
 	return append(make([]byte, 0, size), body...), nil
 }
 
+// release returns the memory of the body.
+func (b *bodyReader) release() {
+	b.memory.used.Add(-b.reservedBytes)
+	b.reservedBytes = 0
+}
+
+// ReadAll reads the complete body, which may be used until Close. It fails if the body is
+// longer than the limit.
+func (x *Exchange) ReadAll(limit int64) ([]byte, error) {
+	return x.body.readAll(x, x.Response, limit)
+}
+
 // Drain reads a body that isn't needed, so that the connection can be used again. It fails
 // if the body is too long, or isn't complete soon.
 func (x *Exchange) Drain() error {
--- a/hitchforward/clientlimit_test.go
+++ b/hitchforward/clientlimit_test.go
@@ -50,3 +50,27 @@
 		})
 	}
 }
+
+// TestClientLimitsBody covers the API's endpoints whose body has no end.
+func TestClientLimitsBody(t *testing.T) {
+	tests := map[string]string{
+		"until the close": "HTTP/1.1 200 OK\r\nX-Attempt-Id: a\r\n\r\n",
+		"declared length": "HTTP/1.1 200 OK\r\nX-Attempt-Id: a\r\nContent-Length: 1000000000000\r\n\r\n",
+		"one chunk":       "HTTP/1.1 200 OK\r\nX-Attempt-Id: a\r\nTransfer-Encoding: chunked\r\n\r\nffffffffff\r\n",
+	}
+	for name, start := range tests {
+		t.Run(name, func(t *testing.T) {
+			addr, closed := startEndlessEndpoint(t, start, "a")
+			client := Client{NewAttemptID: func() string { return "a" }}
+			var tracker hitchoutcome.DispatchTracker
+			before := allocatedBytes()
+			_, err := client.Do(t.Context(), Call{Method: http.MethodGet, Path: "/", Idempotent: true}, hitchfleet.Endpoint{ID: "e", URL: "http://" + addr}, &tracker)
+			allocated := allocatedBytes() - before
+			var f *Failure
+			qt.Assert(t, errors.As(err, &f), qt.IsTrue)
+			qt.Assert(t, f.Kind, qt.Equals, FailureTooLarge)
+			qt.Assert(t, allocated < 4*maxEndlessAllocBytes, qt.IsTrue, qt.Commentf("%d bytes", allocated))
+			<-closed
+		})
+	}
+}
--- a/hitchforward/do.go
+++ b/hitchforward/do.go
@@ -2,8 +2,8 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
-	"io"
 	"net/http"
 
 	"citronhitch.example/citronhitch/hitchfleet"
@@ -37,16 +37,18 @@
 	}, nil
 }
 
-// readBody reads the complete body.
+// readBody reads the complete body. Only bodies that are being read count as memory of the
+// client: those that are complete are its caller's.
 func (a *attempt) readBody() ([]byte, error) {
-	limit := a.client.maxResponseBytes()
-	body, err := io.ReadAll(io.LimitReader(a, limit+1))
+	reader := bodyReader{memory: &a.client.bodyMemory}
+	defer reader.release()
+	body, err := reader.readAll(a, a.response, a.client.maxResponseBytes())
+	if errors.Is(err, errTooLarge) {
+		return nil, a.newFailure(FailureTooLarge, err)
+	}
 	if err != nil {
 		return nil, a.readFailure(err)
 	}
-	if int64(len(body)) > limit {
-		return nil, a.newFailure(FailureTooLarge, errTooLarge)
-	}
 	return body, nil
 }
 
--- a/hitchforward/exchange.go
+++ b/hitchforward/exchange.go
@@ -40,8 +40,7 @@
 	stopCancelWatch func() bool
 	writeResult     chan error
 	complete        bool
-	// reservedBytes is the part of the pool's memory for bodies that this one uses.
-	reservedBytes int64
+	body            bodyReader
 }
 
 // Open sends a request and reads the header of its response. It fails when the
@@ -49,7 +48,7 @@
 // that no byte was written. When the context ends, the connection is closed, so
 // that the endpoint can stop working on the request.
 func (p *ConnPool) Open(ctx context.Context, addr string, r Request, deadline time.Time, tracker *hitchoutcome.DispatchTracker) (_ *Exchange, err error) {
-	x := &Exchange{pool: p, addr: addr}
+	x := &Exchange{pool: p, addr: addr, body: bodyReader{memory: &p.bodyMemory}}
 	defer func() {
 		if err != nil {
 			x.Close()
@@ -163,7 +162,7 @@
 	if x.conn == nil {
 		return
 	}
-	x.pool.bodyMemory.used.Add(-x.reservedBytes)
+	x.body.release()
 	canceled := x.stopCancelWatch != nil && !x.stopCancelWatch()
 	if idleDeadline, ok := x.reusable(time.Now()); ok && !canceled {
 		x.pool.putIdle(x.addr, x.conn, idleDeadline)
--- a/hitchforward/forward.go
+++ b/hitchforward/forward.go
@@ -25,7 +25,7 @@
 // Default limits of a Client.
 const (
 	DefaultInactivityTimeoutMillis = 3_000
-	DefaultMaxResponseBytes        = 16 << 20
+	DefaultMaxResponseBytes        = 1 << 20
 	DefaultMaxIdlePerHost          = 32
 	idleConnTimeout                = 30 * time.Second
 	dialTimeout                    = 2 * time.Second
@@ -51,6 +51,8 @@
 	// Counts counts the failed attempts.
 	Counts FailureCounts
 
+	bodyMemory bodyMemory
+
 	once     sync.Once
 	pooled   *http.Transport
 	unpooled *http.Transport
