hitchforward: a call is retried after an event that is no completion chunk

What callers saw: a streamed call failed at once if its engine sent an event that can't be decoded, also if other engines were free. Found by a test.

Cause: such an event counted as a replay that differs from what the caller has (FailureDiverged), which can't be retried.

Change: it counts as a cut stream, which is resumed or goes to another engine.

Measured: TestClientRetriesAfterGarbledEvent before: "Diverged: event 0 isn't a chat completion chunk", want a failure that may be retried.

--- a/hitchforward/clientevents_test.go
+++ b/hitchforward/clientevents_test.go
@@ -72,3 +72,18 @@
 		})
 	}
 }
+
+// TestClientRetriesAfterGarbledEvent covers an engine whose stream has bytes that are no
+// event of a completion. Another engine can serve the call.
+func TestClientRetriesAfterGarbledEvent(t *testing.T) {
+	endpoint := startEndpoint(t, "garbled", endlessStream("", "data: \x00\xff\n\n", 0))
+	var client Client
+	call, _ := chatCall(t, "x")
+	var caller collector
+	var tracker hitchoutcome.DispatchTracker
+	err := client.Stream(t.Context(), &Stream{Call: call, Deliver: caller.deliver}, endpoint, &tracker)
+	var f *Failure
+	qt.Assert(t, errors.As(err, &f), qt.IsTrue)
+	qt.Assert(t, f.MayRetry(), qt.IsTrue, qt.Commentf("%v", err))
+	qt.Assert(t, caller.ids, qt.HasLen, 0)
+}
--- a/hitchforward/progress.go
+++ b/hitchforward/progress.go
@@ -7,7 +7,10 @@
 	"fmt"
 )
 
-var errDiverged = errors.New("the replayed stream differs from the delivered events")
+var (
+	errDiverged = errors.New("the replayed stream differs from the delivered events")
+	errNoChunk  = errors.New("the event isn't a chat completion chunk")
+)
 
 // Progress is the part of a streamed response that the caller has received. A
 // replay at another engine must repeat it token by token before new events are
@@ -78,7 +81,7 @@
 	}
 	var c chunk
 	if err := json.Unmarshal(event.Data, &c); err != nil {
-		return nil, fmt.Errorf("event %d isn't a chat completion chunk: %w", event.ID, err)
+		return nil, fmt.Errorf("%w: event %d: %w", errNoChunk, event.ID, err)
 	}
 	var content []byte
 	for _, choice := range c.Choices {
--- a/hitchforward/stream.go
+++ b/hitchforward/stream.go
@@ -124,7 +124,7 @@
 		}
 		delivered, isNew, err := s.Progress.Add(event)
 		if err != nil {
-			return a.newFailure(FailureDiverged, err)
+			return a.newFailure(progressFailureKind(err), err)
 		}
 		if !isNew {
 			continue
@@ -141,6 +141,14 @@
 	}
 }
 
+// progressFailureKind returns the kind of the failure for an event that can't be delivered.
+func progressFailureKind(err error) FailureKind {
+	if errors.Is(err, errNoChunk) {
+		return FailureCut
+	}
+	return FailureDiverged
+}
+
 // cancelStream cancels a stream at its engine, as the caller no longer waits for
 // it.
 func (c *Client) cancelStream(ctx context.Context, endpoint hitchfleet.Endpoint, id string) {
