hitchforward: a stream keeps at most 4 MB for a replay

Cause: the text of each event that the caller has received is kept, as a replay must repeat it, without a limit other than the deadline of the call.

Change: 4 MB, each event with 32 bytes besides its text (131,072 empty ones). Beyond, the call fails as too large and the stream is cancelled at its engine.

Measured: TestClientLimitsStream before: all 64 MB were delivered and kept, then got "Busy" (the resumption after the end), want "TooLarge".

--- a/hitchforward/clientevents_test.go
+++ b/hitchforward/clientevents_test.go
@@ -87,3 +87,20 @@
 	qt.Assert(t, f.MayRetry(), qt.IsTrue, qt.Commentf("%v", err))
 	qt.Assert(t, caller.ids, qt.HasLen, 0)
 }
+
+// TestClientLimitsStream covers an engine whose stream of sound events has no end: what the
+// caller has received is kept for a replay.
+func TestClientLimitsStream(t *testing.T) {
+	content := strings.Repeat("a", 32<<10)
+	unit := "data: {\"choices\":[{\"delta\":{\"content\":\"" + content + "\"}}]}\n\n"
+	endpoint := startEndpoint(t, "endless", endlessStream("", unit, 0))
+	var client Client
+	call, _ := chatCall(t, "x")
+	stream := &Stream{Call: call, Deliver: func(Event) error { return nil }}
+	var tracker hitchoutcome.DispatchTracker
+	err := client.Stream(t.Context(), stream, endpoint, &tracker)
+	var f *Failure
+	qt.Assert(t, errors.As(err, &f), qt.IsTrue)
+	qt.Assert(t, f.Kind, qt.Equals, FailureTooLarge)
+	qt.Assert(t, stream.Progress.Delivered <= maxProgressBytes/len(content), qt.IsTrue, qt.Commentf("%d events", stream.Progress.Delivered))
+}
--- a/hitchforward/progress.go
+++ b/hitchforward/progress.go
@@ -12,14 +12,22 @@
 	errNoChunk  = errors.New("the event isn't a chat completion chunk")
 )
 
+// maxProgressBytes is the maximum memory of the events that the caller has received, each
+// with eventOverheadBytes besides its text.
+const (
+	maxProgressBytes   = 4 << 20
+	eventOverheadBytes = 32
+)
+
 // Progress is the part of a streamed response that the caller has received. A
 // replay at another engine must repeat it token by token before new events are
 // delivered.
 type Progress struct {
 	// Delivered is the number of events that the caller has received.
 	Delivered int
-	// contents holds the text of each delivered event.
-	contents [][]byte
+	// contents holds the text of each delivered event, and contentBytes is its size.
+	contents     [][]byte
+	contentBytes int
 	// replayed is the number of events received in the current attempt.
 	replayed int
 	// lastID is the endpoint's ID of the last numbered event of the current
@@ -69,6 +77,9 @@
 	if event.Done() {
 		return event, true, nil
 	}
+	if p.contentBytes += len(content) + eventOverheadBytes; p.contentBytes > maxProgressBytes {
+		return Event{}, false, errTooLarge
+	}
 	p.Delivered++
 	p.contents = append(p.contents, content)
 	return Event{ID: p.Delivered, Data: event.Data}, true, nil
--- a/hitchforward/stream.go
+++ b/hitchforward/stream.go
@@ -143,10 +143,14 @@
 
 // progressFailureKind returns the kind of the failure for an event that can't be delivered.
 func progressFailureKind(err error) FailureKind {
-	if errors.Is(err, errNoChunk) {
+	switch {
+	case errors.Is(err, errNoChunk):
 		return FailureCut
+	case errors.Is(err, errTooLarge):
+		return FailureTooLarge
+	default:
+		return FailureDiverged
 	}
-	return FailureDiverged
 }
 
 // cancelStream cancels a stream at its engine, as the caller no longer waits for
