--- a/hitchedge/peerlimit_test.go
+++ b/hitchedge/peerlimit_test.go
@@ -38,6 +38,7 @@
 	tests := map[string]http.HandlerFunc{
 		"long string": serveGzip(gzipRepeated(t, `{"Other":"`, "a", size)),
 		"white space": serveGzip(gzipRepeated(t, "", " ", size)),
+		"small items": serveGzip(gzipRepeated(t, `{"Endpoints":[{}`, ",{}", size)),
 		"header": func(w http.ResponseWriter, _ *http.Request) {
 			w.Header()["A"] = strings.Split(strings.Repeat("a,", 1<<20), ",")
 		},
