hitchforward: an idle connection is kept for a minute at most

Cause: the seconds of an endpoint's Keep-Alive header had no bound. The idle connections of an endpoint in trouble could hold descriptors for years, and the largest numbers overflowed.

Change: one minute at most.

--- a/hitchforward/conn.go
+++ b/hitchforward/conn.go
@@ -24,6 +24,8 @@
 	// defaultIdleTimeout is how long an idle connection is kept if its endpoint
 	// sends no Keep-Alive timeout.
 	defaultIdleTimeout = 4 * time.Second
+	// maxIdleTimeout is how long an idle connection is kept at most.
+	maxIdleTimeout = time.Minute
 	// idleMargin is how long before the endpoint's Keep-Alive timeout an idle
 	// connection is discarded.
 	idleMargin = 300 * time.Millisecond
--- a/hitchforward/endless_test.go
+++ b/hitchforward/endless_test.go
@@ -186,3 +186,18 @@
 	}
 	qt.Assert(t, complete, qt.Equals, maxBodyMemoryBytes/limit)
 }
+
+// TestKeepAliveTimeoutIsBounded covers endpoints whose Keep-Alive timeout is absurd: their
+// idle connections would hold descriptors for years.
+func TestKeepAliveTimeoutIsBounded(t *testing.T) {
+	for value, want := range map[string]time.Duration{
+		"timeout=5":                    5*time.Second - idleMargin,
+		"timeout=1000000000":           maxIdleTimeout,
+		"timeout=9223372036854775807":  maxIdleTimeout,
+		"timeout=-5":                   0,
+		"timeout=-9223372036854775807": 0,
+	} {
+		got := keepAliveTimeout(http.Header{"Keep-Alive": {value}})
+		qt.Check(t, got, qt.Equals, want, qt.Commentf("%s", value))
+	}
+}
--- a/hitchforward/exchange.go
+++ b/hitchforward/exchange.go
@@ -190,12 +190,13 @@
 }
 
 // keepAliveTimeout returns how long to keep an idle connection: the endpoint's
-// Keep-Alive timeout less idleMargin, or defaultIdleTimeout.
+// Keep-Alive timeout less idleMargin, at most maxIdleTimeout, or defaultIdleTimeout.
 func keepAliveTimeout(h http.Header) time.Duration {
 	for _, field := range strings.Split(h.Get("Keep-Alive"), ",") {
 		name, value, _ := strings.Cut(strings.TrimSpace(field), "=")
 		if seconds, err := strconv.Atoi(value); err == nil && strings.EqualFold(name, "timeout") {
-			return max(time.Duration(seconds)*time.Second-idleMargin, 0)
+			seconds = min(max(seconds, 0), int(2*maxIdleTimeout/time.Second))
+			return min(max(time.Duration(seconds)*time.Second-idleMargin, 0), maxIdleTimeout)
 		}
 	}
 	return defaultIdleTimeout
