hitchingress: an answer that isn't streamed may have 256 KB

With the limit of 1 MB, a request at an endpoint whose body has no end would wait 0.8 s on a link of 10 Mbit/s before its retry; most objectives would be missed.

Change: 256 KB, which takes 0.2 s there; known answers have under a kilobyte.

--- a/hitchingress/response.go
+++ b/hitchingress/response.go
@@ -8,8 +8,9 @@
 )
 
 // maxResponseBytes limits the body of a response that isn't streamed. Responses are held
-// in memory as a whole, since a truncated one must not reach the caller.
-const maxResponseBytes = 1 << 20
+// in memory as a whole, since a truncated one must not reach the caller. The limit also
+// bounds how long a body without end holds its request: 0.2 s on a link of 10 Mbit/s.
+const maxResponseBytes = 256 << 10
 
 // unaryResponse is an endpoint's complete response that isn't streamed.
 type unaryResponse struct {
