--- a/hitchforward/conn.go
+++ b/hitchforward/conn.go
@@ -24,6 +24,8 @@
 	// defaultIdleTimeout is how long an idle connection is kept if its endpoint
 	// sends no Keep-Alive timeout.
 	defaultIdleTimeout = 4 * time.Second
+	// maxIdleTimeout is how long an idle connection is kept at most.
+	maxIdleTimeout = time.Minute
 	// idleMargin is how long before the endpoint's Keep-Alive timeout an idle
 	// connection is discarded.
 	idleMargin = 300 * time.Millisecond
@@ -39,6 +41,8 @@
 type conn struct {
 	net.Conn
 	br *bufio.Reader
+	// limit is what br reads from.
+	limit limitedReader
 	// idleDeadline is until when the idle connection may be reused.
 	idleDeadline time.Time
 	// wasUsed is set once the connection has carried an exchange.
@@ -63,7 +67,13 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: nc, br: bufio.NewReaderSize(nc, readBufferBytes)}, nil
+	return newConn(nc), nil
+}
+
+func newConn(nc net.Conn) *conn {
+	c := &conn{Conn: nc, limit: limitedReader{Reader: nc}}
+	c.br = bufio.NewReaderSize(&c.limit, readBufferBytes)
+	return c
 }
 
 // readBufferBytes is the size of a connection's read buffer.
@@ -101,6 +111,8 @@
 	mu   sync.Mutex
 	idle map[string][]*conn
 
+	bodyMemory bodyMemory
+
 	// Dialed counts the connections that were opened.
 	Dialed counter
 }
--- a/hitchforward/exchange.go
+++ b/hitchforward/exchange.go
@@ -40,6 +40,7 @@
 	stopCancelWatch func() bool
 	writeResult     chan error
 	complete        bool
+	body            bodyReader
 }
 
 // Open sends a request and reads the header of its response. It fails when the
@@ -47,7 +48,7 @@
 // that no byte was written. When the context ends, the connection is closed, so
 // that the endpoint can stop working on the request.
 func (p *ConnPool) Open(ctx context.Context, addr string, r Request, deadline time.Time, tracker *hitchoutcome.DispatchTracker) (_ *Exchange, err error) {
-	x := &Exchange{pool: p, addr: addr}
+	x := &Exchange{pool: p, addr: addr, body: bodyReader{memory: &p.bodyMemory}}
 	defer func() {
 		if err != nil {
 			x.Close()
@@ -125,15 +126,22 @@
 	return b.Bytes()
 }
 
-// readHead reads the header of the final response, skipping interim ones.
+// readHead reads the header of the final response, skipping interim ones. All of them
+// together may have maxHeadBytes.
 func (x *Exchange) readHead(method string) (*http.Response, error) {
+	// The reader may fill its buffer with the start of the body.
+	x.conn.limit.setLimit(maxHeadBytes + readBufferBytes)
+	defer x.conn.limit.removeLimit()
 	for {
 		res, err := http.ReadResponse(x.conn.br, &http.Request{Method: method})
+		if err != nil && x.conn.limit.isReached() {
+			return nil, errTooLarge
+		}
 		if err != nil {
 			return nil, err
 		}
-		if res.StatusCode >= http.StatusOK {
-			return res, nil
+		if !isInterim(res.StatusCode) {
+			return res, checkStatus(res.StatusCode)
 		}
 	}
 }
@@ -148,24 +156,13 @@
 	return n, err
 }
 
-// ReadAll reads the complete body. It fails if the body is longer than the limit.
-func (x *Exchange) ReadAll(limit int64) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(x, limit+1))
-	if err != nil {
-		return nil, err
-	}
-	if int64(len(body)) > limit {
-		return nil, errTooLarge
-	}
-	return body, nil
-}
-
 // Close ends the exchange. Its connection returns to the pool only if the response
 // was read completely and no unread bytes remain.
 func (x *Exchange) Close() {
 	if x.conn == nil {
 		return
 	}
+	x.body.release()
 	canceled := x.stopCancelWatch != nil && !x.stopCancelWatch()
 	if idleDeadline, ok := x.reusable(time.Now()); ok && !canceled {
 		x.pool.putIdle(x.addr, x.conn, idleDeadline)
@@ -193,12 +190,13 @@
 }
 
 // keepAliveTimeout returns how long to keep an idle connection: the endpoint's
-// Keep-Alive timeout less idleMargin, or defaultIdleTimeout.
+// Keep-Alive timeout less idleMargin, at most maxIdleTimeout, or defaultIdleTimeout.
 func keepAliveTimeout(h http.Header) time.Duration {
 	for _, field := range strings.Split(h.Get("Keep-Alive"), ",") {
 		name, value, _ := strings.Cut(strings.TrimSpace(field), "=")
 		if seconds, err := strconv.Atoi(value); err == nil && strings.EqualFold(name, "timeout") {
-			return max(time.Duration(seconds)*time.Second-idleMargin, 0)
+			seconds = min(max(seconds, 0), int(2*maxIdleTimeout/time.Second))
+			return min(max(time.Duration(seconds)*time.Second-idleMargin, 0), maxIdleTimeout)
 		}
 	}
 	return defaultIdleTimeout
--- a/hitchingress/attempt.go
+++ b/hitchingress/attempt.go
@@ -156,7 +156,7 @@
 		return attemptResult{outcome: hitchretry.Lost, balancerResult: hitchbalance.ResultAbandoned, err: err}, true
 	}
 	if req.isStreaming(a) {
-		req.stream.buffered = req.stream.buffered[:0]
+		req.stream.buffered, req.stream.bytesSinceEvent = req.stream.buffered[:0], 0
 	} else if !a.head.DidNotRun {
 		req.observeWait(a)
 	}
@@ -240,6 +240,10 @@
 		result.balancerResult = hitchbalance.ResultConnectionLost
 	}
 	req.dispatchTracker.MarkUnsent()
+	var failure *hitchforward.Failure
+	if errors.As(err, &failure) && failure.Kind == hitchforward.FailureTooLarge {
+		result.balancerResult = hitchbalance.ResultConnectionLost
+	}
 	return result
 }
 
--- a/hitchingress/exchange.go
+++ b/hitchingress/exchange.go
@@ -91,9 +91,11 @@
 		x.readStream(ctx, exchange)
 		return
 	}
-	body, err := exchange.ReadAll(maxResponseBytes)
+	var body []byte
 	if head.DidNotRun {
-		body = nil
+		err = exchange.Drain()
+	} else {
+		body, err = exchange.ReadAll(maxResponseBytes)
 	}
 	x.deliver(exchangeMsg{data: body, err: endOf(ctx, exchange, err)})
 }
--- a/hitchingress/response.go
+++ b/hitchingress/response.go
@@ -7,8 +7,10 @@
 	"citronhitch.example/citronhitch/hitchforward"
 )
 
-// maxResponseBytes limits the body of a response that isn't streamed.
-const maxResponseBytes = 16 << 20
+// maxResponseBytes limits the body of a response that isn't streamed. Responses are held
+// in memory as a whole, since a truncated one must not reach the caller. The limit also
+// bounds how long a body without end holds its request: 0.2 s on a link of 10 Mbit/s.
+const maxResponseBytes = 256 << 10
 
 // unaryResponse is an endpoint's complete response that isn't streamed.
 type unaryResponse struct {
--- a/hitchingress/standby.go
+++ b/hitchingress/standby.go
@@ -272,8 +272,8 @@
 		return err == nil, err
 	case a.isWhole && len(a.begun) > 0:
 		return false, io.ErrUnexpectedEOF
-	case len(a.begun) > maxResponseBytes:
-		return false, errEventTooLarge
+	case len(a.begun) > maxEventBytes:
+		return false, errEventTooLong
 	default:
 		return a.isWhole, nil
 	}
--- a/hitchingress/stream.go
+++ b/hitchingress/stream.go
@@ -19,8 +19,10 @@
 	// lastEventID is the ID of the last event that was sent to the caller.
 	lastEventID int
 	// buffered holds bytes that weren't sent yet, as their event is incomplete.
-	buffered   []byte
-	eventCount int
+	buffered []byte
+	// bytesSinceEvent counts what the endpoint has sent since its last event.
+	bytesSinceEvent int
+	eventCount      int
 	// isAborted reports whether the connection must be aborted, so that the caller sees
 	// that the response is incomplete.
 	isAborted bool
@@ -30,9 +32,6 @@
 // nothing for too long.
 var errSilent = errors.New("the endpoint is silent")
 
-// errEventTooLarge is the error of a standby whose first event doesn't end.
-var errEventTooLarge = errors.New("event is larger than the limit")
-
 // errEventOrder is returned if an endpoint's event doesn't follow the last event that
 // was sent to the caller.
 var errEventOrder = errors.New("event ID isn't greater than the previous one")
@@ -59,15 +58,12 @@
 // forwardEvents buffers bytes of a response and sends the complete events to the
 // caller. It returns false and a result if the attempt has ended.
 func (g *Gateway) forwardEvents(req *proxyRequest, a *attempt, b []byte) (attemptResult, bool) {
-	req.stream.buffered = append(req.stream.buffered, b...)
-	completeLength := bytes.LastIndex(req.stream.buffered, eventDelimiter)
-	if completeLength < 0 {
-		return attemptResult{}, true
-	}
-	completeLength += len(eventDelimiter)
-	lastID, count, err := scanEvents(req.stream.buffered[:completeLength], req.stream.lastEventID)
+	completeLength, lastID, count, err := req.stream.takeEvents(b)
 	if err != nil {
-		return attemptResult{outcome: hitchretry.Lost, balancerResult: hitchbalance.ResultFailed, err: err}, false
+		return attemptResult{outcome: hitchretry.Lost, balancerResult: hitchbalance.ResultConnectionLost, err: err}, false
+	}
+	if completeLength == 0 {
+		return attemptResult{}, true
 	}
 	if !req.stream.headerSent {
 		g.beginStream(req, a.pick)
@@ -93,8 +89,8 @@
 // eventDelimiter separates the events of a stream.
 var eventDelimiter = []byte("\n\n")
 
-// scanEvents checks that the IDs of complete events increase from lastID on. It
-// returns the last ID and the number of events.
+// scanEvents checks that complete events have IDs that increase from lastID on. It
+// returns the last ID and the number of events. Comments aren't counted.
 func scanEvents(b []byte, lastID int) (_ int, count int, err error) {
 	for len(b) > 0 {
 		end := bytes.Index(b, eventDelimiter)
@@ -106,8 +102,10 @@
 				return lastID, count, errEventOrder
 			}
 			lastID = id
+			count++
+		} else if !isComment(b[:end]) {
+			return lastID, count, errNoEventID
 		}
-		count++
 		b = b[end+len(eventDelimiter):]
 	}
 	return lastID, count, nil
