hitchingress: an instance that joins a fleet infers no versions in its first minute

Found by reading: an instance that is stopped as planned and starts again finds no entry of its own, as one does in a fleet that starts. It then took the versions that it saw for all there had been. Other homes overrule that, but not if all were restarted so within the same minute as a release.

Change: a fleet counts as new only if no endpoint in the first view is older than 20 s. Where that errs, because endpoints had been there before, the origins of the first minute's streams are shared, and nothing is refused.

Measured: the cases "stopped and started again" and "added to a fleet" of TestFirstViewTellsWhetherTheFleetIsNew fail without the change: the instance says that there was one version only.

--- a/hitchingress/origin.go
+++ b/hitchingress/origin.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"citronhitch.example/citronhitch/hitchbalance"
@@ -64,13 +65,26 @@
 	source hitchorigin.Source
 }
 
-// updateOrigins passes a new view to the tracker of origins. An instance that finds its
-// own entry in its first view was there before, and has lost what it knew.
+// newFleetAge is how old the endpoints of a fleet that starts are at most.
+const newFleetAge = 20 * time.Second
+
+// isNewFleet reports whether a first view is that of a fleet that starts: this instance
+// has no entry in it, so that it wasn't there before, and no endpoint is older than
+// newFleetAge.
+func (g *Gateway) isNewFleet(now time.Time, view hitchview.View) bool {
+	if _, _, ok := view.RegisteredInstance(g.Self.ID); ok {
+		return false
+	}
+	return !slices.ContainsFunc(view.AllEndpoints(), func(e hitchfleet.Endpoint) bool {
+		return e.Born > 0 && now.Sub(time.UnixMilli(e.Born)) >= newFleetAge
+	})
+}
+
+// updateOrigins passes a new view to the tracker of origins. In a fleet that didn't start
+// together with this instance, there may have been versions that it hasn't seen.
 func (g *Gateway) updateOrigins(now time.Time, view hitchview.View, isFirst bool) {
-	if isFirst {
-		if _, _, ok := view.RegisteredInstance(g.Self.ID); ok {
-			g.Origins.RecordGap(now)
-		}
+	if isFirst && !g.isNewFleet(now, view) {
+		g.Origins.RecordGap(now)
 	}
 	g.OriginExchange.share(g.Origins.SetFleet(now, view.AllEndpoints(), view.Table))
 }
--- a/hitchingress/origin_test.go
+++ b/hitchingress/origin_test.go
@@ -329,3 +329,41 @@
 		})
 	}
 }
+
+// TestFirstViewTellsWhetherTheFleetIsNew covers an instance that starts: unless the whole
+// fleet does, there may have been versions that it hasn't seen.
+func TestFirstViewTellsWhetherTheFleetIsNew(t *testing.T) {
+	now := time.Now()
+	born := func(age time.Duration) int64 { return now.Add(-age).UnixMilli() }
+	tests := map[string]struct {
+		born  []int64 // of the endpoints
+		isOwn bool    // the view has the instance's own entry
+		want  hitchorigin.Knowledge
+	}{
+		"the fleet starts":            {[]int64{born(time.Second), born(5 * time.Second)}, false, hitchorigin.KnowsOnly},
+		"killed and started again":    {[]int64{born(time.Second)}, true, hitchorigin.KnowsNothing},
+		"stopped and started again":   {[]int64{born(time.Hour), born(time.Second)}, false, hitchorigin.KnowsNothing},
+		"added to a fleet":            {[]int64{born(newFleetAge)}, false, hitchorigin.KnowsNothing},
+		"an endpoint's clock is fast": {[]int64{born(-time.Hour)}, false, hitchorigin.KnowsOnly},
+		"endpoints don't tell":        {[]int64{0}, false, hitchorigin.KnowsOnly},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			route := hitchroute.Route{Name: "r", Splits: []hitchroute.Split{{Service: "s", Weight: 1}}}
+			view := hitchview.View{}.Update(hitchview.TableMsg{Revision: 1, Table: hitchroute.NewTable(hitchroute.Config{Routes: []hitchroute.Route{route}})})
+			for i, born := range test.born {
+				e := hitchfleet.Endpoint{ID: hitchfleet.EndpointID(fmt.Sprint("e", i)), Service: "s", Version: "v1", Born: born}
+				view = view.Update(hitchview.EndpointMsg{Revision: 2, Endpoint: e})
+			}
+			if test.isOwn {
+				view = view.Update(hitchview.InstanceMsg{Revision: 3, Instance: hitchfleet.Instance{ID: "self"}})
+			}
+			g := &Gateway{Self: hitchfleet.Instance{ID: "self"}, Balancer: &hitchbalance.Balancer{}}
+			g.SetView(now, view)
+			qt.Assert(t, g.AnswerOrigin(now, 7, "r").Knowledge, qt.Equals, test.want)
+			old := hitchfleet.Endpoint{ID: "old", Service: "s", Version: "v1", Born: born(time.Hour)}
+			g.SetView(now, view.Update(hitchview.EndpointMsg{Revision: 4, Endpoint: old})) // only the first view tells
+			qt.Assert(t, g.AnswerOrigin(now, 7, "r").Knowledge, qt.Equals, test.want)
+		})
+	}
+}
