hitchorigin, hitchedge: an instance that starts learns from another one which versions there were

Cause: what is known of the last minute was lost with each instance, and couldn't be passed on.

One that has a gap itself doesn't answer.

--- a/hitchedge/edge.go
+++ b/hitchedge/edge.go
@@ -148,6 +148,7 @@
 	group.Go(func() error { e.follower.Run(runCtx); return nil })
 	group.Go(func() error { return e.exchangeDatagrams(runCtx) })
 	group.Go(func() error { e.trackCurrency(runCtx); return nil })
+	group.Go(func() error { e.inheritVersions(runCtx); return nil })
 	leaving, leave := context.WithCancel(runCtx)
 	defer leave()
 	stopLeave := context.AfterFunc(ctx, leave)
--- a/hitchedge/origin.go
+++ b/hitchedge/origin.go
@@ -132,9 +132,12 @@
 
 // servePeers serves the other instances.
 func (e *Edge) servePeers(w http.ResponseWriter, r *http.Request) {
-	if r.URL.Path == originPath {
+	switch r.URL.Path {
+	case originPath:
 		e.serveOrigin(w, r)
-		return
+	case versionsPath:
+		e.serveVersions(w, r)
+	default:
+		e.serveView(w, r)
 	}
-	e.serveView(w, r)
 }
--- a/hitchingress/origin.go
+++ b/hitchingress/origin.go
@@ -93,6 +93,12 @@
 // missed versions that came and went.
 func (g *Gateway) RecordGap(now time.Time) { g.OriginExchange.share(g.Origins.RecordGap(now)) }
 
+// InheritVersions records which versions another instance has seen, as this one has missed
+// some.
+func (g *Gateway) InheritVersions(now time.Time, recent hitchorigin.Recent) {
+	g.OriginExchange.share(g.Origins.Inherit(now, recent))
+}
+
 // ReceiveOrigins records origins that another instance shares.
 func (g *Gateway) ReceiveOrigins(now time.Time, origins []hitchorigin.Origin) {
 	g.OriginExchange.share(g.Origins.Receive(now, origins))
--- /dev/null
+++ b/hitchorigin/recent.go
@@ -0,0 +1,59 @@
+package hitchorigin
+
+import (
+	"time"
+
+	"citronhitch.example/citronhitch/hitchfleet"
+)
+
+// Recent is which versions and services an instance has seen within the horizon, for one
+// that has missed some of it.
+type Recent struct {
+	// Versions are those of each service's endpoints, and Services those of each route.
+	Versions map[hitchfleet.ServiceID][]string
+	Services map[string][]hitchfleet.ServiceID
+}
+
+// Recent returns what the instance has seen within the horizon, and false if it has missed
+// some of it.
+func (t *Tracker) Recent(now time.Time) (r Recent, ok bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if now.Before(t.completeAt) {
+		return Recent{}, false
+	}
+	r = Recent{Versions: make(map[hitchfleet.ServiceID][]string), Services: make(map[string][]hitchfleet.ServiceID)}
+	for service, h := range t.versions {
+		h.recent(now, func(version string) { r.Versions[service] = append(r.Versions[service], version) })
+	}
+	for route, h := range t.routes {
+		h.services.recent(now, func(service hitchfleet.ServiceID) { r.Services[route] = append(r.Services[route], service) })
+	}
+	return r, true
+}
+
+// Inherit adds what another instance has seen, which fills the gap of this one. What isn't
+// there any more counts as left now. It returns origins to share, as SetFleet does.
+func (t *Tracker) Inherit(now time.Time, r Recent) []Origin {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for service, versions := range r.Versions {
+		for _, version := range versions {
+			t.versionsOf(service).note(now, version)
+		}
+	}
+	for route, services := range r.Services {
+		for _, service := range services {
+			t.routeOf(route).services.note(now, service)
+		}
+	}
+	t.completeAt = time.Time{}
+	return t.takeUnshared(now)
+}
+
+// IsComplete reports whether the instance has missed nothing within the horizon.
+func (t *Tracker) IsComplete(now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return !now.Before(t.completeAt)
+}
--- a/hitchorigin/tracker.go
+++ b/hitchorigin/tracker.go
@@ -96,19 +96,25 @@
 		}
 		present[route.Name] = services
 	}
-	if t.routes == nil {
-		t.routes = make(map[string]*routeHistory)
-	}
 	for name := range present {
-		if t.routes[name] == nil {
-			t.routes[name] = &routeHistory{}
-		}
+		_ = t.routeOf(name)
 	}
 	for name, r := range t.routes {
 		r.services.update(now, present[name])
 	}
 }
 
+// routeOf returns the services of a route. It is called with mu held.
+func (t *Tracker) routeOf(name string) *routeHistory {
+	if t.routes == nil {
+		t.routes = make(map[string]*routeHistory)
+	}
+	if t.routes[name] == nil {
+		t.routes[name] = &routeHistory{}
+	}
+	return t.routes[name]
+}
+
 // takeUnshared returns the recent origins of routes whose versions no longer imply them.
 // It is called with mu held.
 func (t *Tracker) takeUnshared(now time.Time) (out []Origin) {
