hitchingress: the stress test reads its counts under their lock

No change for callers. TestManyRequestsBeforeEndpointsInTrouble read its own count of runs while endpoints could still add to it: the race detector reported that once in four runs of the package on a busy machine. It reads them once all connections are closed now.

--- a/hitchingress/stress_test.go
+++ b/hitchingress/stress_test.go
@@ -225,9 +225,6 @@
 				qt.Check(t, cut.Load(), qt.Equals, int64(0))
 				qt.Check(t, failed.Load(), qt.Equals, int64(0))
 			}
-			for id, n := range fleet.runs {
-				qt.Check(t, n <= stressAttempts, qt.IsTrue, qt.Commentf("%s ran %d times", id, n))
-			}
 			qt.Check(t, gateway.InFlight(), qt.Equals, 0)
 			qt.Check(t, gateway.Balancer.Report().Loads, qt.HasLen, 0)
 			server.Close()
@@ -239,6 +236,11 @@
 				<-time.After(10 * time.Millisecond)
 			}
 			qt.Check(t, fleet.open.Load(), qt.Equals, int64(0))
+			fleet.mu.Lock()
+			defer fleet.mu.Unlock()
+			for id, n := range fleet.runs {
+				qt.Check(t, n <= stressAttempts, qt.IsTrue, qt.Commentf("%s ran %d times", id, n))
+			}
 			qt.Check(t, serverLog.String(), qt.Equals, "")
 		})
 	}
