hitchforward: events that have arrived aren't held back by a part of the next chunk

What callers saw: whole events reached them only once the rest of the next chunk had come, if a part of it had arrived already: after 0.9 s in the test, whose endpoint is silent for that long in the middle of a chunk. Meanwhile the endpoint counted as silent, another one was asked for events that had arrived, and if it brought them the first one was left.

Cause: net/http's reader of chunks returns early only before a chunk of which nothing has arrived. Once a part has arrived it waits for the rest or a full buffer, with bytes in hand.

Evidence: TestReadReturnsWhatHasArrived (three of three cases) and TestEventsBeforeAPartOfAChunk failed with net/http's reader.

Change: bodies in chunks are decoded by chunkedBody, of which each read returns what has arrived.

--- a/hitchforward/exchange.go
+++ b/hitchforward/exchange.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -37,6 +38,7 @@
 	pool            *ConnPool
 	addr            string
 	conn            *conn
+	content         io.Reader
 	stopCancelWatch func() bool
 	writeResult     chan error
 	complete        bool
@@ -67,6 +69,10 @@
 	if x.Response, err = x.readHead(r.Method); err != nil {
 		return nil, x.newFailure(ctx, err)
 	}
+	x.content = x.Response.Body
+	if x.Response.Body != http.NoBody && slices.Equal(x.Response.TransferEncoding, []string{"chunked"}) {
+		x.content = &chunkedBody{br: x.conn.br}
+	}
 	return x, nil
 }
 
@@ -151,7 +157,7 @@
 
 // Read reads the response body. io.EOF means that the body is complete.
 func (x *Exchange) Read(b []byte) (int, error) {
-	n, err := x.Response.Body.Read(b)
+	n, err := x.content.Read(b)
 	x.complete = x.complete || errors.Is(err, io.EOF)
 	return n, err
 }
