hitchbalance: an endpoint whose entry returns keeps its requests in flight

What callers would see: more requests than others at an endpoint whose entry in the store was gone for a moment, as in an outage of the store: the balancer counted none of those that it still served, and each that ended then hid one that was sent after it.

Cause: the state of an endpoint is dropped with its entry, and a new one begins at zero.

Evidence: TestReturnedEndpointKeepsItsRequests counted 0, 1 and 0 in place of 2, 3 and 1.

Change: the balancer keeps the state of endpoints that left with requests in flight, until these have ended. It is used again if the same start of the endpoint returns at the same address.

--- a/hitchbalance/balancer.go
+++ b/hitchbalance/balancer.go
@@ -14,6 +14,7 @@
 package hitchbalance
 
 import (
+	"cmp"
 	"slices"
 	"sync"
 	"time"
@@ -63,8 +64,11 @@
 	// removed are endpoints that recently left the fleet. Some still serve for seconds,
 	// and engines may copy from their caches.
 	removed []*endpoint
-	byRef   map[hitchdigest.EndpointRef]*endpoint
-	zones   map[hitchfleet.AvailabilityZone]*zoneHealth
+	// absent are endpoints that left the fleet while requests to them were in flight. One
+	// whose entry returns still serves these.
+	absent map[hitchfleet.EndpointID]*endpoint
+	byRef  map[hitchdigest.EndpointRef]*endpoint
+	zones  map[hitchfleet.AvailabilityZone]*zoneHealth
 	// prefixKeys, byTier and otherVersions are buffers of the present call of Pick.
 	prefixKeys    []hitchfleet.Key
 	byTier        [tierCount][]*endpoint
@@ -137,7 +141,7 @@
 	b.byService = make(map[hitchfleet.ServiceID][]*endpoint)
 	b.byRef = make(map[hitchdigest.EndpointRef]*endpoint, len(f.Endpoints))
 	for _, e := range slices.Concat(f.Endpoints, f.Leaving, f.InZonesOut) {
-		state := old[e.ID]
+		state := cmp.Or(old[e.ID], b.absent[e.ID])
 		if state == nil || state.Born != e.Born || state.Addr != e.Addr || state.Version != e.Version {
 			state = &endpoint{key: e.Key(), ref: hitchdigest.EndpointRefOf(e.ID), firstSeen: now}
 		}
@@ -155,6 +159,7 @@
 		b.zoneOutByService[e.Service] = append(b.zoneOutByService[e.Service], b.byID[e.ID])
 	}
 	b.trackRemoved(now, old)
+	b.trackAbsent(old)
 	b.expireNotices(now)
 	for _, list := range b.byService {
 		slices.SortFunc(list, func(x, y *endpoint) int { return compareIDs(x.ID, y.ID) })
@@ -185,6 +190,27 @@
 	}
 }
 
+// trackAbsent keeps the endpoints that left the fleet and still have requests in flight.
+func (b *Balancer) trackAbsent(old map[hitchfleet.EndpointID]*endpoint) {
+	absent := make(map[hitchfleet.EndpointID]*endpoint)
+	for _, endpoints := range []map[hitchfleet.EndpointID]*endpoint{b.absent, old} {
+		for id, e := range endpoints {
+			if b.byID[id] == nil && e.ownInFlight > 0 {
+				absent[id] = e
+			}
+		}
+	}
+	b.absent = absent
+}
+
+// finishAbsent records that a request is no longer in flight to an endpoint that left.
+func (b *Balancer) finishAbsent(p Pick) {
+	if e := b.absent[p.Endpoint.ID]; e != nil && e.Born == p.Endpoint.Born {
+		e.ownInFlight = max(e.ownInFlight-1, 0)
+		e.pending.remove(p.id)
+	}
+}
+
 // ObserveLoad records an endpoint's reported load.
 func (b *Balancer) ObserveLoad(now time.Time, id hitchfleet.EndpointID, l Load) {
 	b.mu.Lock()
@@ -226,6 +252,7 @@
 	defer b.mu.Unlock()
 	e := b.endpointOf(p)
 	if e == nil {
+		b.finishAbsent(p)
 		return
 	}
 	e.ownInFlight = max(e.ownInFlight-1, 0)
