hitchsoak: a notice is of the endpoint whose header was forwarded

A stream that is resumed keeps the header of its first endpoint. The digest in the header names the endpoint; a response without one counts as before.

--- a/hitchsoak/caller.go
+++ b/hitchsoak/caller.go
@@ -40,6 +40,8 @@
 	IsDropped bool
 	// SaysLeaving is set if the response says that its endpoint leaves.
 	SaysLeaving bool
+	// SealedBy is the endpoint whose header the response has, or empty if it has none.
+	SealedBy string
 }
 
 // caller sends requests one at a time, on reused connections, to the instances that
@@ -145,7 +147,7 @@
 func (x *call) readResponse(res *http.Response, readAll func(io.Reader) ([]byte, error)) error {
 	defer func() { _ = res.Body.Close() }()
 	x.Status = res.StatusCode
-	x.SaysLeaving = hitchstandin.SaysLeaving(res.Header)
+	x.SaysLeaving, x.SealedBy = hitchstandin.SaysLeaving(res.Header), hitchstandin.SealedBy(res.Header)
 	body, err := readAll(res.Body)
 	switch {
 	case x.Status != http.StatusOK:
--- a/hitchsoak/notice.go
+++ b/hitchsoak/notice.go
@@ -49,7 +49,8 @@
 			if isKnown && x.Begin.After(said.forwardedAt.Add(leavingBound)) && c.isLeavingAt(r) && !c.wasInterrupted(x.Instance, said.runAt, r.At) {
 				out = append(out, Violation{Guarantee: "LeavingNotice", Call: x.Attempt, Detail: fmt.Sprintf("%s said that it leaves %s earlier", r.Endpoint, x.Begin.Sub(said.forwardedAt))})
 			}
-			if x.SaysLeaving && !isKnown {
+			isOfOther := x.SealedBy != "" && x.SealedBy != r.Endpoint
+			if x.SaysLeaving && !isKnown && !isOfOther {
 				saidBy[l] = leavingNotice{runAt: r.At, forwardedAt: x.End}
 			}
 		}
--- a/hitchsoak/notice_test.go
+++ b/hitchsoak/notice_test.go
@@ -56,6 +56,36 @@
 	}
 }
 
+// TestNoticeIsOfTheSealingEndpoint checks that the notice of a call that ran at two
+// endpoints is that of the one whose header was forwarded, and of both if none is named.
+func TestNoticeIsOfTheSealingEndpoint(t *testing.T) {
+	tests := map[string]struct {
+		sealedBy string
+		want     int
+	}{
+		"by the one that is used again": {"e-3", 1},
+		"by the other":                  {"e-1", 0},
+		"by none":                       {"", 1},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			var runLog hitchstandin.RunLog
+			now := time.Now()
+			c := &checker{start: now.Add(-seconds(8)), end: now.Add(seconds(72)), addrs: []string{"i-0"}, runLog: &runLog,
+				plan: []Fault{{Kind: AnnounceLeave, Target: 3, Begin: seconds(5), End: seconds(60)}, {Kind: AnnounceLeave, Target: 1, Begin: seconds(5), End: seconds(60)}}}
+			used := &hitchstandin.Endpoint{ID: "e-3", RunLog: &runLog}
+			runRequest(&hitchstandin.Endpoint{ID: "e-1", RunLog: &runLog}, "first")
+			runRequest(used, "first")
+			runRequest(used, "second")
+			got := c.checkNotices([]call{
+				{Attempt: "first", Instance: "i-0", Begin: now.Add(-seconds(3)), End: now.Add(-seconds(2.5)), SaysLeaving: true, SealedBy: test.sealedBy},
+				{Attempt: "second", Instance: "i-0", Begin: now, End: now.Add(seconds(0.1))},
+			})
+			qt.Assert(t, got, qt.HasLen, test.want)
+		})
+	}
+}
+
 // TestStandinGivesNotice checks the responses of the simulated endpoint.
 func TestStandinGivesNotice(t *testing.T) {
 	var runLog hitchstandin.RunLog
@@ -67,6 +97,7 @@
 	}
 	e.SetLeaving(true)
 	qt.Assert(t, hitchstandin.SaysLeaving(send().Header()), qt.IsTrue)
+	qt.Assert(t, hitchstandin.SealedBy(send().Header()), qt.Equals, "e-3")
 	e.Restart()
 	qt.Assert(t, hitchstandin.SaysLeaving(send().Header()), qt.IsFalse)
 	e.SetPausing(true)
