--- a/hitchsoak/check.go
+++ b/hitchsoak/check.go
@@ -59,7 +59,7 @@
 	if isBooking && len(runs) > 1 {
 		add("AtMostOnce", "%d runs: %v", len(runs), runs)
 	}
-	if x.Status == http.StatusServiceUnavailable && len(runs) > 0 {
+	if promisesNotRun(x.Status) && len(runs) > 0 {
 		add("NotRun", "refused as not run, but ran: %v", runs)
 	}
 	if x.Mismatch != "" {
@@ -79,6 +79,17 @@
 	return out
 }
 
+// promisesNotRun reports whether a status promises that the request has not run and never
+// will.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	default:
+		return false
+	}
+}
+
 // checkRun checks the organisation and the endpoint of a run.
 func (c *checker) checkRun(x call, r hitchstandin.Run, add func(guarantee, format string, args ...any)) {
 	if want := fmt.Sprintf("organisation-%d", x.Key); r.Organisation == "" {
