--- a/hitchsoak/caller.go
+++ b/hitchsoak/caller.go
@@ -42,6 +42,8 @@
 	SaysLeaving bool
 	// IsResumption is set if the request is for the rest of a stream.
 	IsResumption bool
+	// SealedBy is the endpoint whose header the response has, or empty if it has none.
+	SealedBy string
 }
 
 // caller sends requests one at a time, on reused connections, to the instances that
@@ -147,7 +149,7 @@
 func (x *call) readResponse(res *http.Response, readAll func(io.Reader) ([]byte, error)) error {
 	defer func() { _ = res.Body.Close() }()
 	x.Status = res.StatusCode
-	x.SaysLeaving = hitchstandin.SaysLeaving(res.Header)
+	x.SaysLeaving, x.SealedBy = hitchstandin.SaysLeaving(res.Header), hitchstandin.SealedBy(res.Header)
 	body, err := readAll(res.Body)
 	switch {
 	case x.Status != http.StatusOK:
