hitchedge, platform: the store records which versions endpoints have had lately

Cause: which versions there were was kept in memory only.

Change: the primary hub writes them to one key when they change, and again when the store has come back from an older copy. An instance with a gap, of which no other knows better, reads it. What is there now overrules it, as before.

Tests: TestReturnsOutlastLossOfAllInstances, TestVersionsAreRecordedOnce; without the record the instance knows nothing, which the first test checks before it reads it.

--- a/hitchedge/edge.go
+++ b/hitchedge/edge.go
@@ -60,9 +60,11 @@
 	unlisted hitchdigest.Unlisted
 	// isRemoving is set while entries of silent instances are removed from the store.
 	isRemoving atomic.Bool
-	election   hitchdigest.Election
-	regionMu   sync.Mutex // held while region changes
-	region     atomic.Pointer[region]
+	// versionsRecord is used by followVersions alone.
+	versionsRecord versionsRecord
+	election       hitchdigest.Election
+	regionMu       sync.Mutex // held while region changes
+	region         atomic.Pointer[region]
 	// viewChanged receives a value after changes of the view.
 	viewChanged     chan struct{}
 	peerUpdateCache peerUpdateCache
@@ -148,7 +150,7 @@
 	group.Go(func() error { e.follower.Run(runCtx); return nil })
 	group.Go(func() error { return e.exchangeDatagrams(runCtx) })
 	group.Go(func() error { e.trackCurrency(runCtx); return nil })
-	group.Go(func() error { e.inheritVersions(runCtx); return nil })
+	group.Go(func() error { e.followVersions(runCtx); return nil })
 	leaving, leave := context.WithCancel(runCtx)
 	defer leave()
 	stopLeave := context.AfterFunc(ctx, leave)
--- a/hitchedge/inherit.go
+++ b/hitchedge/inherit.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
 	"time"
 
 	"citronhitch.example/citronhitch/hitchorigin"
+	hitchplatform "citronhitch.example/citronhitch/platform"
 )
 
 // versionsPath is the path on which an instance says which versions it has seen lately.
@@ -18,10 +20,21 @@
 const (
 	// inheritInterval is how often an instance that has missed versions asks for them.
 	inheritInterval = 250 * time.Millisecond
+	// versionsRetryInterval is how often the store is asked for them, or told.
+	versionsRetryInterval = time.Second
 	// maxVersionsBytes limits a response.
 	maxVersionsBytes = 1 << 20
 )
 
+// versionsRecord is the record in the store of which versions there have been lately, as
+// far as this instance has written it. A fleet that is lost as a whole starts with it.
+type versionsRecord struct {
+	written string
+	era     int64
+	// retryAt is when the store may be called again.
+	retryAt time.Time
+}
+
 // serveVersions tells another instance which versions this one has seen lately, unless it
 // has missed some itself.
 func (e *Edge) serveVersions(w http.ResponseWriter, r *http.Request) {
@@ -36,10 +49,10 @@
 	}
 }
 
-// inheritVersions asks other instances which versions they have seen, whenever this one has
-// missed some, until ctx ends. Otherwise a fleet whose instances are restarted one after
-// the other wouldn't know for a while where streams may go on.
-func (e *Edge) inheritVersions(ctx context.Context) {
+// followVersions keeps this instance's knowledge of which versions there have been lately,
+// and the store's, complete until ctx ends. Otherwise a fleet whose instances are
+// restarted wouldn't know for a while where streams may go on.
+func (e *Edge) followVersions(ctx context.Context) {
 	ticker := time.NewTicker(inheritInterval)
 	defer ticker.Stop()
 	for {
@@ -48,23 +61,74 @@
 		case <-ctx.Done():
 			return
 		}
-		if !e.gateway.Origins.IsComplete(time.Now()) && e.gateway.OriginExchange.IsViewCurrent() {
-			e.askVersions(ctx)
+		if !e.gateway.OriginExchange.IsViewCurrent() {
+			continue
+		}
+		if !e.gateway.Origins.IsComplete(time.Now()) {
+			e.learnVersions(ctx)
+		}
+		if e.currentRegion().isPrimaryHub(e.Settings.Self.ID) {
+			e.recordVersions(ctx)
+		} else {
+			e.versionsRecord.written = ""
 		}
 	}
 }
 
-// askVersions asks other instances until one knows which versions there were.
-func (e *Edge) askVersions(ctx context.Context) {
+// learnVersions asks other instances which versions there were, until one knows. If none
+// does, it reads the store.
+func (e *Edge) learnVersions(ctx context.Context) {
 	for _, addr := range e.peerAddrs(e.gateway.View()) {
-		recent, err := e.fetchVersions(ctx, addr)
-		if err != nil {
-			continue
+		if recent, err := e.fetchVersions(ctx, addr); err == nil {
+			e.inherit(recent, addr)
+			return
 		}
-		e.gateway.InheritVersions(time.Now(), recent)
-		e.Log.Info("versions learned from another instance", "From", addr)
+	}
+	now := time.Now()
+	if now.Before(e.versionsRecord.retryAt) {
+		return
+	}
+	e.versionsRecord.retryAt = now.Add(versionsRetryInterval)
+	value, err := e.store.Versions(ctx)
+	if errors.Is(err, hitchplatform.ErrNotFound) {
+		return
+	}
+	var recent hitchorigin.Recent
+	if err == nil {
+		err = json.Unmarshal(value, &recent)
+	}
+	if err != nil {
+		e.Log.Warn("failed to read the versions of endpoints", "Error", err)
+		return
+	}
+	e.inherit(recent, e.Settings.StoreAddr)
+}
+
+// inherit adds versions that were learned from an address.
+func (e *Edge) inherit(recent hitchorigin.Recent, from string) {
+	e.gateway.InheritVersions(time.Now(), recent)
+	e.Log.Info("versions of endpoints learned", "From", from)
+}
+
+// recordVersions writes the versions that there have been lately to the store, if these
+// have changed or the store may have lost them.
+func (e *Edge) recordVersions(ctx context.Context) {
+	now := time.Now()
+	recent, ok := e.gateway.Origins.Recent(now)
+	if !ok || now.Before(e.versionsRecord.retryAt) {
+		return
+	}
+	value, err := json.Marshal(recent)
+	era := e.gateway.View().Revision.Era()
+	if err != nil || string(value) == e.versionsRecord.written && era == e.versionsRecord.era {
+		return
+	}
+	if err := e.store.PutVersions(ctx, value); err != nil {
+		e.versionsRecord.retryAt = now.Add(versionsRetryInterval)
+		e.Log.Info("failed to record the versions of endpoints", "Error", err)
 		return
 	}
+	e.versionsRecord.written, e.versionsRecord.era = string(value), era
 }
 
 // fetchVersions asks the instance at addr which versions it has seen lately.
--- a/hitchedge/inherit_test.go
+++ b/hitchedge/inherit_test.go
@@ -3,13 +3,17 @@
 import (
 	"fmt"
 	"net/http"
+	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 
 	"citronhitch.example/citronhitch/hitchfleet"
+	"citronhitch.example/citronhitch/hitchorigin"
 	"citronhitch.example/citronhitch/hitchview"
+	hitchstandin "citronhitch.example/citronhitch/platform/standin"
 )
 
 // restart stops an instance and starts a new one, whose first view isn't that of a fleet
@@ -20,7 +24,7 @@
 	f.addInstance(t, len(f.edges))
 	f.setRunningView()
 	e := f.edges[len(f.edges)-1]
-	go e.inheritVersions(t.Context())
+	go e.followVersions(t.Context())
 	for begun := time.Now(); !e.gateway.Origins.IsComplete(time.Now()) && time.Since(begun) < 5*time.Second; {
 		tick(t)
 	}
@@ -59,3 +63,68 @@
 		qt.Check(t, f.versionOf(id), qt.Equals, f.versionOf("first"))
 	}
 }
+
+// TestReturnsOutlastLossOfAllInstances covers a fleet that is lost as a whole, and started
+// again: the store knows which versions there were.
+func TestReturnsOutlastLossOfAllInstances(t *testing.T) {
+	tests := map[string]struct {
+		before, after []string
+		want          hitchorigin.Knowledge
+	}{
+		"one version":                     {[]string{"v1", "v1"}, nil, hitchorigin.KnowsOnly},
+		"several versions":                {[]string{"v1", "v2"}, nil, hitchorigin.KnowsSeveral},
+		"another version during the loss": {[]string{"v1"}, []string{"v2"}, hitchorigin.KnowsSeveral},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			server := httptest.NewServer(&hitchstandin.Store{})
+			defer server.Close()
+			f := newOriginFleet(t, 1, test.before...)
+			lost := f.edges[0]
+			lost.store.Addr = strings.TrimPrefix(server.URL, "http://")
+			lost.recordVersions(t.Context())
+			f.stops[0]()
+			f.addInstance(t, 1)
+			for _, version := range test.after {
+				f.addEndpoint(t, version)
+			}
+			next := f.edges[1]
+			next.store.Addr = lost.store.Addr
+			next.gateway.RecordGap(time.Now())
+			next.setView(f.view)
+			qt.Assert(t, next.gateway.AnswerOrigin(time.Now(), 7, "r").Knowledge == hitchorigin.KnowsOnly, qt.IsFalse)
+			next.learnVersions(t.Context())
+			qt.Assert(t, next.gateway.AnswerOrigin(time.Now(), 7, "r").Knowledge, qt.Equals, test.want)
+		})
+	}
+}
+
+// TestVersionsAreRecordedOnce checks that the store is written to only if the versions
+// have changed or it has come back from an older copy.
+func TestVersionsAreRecordedOnce(t *testing.T) {
+	var store hitchstandin.Store
+	writes := 0
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodPost {
+			writes++
+		}
+		store.ServeHTTP(w, r)
+	}))
+	defer server.Close()
+	f := newOriginFleet(t, 1, "v1")
+	e := f.edges[0]
+	e.store.Addr = strings.TrimPrefix(server.URL, "http://")
+	for range 3 {
+		e.recordVersions(t.Context())
+	}
+	qt.Assert(t, writes, qt.Equals, 1)
+	f.addEndpoint(t, "v2")
+	f.setView()
+	for range 3 {
+		e.recordVersions(t.Context())
+	}
+	qt.Assert(t, writes, qt.Equals, 2)
+	e.versionsRecord.era-- // as if the store had come back since
+	e.recordVersions(t.Context())
+	qt.Assert(t, writes, qt.Equals, 3)
+}
--- a/hitchorigin/recent.go
+++ b/hitchorigin/recent.go
@@ -1,13 +1,14 @@
 package hitchorigin
 
 import (
+	"slices"
 	"time"
 
 	"citronhitch.example/citronhitch/hitchfleet"
 )
 
-// Recent is which versions and services an instance has seen within the horizon, for one
-// that has missed some of it.
+// Recent is which versions and services an instance has seen within the horizon, in order,
+// for one that has missed some of it.
 type Recent struct {
 	// Versions are those of each service's endpoints, and Services those of each route.
 	Versions map[hitchfleet.ServiceID][]string
@@ -25,9 +26,11 @@
 	r = Recent{Versions: make(map[hitchfleet.ServiceID][]string), Services: make(map[string][]hitchfleet.ServiceID)}
 	for service, h := range t.versions {
 		h.recent(now, func(version string) { r.Versions[service] = append(r.Versions[service], version) })
+		slices.Sort(r.Versions[service])
 	}
 	for route, h := range t.routes {
 		h.services.recent(now, func(service hitchfleet.ServiceID) { r.Services[route] = append(r.Services[route], service) })
+		slices.Sort(r.Services[route])
 	}
 	return r, true
 }
