hitchingress, hitchedge: a return waits for an instance that learns which versions there were

Change: an instance with a gap asks at once, then with a delay that doubles up to 8 s; a return asks again each 0.1 s, for 0.5 s in all. Instances of a fleet in which nobody knows ask a dozen times a minute.

Tests: TestReturnWaitsForInstanceThatStarts, TestQuestionsForVersionsAreSpacedOut.

--- a/hitchedge/inherit.go
+++ b/hitchedge/inherit.go
@@ -18,10 +18,15 @@
 
 // Limits of the questions for versions.
 const (
-	// inheritInterval is how often an instance that has missed versions asks for them.
-	inheritInterval = 250 * time.Millisecond
-	// versionsRetryInterval is how often the store is asked for them, or told.
-	versionsRetryInterval = time.Second
+	// versionsInterval is how often an instance checks whether it has missed versions, or
+	// has some to record.
+	versionsInterval = 50 * time.Millisecond
+	// minLearnDelay and maxLearnDelay limit the delay between two questions for them, which
+	// doubles while nobody knows.
+	minLearnDelay = 50 * time.Millisecond
+	maxLearnDelay = 8 * time.Second
+	// versionsRetryDelay is how long a failed write to the store is put off.
+	versionsRetryDelay = time.Second
 	// maxVersionsBytes limits a response.
 	maxVersionsBytes = 1 << 20
 )
@@ -31,10 +36,27 @@
 type versionsRecord struct {
 	written string
 	era     int64
-	// retryAt is when the store may be called again.
+	// retryAt is when the store may be written to again.
 	retryAt time.Time
 }
 
+// versionsQuestions spaces out the questions for versions that this instance has missed. The
+// zero value asks at once.
+type versionsQuestions struct {
+	nextAt time.Time
+	delay  time.Duration
+}
+
+// isDue reports whether to ask now, and puts off the next question.
+func (q *versionsQuestions) isDue(now time.Time) bool {
+	if now.Before(q.nextAt) {
+		return false
+	}
+	q.delay = min(max(2*q.delay, minLearnDelay), maxLearnDelay)
+	q.nextAt = now.Add(q.delay)
+	return true
+}
+
 // serveVersions tells another instance which versions this one has seen lately, unless it
 // has missed some itself.
 func (e *Edge) serveVersions(w http.ResponseWriter, r *http.Request) {
@@ -53,8 +75,9 @@
 // and the store's, complete until ctx ends. Otherwise a fleet whose instances are
 // restarted wouldn't know for a while where streams may go on.
 func (e *Edge) followVersions(ctx context.Context) {
-	ticker := time.NewTicker(inheritInterval)
+	ticker := time.NewTicker(versionsInterval)
 	defer ticker.Stop()
+	var questions versionsQuestions
 	for {
 		select {
 		case <-ticker.C:
@@ -64,7 +87,10 @@
 		if !e.gateway.OriginExchange.IsViewCurrent() {
 			continue
 		}
-		if !e.gateway.Origins.IsComplete(time.Now()) {
+		now := time.Now()
+		if e.gateway.Origins.IsComplete(now) {
+			questions = versionsQuestions{}
+		} else if questions.isDue(now) {
 			e.learnVersions(ctx)
 		}
 		if e.currentRegion().isPrimaryHub(e.Settings.Self.ID) {
@@ -84,11 +110,6 @@
 			return
 		}
 	}
-	now := time.Now()
-	if now.Before(e.versionsRecord.retryAt) {
-		return
-	}
-	e.versionsRecord.retryAt = now.Add(versionsRetryInterval)
 	value, err := e.store.Versions(ctx)
 	if errors.Is(err, hitchplatform.ErrNotFound) {
 		return
@@ -124,7 +145,7 @@
 		return
 	}
 	if err := e.store.PutVersions(ctx, value); err != nil {
-		e.versionsRecord.retryAt = now.Add(versionsRetryInterval)
+		e.versionsRecord.retryAt = now.Add(versionsRetryDelay)
 		e.Log.Info("failed to record the versions of endpoints", "Error", err)
 		return
 	}
--- a/hitchedge/inherit_test.go
+++ b/hitchedge/inherit_test.go
@@ -128,3 +128,17 @@
 	e.recordVersions(t.Context())
 	qt.Assert(t, writes, qt.Equals, 3)
 }
+
+// TestQuestionsForVersionsAreSpacedOut covers a fleet in which nobody knows which versions
+// there were: in a minute, each instance asks a dozen times.
+func TestQuestionsForVersionsAreSpacedOut(t *testing.T) {
+	var questions versionsQuestions
+	start := time.Now()
+	asked := 0
+	for now := start; now.Before(start.Add(time.Minute)); now = now.Add(versionsInterval) {
+		if questions.isDue(now) {
+			asked++
+		}
+	}
+	qt.Assert(t, asked > 8 && asked < 18, qt.IsTrue, qt.Commentf("%d", asked))
+}
--- a/hitchingress/origin.go
+++ b/hitchingress/origin.go
@@ -18,8 +18,10 @@
 // Limits of the time in which other instances are asked where a stream began: maxAskTime,
 // and the request's remaining time divided by askTimeDivisor.
 const (
-	maxAskTime     = 300 * time.Millisecond
+	maxAskTime     = 500 * time.Millisecond
 	askTimeDivisor = 8
+	// askInterval is how often an instance that has just started asks again.
+	askInterval = 100 * time.Millisecond
 )
 
 // errOtherVersion is returned if an endpoint isn't of the version that began the stream, or
@@ -146,11 +148,27 @@
 	return nil
 }
 
-// askOrigin asks the homes of a stream for its origin.
+// askOrigin asks the homes of a stream for its origin. An instance that still learns which
+// versions there were, as after its start, asks again: so may its homes.
 func (g *Gateway) askOrigin(ctx context.Context, req *proxyRequest, stream hitchfleet.Key) (hitchorigin.Origin, hitchorigin.Source) {
 	now := time.Now()
 	ctx, cancel := context.WithDeadline(ctx, now.Add(min(maxAskTime, req.effectiveDeadline.Sub(now)/askTimeDivisor)))
 	defer cancel()
+	for {
+		o, source := g.askOriginOnce(ctx, req, stream)
+		if source != hitchorigin.SourceUnknown || g.Origins.IsComplete(now) {
+			return o, source
+		}
+		select {
+		case <-time.After(askInterval):
+		case <-ctx.Done():
+			return o, source
+		}
+	}
+}
+
+// askOriginOnce asks the homes of a stream for its origin once.
+func (g *Gateway) askOriginOnce(ctx context.Context, req *proxyRequest, stream hitchfleet.Key) (hitchorigin.Origin, hitchorigin.Source) {
 	answers, isAlone := g.OriginExchange.ask(ctx, stream, req.route.Name)
 	own := g.AnswerOrigin(time.Now(), stream, req.route.Name)
 	if own.Knowledge == hitchorigin.KnowsRecord { // it was shared meanwhile
--- a/hitchingress/origin_test.go
+++ b/hitchingress/origin_test.go
@@ -367,3 +367,33 @@
 		})
 	}
 }
+
+// TestReturnWaitsForInstanceThatStarts covers a caller that returns just after all
+// instances have started again. These learn within moments which versions there were.
+func TestReturnWaitsForInstanceThatStarts(t *testing.T) {
+	route := hitchroute.Route{Kind: hitchroute.Streaming, IsResumable: true, MaxAttempts: 1, GapMilliseconds: 400}
+	for name, isLearned := range map[string]bool{"learned soon": true, "nobody knows": false} {
+		t.Run(name, func(t *testing.T) {
+			v1 := startVersion(t, "v1", remainingStream)
+			server := startGateway(t, route, v1)
+			g := server.Config.Handler.(*Gateway)
+			other := startGateway(t, route, v1).Config.Handler.(*Gateway)
+			connect(g, other)
+			for _, restarted := range []*Gateway{g, other} {
+				restarted.RecordGap(time.Now())
+				if isLearned {
+					time.AfterFunc(150*time.Millisecond, func() { restarted.InheritVersions(time.Now(), hitchorigin.Recent{}) })
+				}
+			}
+			start := time.Now()
+			status, _, _, err := sendWith(t, server, map[string]string{"Id": "id-2", "Key": "k", "Last-Event-Id": "2", "Resumes": "id-1"})
+			qt.Assert(t, err, qt.IsNil)
+			if isLearned {
+				qt.Assert(t, status, qt.Equals, http.StatusOK)
+			} else {
+				qt.Assert(t, status, qt.Equals, http.StatusServiceUnavailable)
+			}
+			qt.Assert(t, time.Since(start) < 2*maxAskTime, qt.IsTrue)
+		})
+	}
+}
