--- a/hitchsoak/teardown.go
+++ b/hitchsoak/teardown.go
@@ -33,8 +33,11 @@
 	return out
 }
 
-// saveLogs writes the processes' logs to a directory.
+// saveLogs writes the processes' logs to a directory, which is created if it is missing.
 func (f *fleet) saveLogs(dir string, seed uint64) error {
+	if err := os.MkdirAll(dir, 0o700); err != nil {
+		return err
+	}
 	for _, i := range f.instances {
 		i.mu.Lock()
 		b := bytes.Clone(i.log.Bytes())
