hitchedge: an instance listens for callers before it is registered

Cause: the listener was opened in a goroutine of its own, beside the registration. On a busy machine the entry could come first, and directories named an instance whose port was still closed.

Change: the listener is opened before anything else runs.

Test: TestInstanceListensBeforeItIsListed failed before (connection refused) and passes; so do the others of hitchedge with the race detector.

--- a/hitchedge/edge.go
+++ b/hitchedge/edge.go
@@ -38,6 +38,8 @@
 	Settings hitchplatform.Settings
 	Log      hclog.Logger
 
+	// listen opens the listener for callers; nil means net.Listen.
+	listen   func(network, addr string) (net.Listener, error)
 	store    hitchplatform.Store
 	balancer hitchbalance.Balancer
 	conns    hitchforward.ConnPool
@@ -133,12 +135,17 @@
 // can't listen on one of its addresses.
 func (e *Edge) Run(ctx context.Context) error {
 	settings := e.Settings
+	// Directories name the instance once it is registered, which mustn't come first.
+	listener, err := e.listenForCallers()
+	if err != nil {
+		return err
+	}
 	e.Log.Info("starting", "Instance", settings.Self.ID, "Zone", settings.Self.Zone, "Addr", settings.Self.Addr, "Store", settings.StoreAddr)
 	runCtx, stopRun := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopRun()
 	group, runCtx := errgroup.WithContext(runCtx)
 	callerServer := e.newCallerServer()
-	group.Go(func() error { return listenAndServe(callerServer, settings.Self.Addr) })
+	group.Go(func() error { return callerServer.Serve(listener) })
 	group.Go(func() error {
 		return serveUntil(runCtx, settings.DirectoryAddr, hitchplatform.Directory{Addrs: e.directoryAddrs})
 	})
--- a/hitchedge/server.go
+++ b/hitchedge/server.go
@@ -39,6 +39,15 @@
 	e.Log.Info("connection closed without a response", "Caller", addr, "Phase", phase, "Draining", e.gateway.IsDraining())
 }
 
+// listenForCallers opens the listener for callers.
+func (e *Edge) listenForCallers() (net.Listener, error) {
+	listen := e.listen
+	if listen == nil {
+		listen = net.Listen
+	}
+	return listen("tcp", e.Settings.Self.Addr)
+}
+
 // listenAndServe serves on a TCP address until the server is shut down.
 func listenAndServe(server *hitchserver.Server, addr string) error {
 	l, err := net.Listen("tcp", addr)
