--- a/hitchedge/listen_test.go
+++ b/hitchedge/listen_test.go
@@ -26,7 +26,7 @@
 	pid := os.Getpid() // addresses of its own, so that no other test gets the ports
 	ip := fmt.Sprintf("127.%d.%d.9", 224+pid%16, pid/16%256)
 	var store hitchstandin.Store
-	dialed := make(chan error, 8)
+	dialed, registered := make(chan error, 8), make(chan struct{}, 1)
 	storeServer := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == "/v1/kv-txn" {
 			c, err := net.Dial("tcp", hitchstandin.FrontAddr(ip))
@@ -37,6 +37,10 @@
 			case dialed <- err:
 			default:
 			}
+			select {
+			case registered <- struct{}{}:
+			default:
+			}
 		}
 		store.ServeHTTP(w, r)
 	}))
@@ -48,8 +52,12 @@
 	settings, err := hitchplatform.ReadSettings(path)
 	qt.Assert(t, err, qt.IsNil)
 	e := &Edge{Settings: settings, Log: hclog.NewNullLogger()}
+	// The listener opens only once the instance is registered, or would have been.
 	e.listen = func(network, addr string) (net.Listener, error) {
-		time.Sleep(500 * time.Millisecond)
+		select {
+		case <-registered:
+		case <-time.After(500 * time.Millisecond):
+		}
 		return net.Listen(network, addr)
 	}
 	e.initialize()
--- a/hitchedge/versions.go
+++ b/hitchedge/versions.go
@@ -43,17 +43,21 @@
 // versionsQuestions spaces out the questions for versions that this instance has missed. The
 // zero value asks at once.
 type versionsQuestions struct {
-	nextAt time.Time
-	delay  time.Duration
+	// askedAt is when the last question was asked, and nextAt when the next one is due.
+	askedAt, nextAt time.Time
 }
 
-// isDue reports whether to ask now, and puts off the next question.
+// isDue reports whether to ask now, and puts off the next question: its delay is twice that
+// of this one.
 func (q *versionsQuestions) isDue(now time.Time) bool {
 	if now.Before(q.nextAt) {
 		return false
 	}
-	q.delay = min(max(2*q.delay, minLearnDelay), maxLearnDelay)
-	q.nextAt = now.Add(q.delay)
+	delay := minLearnDelay
+	if !q.askedAt.IsZero() {
+		delay = min(max(2*q.nextAt.Sub(q.askedAt), minLearnDelay), maxLearnDelay)
+	}
+	q.askedAt, q.nextAt = now, now.Add(delay)
 	return true
 }
 
