hitchadmit: the retry budget holds for every window of its length

Cause, as suspected: retries were counted in buckets of a second, for 9 to 10 s, so that a window in between may have one bucket more. While the budget is used up all the time, which standbys make likelier, that shows.

Change: retries count for 10 to 11 s, first attempts for 9 to 10 s as before.

Test: TestRetriesStayWithinEveryWindow failed before (203 retries, 202.4 allowed, with a load that grows). Its bound is the largest window of first attempts that begins up to its length before. The users' rule takes three of these; a load that comes and goes each 3 s can have one retry more than that (202 of 201.2): open.

--- a/hitchadmit/budget.go
+++ b/hitchadmit/budget.go
@@ -10,10 +10,12 @@
 	// DefaultRetryRatio is the number of retries allowed for each first
 	// attempt.
 	DefaultRetryRatio = 0.1
-	// budgetWindow is the sliding window over which attempts are counted, in
-	// budgetBuckets buckets.
+	// budgetWindow is the sliding window over which attempts are counted, in buckets of
+	// bucketLength. First attempts are counted for at most that long, and retries for at
+	// least, so that no window of this length has more retries than the budget allows.
 	budgetWindow  = 10 * time.Second
-	budgetBuckets = 10
+	bucketLength  = time.Second
+	budgetBuckets = int(budgetWindow/bucketLength) + 1
 	// minRetries are allowed in each window regardless of the ratio, so that a
 	// route with little traffic can retry. It applies to budgets without a slack.
 	minRetries = 3
@@ -52,16 +54,18 @@
 }
 
 type retryBucket struct {
-	deadline      time.Time // when the counts leave the window
-	firstAttempts int
-	retries       int
+	// deadline is when the first attempts leave the window, and retryDeadline when the
+	// retries do.
+	deadline, retryDeadline time.Time
+	firstAttempts           int
+	retries                 int
 }
 
 // RecordFirstAttempt counts a first attempt.
 func (b *RetryBudget) RecordFirstAttempt(now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.currentBucket(b.clock.advanceAtMost(now, budgetWindow)).firstAttempts++
+	b.currentBucket(b.clock.advanceAtMost(now, budgetWindow+bucketLength)).firstAttempts++
 }
 
 // TryRetry counts a retry and returns true if the budget allows one more.
@@ -75,7 +79,7 @@
 func (b *RetryBudget) tryRetry(now time.Time, share float64) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	monotonic := b.clock.advanceAtMost(now, budgetWindow)
+	monotonic := b.clock.advanceAtMost(now, budgetWindow+bucketLength)
 	if !b.allowsRetryAt(monotonic, share) {
 		return false
 	}
@@ -88,7 +92,7 @@
 func (b *RetryBudget) AllowsRetry(now time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.allowsRetryAt(b.clock.advanceAtMost(now, budgetWindow), 1)
+	return b.allowsRetryAt(b.clock.advanceAtMost(now, budgetWindow+bucketLength), 1)
 }
 
 func (b *RetryBudget) allowsRetryAt(monotonic time.Time, share float64) bool {
@@ -96,6 +100,8 @@
 	for i := range b.buckets {
 		if monotonic.Before(b.buckets[i].deadline) {
 			firstAttempts += b.buckets[i].firstAttempts
+		}
+		if monotonic.Before(b.buckets[i].retryDeadline) {
 			retries += b.buckets[i].retries
 		}
 	}
@@ -115,11 +121,10 @@
 // currentBucket returns the bucket of the time now, and resets it if it holds
 // the counts of an earlier window.
 func (b *RetryBudget) currentBucket(now time.Time) *retryBucket {
-	const bucketLength = budgetWindow / budgetBuckets
 	start := now.Truncate(bucketLength)
-	bucket := &b.buckets[start.UnixNano()/int64(bucketLength)%budgetBuckets]
+	bucket := &b.buckets[start.UnixNano()/int64(bucketLength)%int64(budgetBuckets)]
 	if deadline := start.Add(budgetWindow); !bucket.deadline.Equal(deadline) {
-		*bucket = retryBucket{deadline: deadline}
+		*bucket = retryBucket{deadline: deadline, retryDeadline: deadline.Add(bucketLength)}
 	}
 	return bucket
 }
