hitchingress: standbys take a part of the retry budget only

Cause: in an overload each slow endpoint counts as silent, and standbys use up the whole budget, which the rule compares with windows that don't all contain the overload's peak.

Change: a standby takes an optional retry, as its request may still get an answer; half of the budget is left to requests that have none.

Test: TestStandbysLeaveRetriesToLostRequests failed before (0 of 20 retries left).

--- a/hitchadmit/budget.go
+++ b/hitchadmit/budget.go
@@ -72,7 +72,8 @@
 func (b *RetryBudget) TryRetry(now time.Time) bool { return b.tryRetry(now, 1) }
 
 // TryOptionalRetry is like TryRetry but leaves a part of the budget for other retries.
-// It is for requests that already have a response, although an error.
+// It is for requests that already have a response, although an error, or may still get
+// one.
 func (b *RetryBudget) TryOptionalRetry(now time.Time) bool { return b.tryRetry(now, optionalShare) }
 
 // tryRetry counts a retry and returns true if a share of the budget allows one more.
@@ -89,10 +90,17 @@
 
 // AllowsRetry reports whether the budget allows one more retry now, without
 // counting it.
-func (b *RetryBudget) AllowsRetry(now time.Time) bool {
+func (b *RetryBudget) AllowsRetry(now time.Time) bool { return b.allowsRetry(now, 1) }
+
+// AllowsOptionalRetry is like AllowsRetry for TryOptionalRetry.
+func (b *RetryBudget) AllowsOptionalRetry(now time.Time) bool {
+	return b.allowsRetry(now, optionalShare)
+}
+
+func (b *RetryBudget) allowsRetry(now time.Time, share float64) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.allowsRetryAt(b.clock.advanceAtMost(now, budgetWindow+bucketLength), 1)
+	return b.allowsRetryAt(b.clock.advanceAtMost(now, budgetWindow+bucketLength), share)
 }
 
 func (b *RetryBudget) allowsRetryAt(monotonic time.Time, share float64) bool {
--- a/hitchingress/silence_test.go
+++ b/hitchingress/silence_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -247,3 +250,32 @@
 		qt.Assert(t, req.eventTimeout(), qt.Equals, want)
 	}
 }
+
+// TestStandbysLeaveRetriesToLostRequests covers many silent endpoints in an overload: the
+// requests that have one use up a part of the retry budget only.
+func TestStandbysLeaveRetriesToLostRequests(t *testing.T) {
+	first, second := startScriptedBackend(t, hang{}), startScriptedBackend(t, hang{})
+	server := startGateway(t, resumableRoute, &first.backend, &second.backend)
+	g := server.Config.Handler.(*Gateway)
+	g.RetryRatio, g.RetrySlack = 0.001, 20/retrySlackShare
+	g.updateRetrySlack(1)
+	var callers sync.WaitGroup
+	ctx, cancel := context.WithTimeout(t.Context(), 1500*time.Millisecond)
+	defer cancel()
+	for i := range 30 {
+		callers.Go(func() {
+			r := httptest.NewRequestWithContext(ctx, http.MethodPost, "/x", strings.NewReader("body"))
+			r.Host = "h.example"
+			r.Header.Set("Id", fmt.Sprint("id-", i))
+			r.Header.Set("Key", "k")
+			g.ServeHTTP(httptest.NewRecorder(), r)
+		})
+	}
+	callers.Wait()
+	left := 0
+	for g.serviceState("s").retryBudget.TryRetry(time.Now()) {
+		left++
+	}
+	qt.Assert(t, left >= 10, qt.IsTrue, qt.Commentf("%d of 20 retries left", left))
+	qt.Assert(t, first.requests.Load()+second.requests.Load() > 30, qt.IsTrue)
+}
--- a/hitchingress/standby.go
+++ b/hitchingress/standby.go
@@ -31,10 +31,12 @@
 	}
 }
 
-// startStandby sends the request to another endpoint. It returns nil if none may get it.
+// startStandby sends the request to another endpoint. It returns nil if none may get it. As
+// the silent one may go on, a part of the retry budget is left to requests without any.
 func (f *follower) startStandby(now time.Time) *attempt {
 	req := f.req
-	if !req.serviceState.retryBudget.AllowsRetry(now) {
+	budget := &req.serviceState.retryBudget
+	if !budget.AllowsOptionalRetry(now) {
 		return nil
 	}
 	request := f.gateway.pickRequest(req)
@@ -43,7 +45,7 @@
 	if refusal != hitchbalance.NotRefused {
 		return nil
 	}
-	if !req.takeRetry(hitchretry.Lost) {
+	if !budget.TryOptionalRetry(now) {
 		f.gateway.Balancer.Finish(now, pick, hitchbalance.ResultAbandoned)
 		return nil
 	}
