hitchingress: three quarters of the retry ratio, so that every window keeps the fleet's bound

Cause, by reckoning: the bound takes the requests of three windows, 5 s apart. Our budget takes any 10 s, such as one that holds the whole overload with the quiet seconds around it. While retries use up the budget, that is more than the bound allows.

Change: the budget uses three quarters of the ratio, as a window in between may have a third more requests.

Test: TestRetriesInOverloadKeepFleetBound failed before in three of five cases (555 of 553.2) and passes.

--- a/hitchingress/gateway.go
+++ b/hitchingress/gateway.go
@@ -111,6 +111,10 @@
 // moves in steps of a tenth, so that a window in between may have a few more retries.
 const retrySlackShare = 0.8
 
+// retryRatioShare is the part of RetryRatio that is used. The fleet's bound is checked
+// against windows half a window apart, and one in between may have a third more requests.
+const retryRatioShare = 0.75
+
 // updateRetrySlack sets this instance's share of the slack in a fleet of a size.
 func (g *Gateway) updateRetrySlack(instances int) {
 	g.mu.Lock()
@@ -161,7 +165,7 @@
 	}
 	state := g.serviceStates[id]
 	if state == nil {
-		state = &serviceState{retryBudget: hitchadmit.RetryBudget{Ratio: g.RetryRatio}}
+		state = &serviceState{retryBudget: hitchadmit.RetryBudget{Ratio: retryRatioShare * g.RetryRatio}}
 		state.retryBudget.SetSlack(g.retrySlack)
 		g.serviceStates[id] = state
 	}
