hitchingress: failed attempts log the prompt's parts, and whether the attempt brought an answer

The log couldn't tell whether a part of the prompt, or the route, or bad luck is common to the requests at which endpoints crash. Parts have a type of their own.

--- a/hitchbalance/request.go
+++ b/hitchbalance/request.go
@@ -1,13 +1,21 @@
 package hitchbalance
 
 import (
+	"strconv"
+
 	"citronhitch.example/citronhitch/hitchfleet"
 )
 
+// PartID identifies a section of a prompt in all requests.
+type PartID uint64
+
+// String returns the ID as callers write it.
+func (id PartID) String() string { return strconv.FormatUint(uint64(id), 16) }
+
 // Part is a section of a prompt. An engine that has prefilled it after the same
 // earlier parts needn't prefill it again for another request.
 type Part struct {
-	ID     uint64
+	ID     PartID
 	Tokens int
 }
 
@@ -33,6 +41,14 @@
 	}
 }
 
+// Shared returns the IDs of the parts that other requests may share: all but the last.
+func (p Prompt) Shared() (ids []PartID) {
+	for _, part := range p.Parts[:max(len(p.Parts)-1, 0)] {
+		ids = append(ids, part.ID)
+	}
+	return ids
+}
+
 // appendPrefixKeys appends the key of each prefix of the prompt that other requests
 // may share, the shortest first. An engine caches a prefix only as a whole.
 func (p Prompt) appendPrefixKeys(dst []hitchfleet.Key) []hitchfleet.Key {
--- a/hitchingress/attempt.go
+++ b/hitchingress/attempt.go
@@ -39,6 +39,8 @@
 	hasData bool
 	// isWaitObserved is set once the wait for the first byte was recorded.
 	isWaitObserved bool
+	// hasAnswered is set once a whole event, or a whole other response, has arrived.
+	hasAnswered bool
 }
 
 // attemptResult describes how one attempt ended.
@@ -255,6 +257,7 @@
 		return attemptResult{outcome: hitchretry.Failed, balancerResult: hitchbalance.ResultFailed, response: response}
 	}
 	req.dispatchTracker.MarkAnswered()
+	a.hasAnswered = true
 	g.Balancer.ObservePrefill(time.Now(), a.pick)
 	g.writeResponse(req, response)
 	return attemptResult{isFinal: true, balancerResult: hitchbalance.ResultOK}
--- a/hitchingress/log.go
+++ b/hitchingress/log.go
@@ -1,6 +1,7 @@
 package hitchingress
 
 import (
+	"strings"
 	"time"
 
 	"citronhitch.example/citronhitch/hitchbalance"
@@ -33,11 +34,22 @@
 }
 
 // logFailedAttempt logs and counts a failed attempt, with the decision that follows.
-func (g *Gateway) logFailedAttempt(req *proxyRequest, pick hitchbalance.Pick, result attemptResult, decision hitchretry.Decision) {
+func (g *Gateway) logFailedAttempt(req *proxyRequest, a *attempt, result attemptResult, decision hitchretry.Decision) {
 	g.Metrics.countFailedAttempt(result)
+	pick := a.pick
 	g.Log.Info("attempt failed", "ID", req.ID, "Route", req.route.Name, "Attempt", req.logEntry.attempts,
 		"Endpoint", pick.Endpoint.ID, "Addr", pick.Endpoint.Addr, "Why", pick.Reason, "Tier", pick.Tier, "Load", pick.Load, "Mean", pick.MeanLoad,
-		"Unread", pick.UncachedTokens, "Usual", req.serviceState.firstByteLatency.Mean(), "Result", result.balancerResult, "Outcome", result.outcome, "Events", req.stream.eventCount, "Origin", req.origin.source, "Version", req.origin.Version, "LastVersion", pick.Endpoint.Version, "Error", result.err, "Decision", decision)
+		"Unread", pick.UncachedTokens, "Usual", req.serviceState.firstByteLatency.Mean(), "Result", result.balancerResult, "Outcome", result.outcome, "Events", req.stream.eventCount, "Answered", a.hasAnswered,
+		"Parts", partList(req.Prompt.Shared()), "Origin", req.origin.source, "Version", req.origin.Version, "LastVersion", pick.Endpoint.Version, "Error", result.err, "Decision", decision)
+}
+
+// partList returns the IDs of parts as they are logged.
+func partList(parts []hitchbalance.PartID) string {
+	texts := make([]string, len(parts))
+	for i, id := range parts {
+		texts[i] = id.String()
+	}
+	return strings.Join(texts, ",")
 }
 
 // logHealthChanges logs each endpoint or zone that was ejected after failures or is
--- a/hitchingress/run.go
+++ b/hitchingress/run.go
@@ -51,7 +51,7 @@
 		} else if decision == hitchretry.Retry && (ctx.Err() != nil || !req.takeRetry(result.outcome)) {
 			decision = req.retryState.FinalDecision(result.outcome)
 		}
-		g.logFailedAttempt(req, open[0].pick, result, decision)
+		g.logFailedAttempt(req, open[0], result, decision)
 		if decision != hitchretry.Retry {
 			g.finishFailed(ctx, req, result, decision)
 			return
--- a/hitchingress/standby.go
+++ b/hitchingress/standby.go
@@ -135,7 +135,7 @@
 	f.gateway.finishAttempt(a, result.balancerResult)
 	var decision hitchretry.Decision
 	req.retryState, decision = req.retryState.AfterAttempt(time.Now(), result.outcome)
-	f.gateway.logFailedAttempt(req, a.pick, result, decision)
+	f.gateway.logFailedAttempt(req, a, result, decision)
 	f.timer.Stop()
 	if decision == hitchretry.Retry {
 		f.timer.Reset(0)
--- a/hitchingress/stream.go
+++ b/hitchingress/stream.go
@@ -65,6 +65,7 @@
 	if completeLength == 0 {
 		return attemptResult{}, true
 	}
+	a.hasAnswered = a.hasAnswered || count > 0
 	if !req.stream.headerSent {
 		g.beginStream(req, a.pick)
 		copyHeader(req.writer.Header(), a.response.Header)
