--- a/hitchingress/gateway_test.go
+++ b/hitchingress/gateway_test.go
@@ -30,7 +30,8 @@
 var protocol = Protocol{
 	DecodeRequest: func(r *http.Request, _ time.Time) Request {
 		lastEventID, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
-		return Request{ID: r.Header.Get("Id"), Key: r.Header.Get("Key"), Header: hitchforward.EndToEndHeader(r.Header), LastEventID: lastEventID, Resumes: r.Header.Get("Resumes")}
+		return Request{ID: r.Header.Get("Id"), Key: r.Header.Get("Key"), Header: hitchforward.EndToEndHeader(r.Header), LastEventID: lastEventID, Resumes: r.Header.Get("Resumes"),
+			Prompt: promptOf(r.Header.Get("Parts"))}
 	},
 	EncodeRoutingInfo: func(h http.Header, info RoutingInfo) {
 		h.Set("Endpoint", string(info.Endpoint))
@@ -46,6 +47,16 @@
 	},
 }
 
+// promptOf returns the prompt with parts such as 1,2,3.
+func promptOf(parts string) (p hitchbalance.Prompt) {
+	for field := range strings.SplitSeq(parts, ",") {
+		if id, err := strconv.ParseUint(field, 10, 64); err == nil {
+			p.Parts = append(p.Parts, hitchbalance.Part{ID: hitchbalance.PartID(id), Tokens: 10})
+		}
+	}
+	return p
+}
+
 // backend is a server that sends raw responses. The text {id} is replaced by the
 // request's ID.
 type backend struct {
--- /dev/null
+++ b/hitchingress/quarantine_test.go
@@ -0,0 +1,129 @@
+package hitchingress
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// crashingBackend is an endpoint that crashes as soon as it would write an answer to a
+// request with the part "666", and is back after downTime.
+type crashingBackend struct {
+	backend
+	crashes *atomic.Int64
+
+	mu       sync.Mutex
+	listener net.Listener
+	conns    map[net.Conn]bool
+}
+
+const downTime = 400 * time.Millisecond
+
+func startCrashingBackend(t *testing.T, crashes *atomic.Int64) *crashingBackend {
+	b := &crashingBackend{crashes: crashes}
+	b.addr = "127.0.0.1:0"
+	qt.Assert(t, b.listen(), qt.IsNil)
+	t.Cleanup(b.close)
+	return b
+}
+
+// listen accepts connections at the backend's address.
+func (b *crashingBackend) listen() error {
+	l, err := net.Listen("tcp", b.addr)
+	if err != nil {
+		return err
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.addr, b.listener, b.conns = l.Addr().String(), l, make(map[net.Conn]bool)
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			b.mu.Lock()
+			b.conns[conn] = true
+			b.mu.Unlock()
+			go b.serve(conn)
+		}
+	}()
+	return nil
+}
+
+// close closes the listener and all connections.
+func (b *crashingBackend) close() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	_ = b.listener.Close()
+	for conn := range b.conns {
+		_ = conn.Close()
+	}
+}
+
+func (b *crashingBackend) serve(conn net.Conn) {
+	defer func() { _ = conn.Close() }()
+	r, err := http.ReadRequest(bufio.NewReader(conn))
+	if err != nil {
+		return
+	}
+	_, _ = io.Copy(io.Discard, r.Body)
+	b.requests.Add(1)
+	time.Sleep(5 * time.Millisecond)
+	if strings.Contains(r.Header.Get("Parts"), "666") {
+		b.crashes.Add(1)
+		b.close()
+		time.AfterFunc(downTime, func() { _ = b.listen() })
+		return
+	}
+	_, _ = io.WriteString(conn, strings.ReplaceAll(streamHead+"\r\n"+events12, "{id}", r.Header.Get("Id")))
+}
+
+// TestPartThatCrashesEndpointsIsRefused guards against requests with one part in their
+// prompts that crash one endpoint after the other (rule BUDGET: at most three such requests
+// once five endpoints have crashed).
+func TestPartThatCrashesEndpointsIsRefused(t *testing.T) {
+	const maxCrashes = 5
+	tests := map[string]struct{ parts string }{
+		"behind shared parts":  {"1,2,666,%d"},
+		"before a shared part": {"666,2,%d"},
+		"between them":         {"1,666,2,%d"},
+		"the only shared part": {"666,%d"},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			var crashes atomic.Int64
+			var backends []*backend
+			for range 8 {
+				backends = append(backends, &startCrashingBackend(t, &crashes).backend)
+			}
+			server := startGateway(t, resumableRoute, backends...)
+			ask := func(n int, parts string) (int, http.Header) {
+				status, _, header, _ := sendWith(t, server, map[string]string{"Id": fmt.Sprintf("id-%d", n), "Key": "k", "Parts": fmt.Sprintf(parts, 1000+n)})
+				return status, header
+			}
+			var status int
+			var header http.Header
+			for n := range 12 {
+				status, header = ask(n, test.parts)
+				for i, sound := range []string{"1,2,%d", "2,%d", "1,%d"} {
+					got, _ := ask(100+10*n+i, sound)
+					qt.Assert(t, got, qt.Equals, http.StatusOK, qt.Commentf("parts %s after %d crashes", sound, crashes.Load()))
+				}
+			}
+			qt.Assert(t, crashes.Load() <= maxCrashes, qt.IsTrue, qt.Commentf("%d crashes", crashes.Load()))
+			qt.Assert(t, status, qt.Equals, http.StatusServiceUnavailable)
+			qt.Assert(t, header.Get("Retry-After"), qt.Not(qt.Equals), "")
+		})
+	}
+}
