hitchquarantine: requests with a part at which endpoints crash are refused by the whole fleet

Cause: a request was judged by itself. Each retry, standby and return sent the part that crashes endpoints to the next one, and no instance knew what another had seen. Class: evidence that only the fleet has was used by nobody.

Evidence: at the first crashes just one request without an answer has been at each, its third part is the only one that all have in common, and sound requests with the other two began answers meanwhile (the incident). Ruled out: bad luck (the retried requests crash the next endpoint within 0.2 s), the route and the organisation (others of them are served).

Change: an attempt that is cut before its first event asks whether anything still listens at the endpoint: if not, all shared parts of its prompt become suspects of that crash. An answer that begins on a part clears it. The parts that have most crashes in common, three at least, five if answers began before, are quarantined; where several have the same crashes, only requests with all of them are refused, so that sound requests clear the others. Instances tell the hubs, and hubs all instances, also of other regions. A quarantine has a deadline, after which one instance after the other may send one request as a trial. Refusals are 503 with the time of the next trial if nothing was sent, else 502. 128 suspects at most.

Datagrams have one more field, so that instances of two versions exchange their views by the store alone.

--- a/hitchbalance/backlog_test.go
+++ b/hitchbalance/backlog_test.go
@@ -26,7 +26,7 @@
 		t.Run(name, func(t *testing.T) {
 			b := balancers(fleet(1, 4))[0]
 			backlog := map[hitchfleet.EndpointID]int{}
-			for shared := range PartID(prompts) {
+			for shared := range hitchfleet.PartID(prompts) {
 				p, _ := b.Pick(start, Request{Service: "llm", Prompt: Prompt{Parts: []Part{{ID: shared + 1000, Tokens: promptTokens}, {ID: shared, Tokens: 100}}}, IsRetrySafe: true, BacklogSlackTokens: test.slack})
 				b.Finish(start, Pick{Endpoint: p.Endpoint}, ResultAbandoned) // otherwise the load alone would spread the prompts
 				backlog[p.Endpoint.ID] += promptTokens
--- a/hitchbalance/balancer_test.go
+++ b/hitchbalance/balancer_test.go
@@ -38,7 +38,7 @@
 	}
 }
 
-func prompt(shared PartID) Prompt {
+func prompt(shared hitchfleet.PartID) Prompt {
 	return Prompt{Parts: []Part{{ID: 1, Tokens: 2500}, {ID: shared, Tokens: 6000}, {ID: shared << 20, Tokens: 500}}}
 }
 
@@ -75,7 +75,7 @@
 
 func TestInstancesAgreeWithoutCommunication(t *testing.T) {
 	all := balancers(fleet(8, 9))
-	for shared := range PartID(50) {
+	for shared := range hitchfleet.PartID(50) {
 		first := pick(t, all[0], start, prompt(shared+10))
 		all[0].Finish(start, first, ResultOK)
 		for _, b := range all[1:] {
@@ -91,8 +91,8 @@
 func TestNewEngineTakesNoCachedPrompts(t *testing.T) {
 	f := fleet(4, 9)
 	all := balancers(f)
-	before := make(map[PartID]hitchfleet.EndpointID)
-	for shared := range PartID(60) {
+	before := make(map[hitchfleet.PartID]hitchfleet.EndpointID)
+	for shared := range hitchfleet.PartID(60) {
 		p := pick(t, all[0], start, prompt(shared+10))
 		before[shared] = p.Endpoint.ID
 		all[0].Finish(start, p, ResultOK)
@@ -105,7 +105,7 @@
 		b.SetFleet(at(500), f)
 	}
 	moved := 0
-	for shared := range PartID(60) {
+	for shared := range hitchfleet.PartID(60) {
 		p := pick(t, all[3], at(600), prompt(shared+10))
 		all[3].Finish(at(600), p, ResultOK)
 		if p.Endpoint.ID != before[shared] {
@@ -157,7 +157,7 @@
 	}
 	before, restarted := balancers(older)[0], balancers(f)[0]
 	copied, prefilled := 0, 0
-	for shared := range PartID(200) {
+	for shared := range hitchfleet.PartID(200) {
 		prompt := Prompt{Parts: []Part{{ID: 100 + shared, Tokens: 8000}, {ID: 1 << 20, Tokens: 500}}}
 		at := at(int(shared) * 10)
 		holder := pick(t, before, at, prompt)
@@ -241,7 +241,7 @@
 	inFlight := make(map[hitchfleet.EndpointID]int)
 	aboveBound := 0
 	for n := range requests {
-		p := pick(t, b, at(n), prompt(PartID(n*n%7+10)))
+		p := pick(t, b, at(n), prompt(hitchfleet.PartID(n*n%7+10)))
 		inFlight[p.Endpoint.ID]++
 		if float64(inFlight[p.Endpoint.ID]) > 2*float64(n+1)/engines+3 {
 			aboveBound++
@@ -261,7 +261,7 @@
 	const engines, prompts = 8, 40
 	b := balancers(fleet(1, engines))[0]
 	inFlight := 0
-	send := func(now time.Time, shared PartID) Pick {
+	send := func(now time.Time, shared hitchfleet.PartID) Pick {
 		p := pick(t, b, now, prompt(shared+10))
 		if b.byID[p.Endpoint.ID].ownInFlight > 60 {
 			b.Finish(now, p, ResultOK)
@@ -271,7 +271,7 @@
 		return p
 	}
 	for n := range 8 * prompts {
-		send(start, PartID(n%prompts))
+		send(start, hitchfleet.PartID(n%prompts))
 	}
 	for i := range engines / 2 {
 		e := b.byID[engine(i).ID]
@@ -280,7 +280,7 @@
 	}
 	misplaced := 0
 	for n := range 4 * prompts {
-		if p := send(at(200+n), PartID(n%prompts)); n >= prompts && p.Reason == ByLoad {
+		if p := send(at(200+n), hitchfleet.PartID(n%prompts)); n >= prompts && p.Reason == ByLoad {
 			misplaced++
 		}
 	}
--- a/hitchbalance/health_test.go
+++ b/hitchbalance/health_test.go
@@ -76,7 +76,7 @@
 			b.Finish(inFlight[0].endsAt, inFlight[0].Pick, ResultNoResponse)
 			inFlight = inFlight[1:]
 		}
-		p := pick(t, b, at(ms), prompt(PartID(ms/interval%40+10)))
+		p := pick(t, b, at(ms), prompt(hitchfleet.PartID(ms/interval%40+10)))
 		if p.Endpoint.Zone == unreachable {
 			lost++
 			inFlight = append(inFlight, sent{p, at(ms + timeout)})
@@ -116,7 +116,7 @@
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			b := balancers(fleet(1, 9))[0]
-			for shared := range PartID(20) {
+			for shared := range hitchfleet.PartID(20) {
 				p, refusal := b.Pick(start, Request{Service: "llm", Prompt: prompt(shared + 10), Zone: test.self, UnreachableZones: test.unreachable})
 				qt.Assert(t, refusal, qt.Equals, NotRefused)
 				qt.Assert(t, test.want, qt.Contains, p.Endpoint.Zone)
--- a/hitchbalance/request.go
+++ b/hitchbalance/request.go
@@ -1,21 +1,13 @@
 package hitchbalance
 
 import (
-	"strconv"
-
 	"citronhitch.example/citronhitch/hitchfleet"
 )
 
-// PartID identifies a section of a prompt in all requests.
-type PartID uint64
-
-// String returns the ID as callers write it.
-func (id PartID) String() string { return strconv.FormatUint(uint64(id), 16) }
-
 // Part is a section of a prompt. An engine that has prefilled it after the same
 // earlier parts needn't prefill it again for another request.
 type Part struct {
-	ID     PartID
+	ID     hitchfleet.PartID
 	Tokens int
 }
 
@@ -42,7 +34,7 @@
 }
 
 // Shared returns the IDs of the parts that other requests may share: all but the last.
-func (p Prompt) Shared() (ids []PartID) {
+func (p Prompt) Shared() (ids []hitchfleet.PartID) {
 	for _, part := range p.Parts[:max(len(p.Parts)-1, 0)] {
 		ids = append(ids, part.ID)
 	}
--- a/hitchbalance/surge_test.go
+++ b/hitchbalance/surge_test.go
@@ -82,7 +82,7 @@
 
 func (s *surge) send(now time.Time) {
 	b := s.instances[s.rng.IntN(len(s.instances))]
-	p, refusal := b.Pick(now, Request{Service: "llm", Prompt: prompt(PartID(100 + s.rng.IntN(surgePrompts)))})
+	p, refusal := b.Pick(now, Request{Service: "llm", Prompt: prompt(hitchfleet.PartID(100 + s.rng.IntN(surgePrompts)))})
 	if refusal != NotRefused {
 		panic(fmt.Sprint("refused: ", refusal))
 	}
--- a/hitchdigest/message.go
+++ b/hitchdigest/message.go
@@ -21,6 +21,7 @@
 
 	"citronhitch.example/citronhitch/hitchfleet"
 	"citronhitch.example/citronhitch/hitchorigin"
+	"citronhitch.example/citronhitch/hitchquarantine"
 )
 
 // EndpointRef identifies an endpoint in four bytes.
@@ -117,6 +118,8 @@
 	// Origins are those of streams on routes whose endpoints have several versions. The
 	// receiver is one of their homes.
 	Origins []hitchorigin.Origin
+	// Suspicions are those of an instance, for the hubs, or of a hub, for all.
+	Suspicions *hitchquarantine.SuspicionsMsg
 }
 
 // Encode returns the packet's CBOR encoding.
--- a/hitchedge/digest.go
+++ b/hitchedge/digest.go
@@ -48,6 +48,7 @@
 	for ctx.Err() == nil {
 		r := e.updateRoles(time.Now())
 		e.sendReportAndDigests(socket, r)
+		e.sendSuspicions(socket, r)
 		e.removeSilent(ctx, r)
 		e.sendCacheUpdatesUntil(ctx, socket, r, time.Now().Add(sendInterval(len(r.instances))))
 	}
@@ -168,6 +169,9 @@
 	if packet.CacheUpdate != nil {
 		e.handleCacheUpdate(*packet.CacheUpdate)
 	}
+	if packet.Suspicions != nil {
+		e.gateway.ReceiveSuspicions(now, *packet.Suspicions, e.currentRegion().isHub(packet.Suspicions.From))
+	}
 	if len(packet.Origins) > 0 {
 		e.gateway.ReceiveOrigins(now, packet.Origins)
 	}
--- a/hitchingress/attempt.go
+++ b/hitchingress/attempt.go
@@ -39,8 +39,9 @@
 	hasData bool
 	// isWaitObserved is set once the wait for the first byte was recorded.
 	isWaitObserved bool
-	// hasAnswered is set once a whole event, or a whole other response, has arrived.
-	hasAnswered bool
+	// hasAnswered is set once a whole event, or a whole other response, has arrived, and
+	// wasCut once the connection broke before the response was complete.
+	hasAnswered, wasCut bool
 }
 
 // attemptResult describes how one attempt ended.
@@ -77,10 +78,11 @@
 
 // finishAttempt ends an attempt. Its connection is closed unless the response was read
 // to its end.
-func (g *Gateway) finishAttempt(a *attempt, result hitchbalance.Result) {
+func (g *Gateway) finishAttempt(req *proxyRequest, a *attempt, result hitchbalance.Result) {
 	a.exchange.end()
 	g.Balancer.Finish(time.Now(), a.pick, result)
 	g.logHealthChanges()
+	g.observeCut(req, a)
 }
 
 // endpointMessage builds the request that is sent to an endpoint.
@@ -221,6 +223,8 @@
 		}
 	case hitchforward.FailureCallerGone, hitchforward.FailureTimeout:
 		result.balancerResult = hitchbalance.ResultAbandoned
+	case hitchforward.FailureCut:
+		a.wasCut = true
 	case hitchforward.FailureSilent:
 		g.Conns.CloseIdle(a.pick.Endpoint.Addr)
 	}
@@ -257,7 +261,7 @@
 		return attemptResult{outcome: hitchretry.Failed, balancerResult: hitchbalance.ResultFailed, response: response}
 	}
 	req.dispatchTracker.MarkAnswered()
-	a.hasAnswered = true
+	g.observeAnswer(req, a)
 	g.Balancer.ObservePrefill(time.Now(), a.pick)
 	g.writeResponse(req, response)
 	return attemptResult{isFinal: true, balancerResult: hitchbalance.ResultOK}
--- a/hitchingress/follower.go
+++ b/hitchingress/follower.go
@@ -37,7 +37,7 @@
 			f.dropStandbys()
 		}
 		result.next = f.standbys
-		g.finishAttempt(a, result.balancerResult)
+		g.finishAttempt(req, a, result.balancerResult)
 	}()
 	f.resetTimer()
 	if a.response != nil { // it arrived while the attempt was a standby
--- a/hitchingress/gateway.go
+++ b/hitchingress/gateway.go
@@ -15,12 +15,14 @@
 	"time"
 
 	"github.com/hashicorp/go-hclog"
+	"golang.org/x/sync/singleflight"
 
 	"citronhitch.example/citronhitch/hitchadmit"
 	"citronhitch.example/citronhitch/hitchbalance"
 	"citronhitch.example/citronhitch/hitchfleet"
 	"citronhitch.example/citronhitch/hitchforward"
 	"citronhitch.example/citronhitch/hitchorigin"
+	"citronhitch.example/citronhitch/hitchquarantine"
 	"citronhitch.example/citronhitch/hitchretry"
 	"citronhitch.example/citronhitch/hitchview"
 )
@@ -46,9 +48,13 @@
 	Origins        hitchorigin.Tracker
 	OriginExchange OriginExchange
 
-	view     atomic.Pointer[hitchview.View]
-	drain    atomic.Pointer[Drain] // nil unless the instance shuts down
-	inFlight inFlightRequests
+	// Quarantine decides which parts of prompts are refused, as endpoints crash at them.
+	Quarantine hitchquarantine.Tracker
+
+	crashChecks singleflight.Group
+	view        atomic.Pointer[hitchview.View]
+	drain       atomic.Pointer[Drain] // nil unless the instance shuts down
+	inFlight    inFlightRequests
 
 	mu            sync.Mutex
 	serviceStates map[hitchfleet.ServiceID]*serviceState
--- a/hitchingress/gateway_test.go
+++ b/hitchingress/gateway_test.go
@@ -51,7 +51,7 @@
 func promptOf(parts string) (p hitchbalance.Prompt) {
 	for field := range strings.SplitSeq(parts, ",") {
 		if id, err := strconv.ParseUint(field, 10, 64); err == nil {
-			p.Parts = append(p.Parts, hitchbalance.Part{ID: hitchbalance.PartID(id), Tokens: 10})
+			p.Parts = append(p.Parts, hitchbalance.Part{ID: hitchfleet.PartID(id), Tokens: 10})
 		}
 	}
 	return p
--- a/hitchingress/log.go
+++ b/hitchingress/log.go
@@ -44,7 +44,7 @@
 }
 
 // partList returns the IDs of parts as they are logged.
-func partList(parts []hitchbalance.PartID) string {
+func partList(parts []hitchfleet.PartID) string {
 	texts := make([]string, len(parts))
 	for i, id := range parts {
 		texts[i] = id.String()
--- a/hitchingress/metrics.go
+++ b/hitchingress/metrics.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"citronhitch.example/citronhitch/hitchquarantine"
 )
 
 // Range and precision of the latency histograms.
@@ -25,6 +27,10 @@
 	// why they can't.
 	resumptions map[string]int64
 	latencies   map[string]*hdrhistogram.Histogram
+	// quarantineDecisions counts decisions about parts of prompts, and
+	// quarantineRefusals the requests that were ended for them.
+	quarantineDecisions map[hitchquarantine.DecisionKind]int64
+	quarantineRefusals  int64
 }
 
 // requestKey holds the labels of the request counter.
@@ -95,6 +101,29 @@
 	m.resumptions[result]++
 }
 
+// countQuarantineDecision counts a decision about a part of prompts.
+func (m *Metrics) countQuarantineDecision(kind hitchquarantine.DecisionKind) {
+	if m == nil {
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.quarantineDecisions == nil {
+		m.quarantineDecisions = make(map[hitchquarantine.DecisionKind]int64)
+	}
+	m.quarantineDecisions[kind]++
+}
+
+// countQuarantineRefusal counts a request that was ended for a part of its prompt.
+func (m *Metrics) countQuarantineRefusal() {
+	if m == nil {
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.quarantineRefusals++
+}
+
 // quantiles are the exported latency quantiles, in percent.
 var quantiles = []float64{50, 90, 99}
 
@@ -112,6 +141,10 @@
 	for result, count := range m.resumptions {
 		out.printf("citronhitch_stream_resumptions_total{result=%q} %d\n", result, count)
 	}
+	for kind, count := range m.quarantineDecisions {
+		out.printf("citronhitch_quarantine_decisions_total{decision=%q} %d\n", kind, count)
+	}
+	out.printf("citronhitch_quarantine_refusals_total %d\n", m.quarantineRefusals)
 	for kind, histogram := range m.latencies {
 		for _, quantile := range quantiles {
 			out.printf("citronhitch_first_answer_milliseconds{kind=%q,quantile=\"%g\"} %d\n", kind, quantile/100, histogram.ValueAtQuantile(quantile))
--- a/hitchingress/run.go
+++ b/hitchingress/run.go
@@ -63,7 +63,14 @@
 // nextAttempt sends the request to the endpoint that suits it best. It returns nil if
 // there is none, and the request has its final response.
 func (g *Gateway) nextAttempt(ctx context.Context, req *proxyRequest) *attempt {
+	req.isTrial = false
 	for {
+		if !req.isTrial {
+			if refusal := g.admit(req); refusal != nil {
+				g.finishQuarantined(req, *refusal)
+				return nil
+			}
+		}
 		pick, refusal := g.Balancer.Pick(time.Now(), g.pickRequest(req))
 		if refusal != hitchbalance.NotRefused {
 			g.finishWithoutEndpoint(req, refusal, pick.RetryAt)
--- a/hitchingress/serve.go
+++ b/hitchingress/serve.go
@@ -37,7 +37,9 @@
 	unreachableZones []hitchfleet.AvailabilityZone
 	stream           streamState
 	origin           streamOrigin
-	logEntry         logEntry
+	// isTrial is set while the request tries whether a quarantined part has been mended.
+	isTrial  bool
+	logEntry logEntry
 }
 
 // ServeHTTP serves one request of a caller.
--- a/hitchingress/standby.go
+++ b/hitchingress/standby.go
@@ -39,6 +39,9 @@
 	if !budget.AllowsOptionalRetry(now) {
 		return nil
 	}
+	if f.gateway.admit(req) != nil {
+		return nil
+	}
 	request := f.gateway.pickRequest(req)
 	request.UnreachableZones = append(request.UnreachableZones, f.current.pick.Endpoint.Zone)
 	pick, refusal := f.gateway.Balancer.Pick(now, request)
@@ -132,7 +135,7 @@
 func (f *follower) standbyFailed(a *attempt, result attemptResult) {
 	req := f.req
 	f.removeStandby(a)
-	f.gateway.finishAttempt(a, result.balancerResult)
+	f.gateway.finishAttempt(req, a, result.balancerResult)
 	var decision hitchretry.Decision
 	req.retryState, decision = req.retryState.AfterAttempt(time.Now(), result.outcome)
 	f.gateway.logFailedAttempt(req, a, result, decision)
@@ -149,7 +152,7 @@
 // dropStandbys ends the standbys. Each may have run.
 func (f *follower) dropStandbys() {
 	for _, a := range f.standbys {
-		f.gateway.finishAttempt(a, hitchbalance.ResultAbandoned)
+		f.gateway.finishAttempt(f.req, a, hitchbalance.ResultAbandoned)
 		f.req.retryState, _ = f.req.retryState.AfterAttempt(time.Now(), hitchretry.Lost)
 	}
 	f.standbys = nil
--- a/hitchingress/stream.go
+++ b/hitchingress/stream.go
@@ -65,7 +65,9 @@
 	if completeLength == 0 {
 		return attemptResult{}, true
 	}
-	a.hasAnswered = a.hasAnswered || count > 0
+	if count > 0 {
+		g.observeAnswer(req, a)
+	}
 	if !req.stream.headerSent {
 		g.beginStream(req, a.pick)
 		copyHeader(req.writer.Header(), a.response.Header)
--- a/hitchoutcome/refusal.go
+++ b/hitchoutcome/refusal.go
@@ -32,8 +32,10 @@
 	ReasonOriginUnknown Reason = "OriginUnknown"
 	ReasonOtherVersions Reason = "OtherVersions"
 	ReasonLeaving       Reason = "Leaving"
-	ReasonConflict      Reason = "Conflict"
-	ReasonInternal      Reason = "Internal"
+	// ReasonQuarantined is for requests at which endpoints crash.
+	ReasonQuarantined Reason = "Quarantined"
+	ReasonConflict    Reason = "Conflict"
+	ReasonInternal    Reason = "Internal"
 )
 
 // Refusal is the final response to a request that the system doesn't serve or has
--- /dev/null
+++ b/hitchquarantine/decision.go
@@ -0,0 +1,68 @@
+package hitchquarantine
+
+import (
+	"time"
+
+	"citronhitch.example/citronhitch/hitchfleet"
+)
+
+// DecisionKind is what was decided about a part.
+type DecisionKind uint8
+
+// The decisions.
+const (
+	// Quarantined means that requests with the part are refused.
+	Quarantined DecisionKind = iota
+	// Tried means that the quarantine is over, and one request is sent as a trial.
+	Tried
+	// Extended means that an endpoint crashed in a trial.
+	Extended
+	// Released means that an answer on the part has begun.
+	Released
+	// Lifted means that another part explains the crashes.
+	Lifted
+)
+
+// String returns the kind's name in logs and metrics.
+func (k DecisionKind) String() string {
+	return [...]string{"Quarantined", "Tried", "Extended", "Released", "Lifted"}[k]
+}
+
+// Decision is a decision about a part, with its evidence.
+type Decision struct {
+	Kind DecisionKind
+	Part hitchfleet.PartID
+	// Crashes is the number of crashes that count against the part, and FirstCrashAt and
+	// LastCrashAt are when this instance learned of them.
+	Crashes                   int
+	FirstCrashAt, LastCrashAt time.Time
+	// HasAnswered is set if answers on the part have begun before.
+	HasAnswered bool
+	// From is the instance that decided this; empty for this instance itself.
+	From hitchfleet.InstanceID
+	// ReleaseAt is the end of the quarantine.
+	ReleaseAt time.Time
+}
+
+// maxDecisions limits the decisions that are kept for TakeDecisions.
+const maxDecisions = 256
+
+// record records a decision for TakeDecisions.
+func (t *Tracker) record(s *suspect, kind DecisionKind, from hitchfleet.InstanceID) {
+	if len(t.decisions) >= maxDecisions {
+		return
+	}
+	t.decisions = append(t.decisions, Decision{
+		Kind: kind, Part: s.part, Crashes: len(s.crashes), FirstCrashAt: s.firstCrashAt, LastCrashAt: s.lastCrashAt,
+		HasAnswered: s.hasAnswered, From: from, ReleaseAt: s.releaseAt,
+	})
+}
+
+// TakeDecisions returns the decisions since the last call.
+func (t *Tracker) TakeDecisions() []Decision {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	decisions := t.decisions
+	t.decisions = nil
+	return decisions
+}
--- /dev/null
+++ b/hitchquarantine/judge.go
@@ -0,0 +1,82 @@
+package hitchquarantine
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// judge quarantines the parts that explain the crashes: time and again the one that has most
+// of the unexplained crashes. Sound parts that are in the same requests, or in others at the
+// same endpoints, have fewer crashes, or none that isn't explained.
+func (t *Tracker) judge(now time.Time) {
+	suspects := t.sorted(func(_, _ *suspect) int { return 0 })
+	explained := make(map[CrashID]bool)
+	isCause := make(map[*suspect]bool)
+	for {
+		cause := t.nextCause(suspects, isCause, explained)
+		if cause == nil {
+			break
+		}
+		for _, s := range suspects {
+			isCause[s] = isCause[s] || t.isAsSuspect(s, cause)
+		}
+		for _, crash := range cause.crashes {
+			explained[crash] = true
+		}
+	}
+	for _, s := range suspects {
+		switch {
+		case isCause[s] && !s.isQuarantined():
+			t.quarantine(now, s, Quarantined)
+			s.extend(now)
+		case s.level == 1 && !isCause[s] && len(s.crashes) > 0:
+			s.level, s.releaseAt = 0, time.Time{}
+			t.record(s, Lifted, "")
+			s.extend(now)
+		}
+	}
+}
+
+// nextCause returns the suspect that explains the most crashes, if these are enough, or nil.
+func (t *Tracker) nextCause(suspects []*suspect, isCause map[*suspect]bool, explained map[CrashID]bool) (best *suspect) {
+	bestCount := 0
+	for _, s := range suspects {
+		if isCause[s] {
+			continue
+		}
+		if count := s.unexplained(explained); count >= t.threshold(s) && count > bestCount {
+			best, bestCount = s, count
+		}
+	}
+	return best
+}
+
+// isAsSuspect reports whether a suspect has the same crashes as a cause, so that either may
+// be it.
+func (t *Tracker) isAsSuspect(s, cause *suspect) bool {
+	return s.hasAnswered == cause.hasAnswered && slices.Equal(s.crashes, cause.crashes)
+}
+
+// threshold returns the number of unexplained crashes for which a part is quarantined, or
+// stays so.
+func (t *Tracker) threshold(s *suspect) int {
+	if s.isQuarantined() {
+		return 1
+	}
+	return cmp.Or(t.limits.Crashes, DefaultCrashes)
+}
+
+// unexplained returns the number of crashes that count against a suspect and that no other
+// part explains.
+func (s *suspect) unexplained(explained map[CrashID]bool) (n int) {
+	for _, crash := range s.crashes {
+		if !explained[crash] {
+			n++
+		}
+	}
+	if s.hasAnswered {
+		n -= answeredDiscount
+	}
+	return n
+}
