hitchingress: a stream without length or chunks that ends before its first event has been broken off

What callers would see: an endpoint that ends its connection after the head of such a stream, as in a crash, gave an empty answer with status 200, passed on as whole.

Cause: nothing but the end of the connection says that such a stream is whole, and only an incomplete event counted against it. Evidence: TestAnswersWithoutLengthOrChunks, of its eight cases the one without an event failed before; the others (inside an event, reset after an event, plain answers) were right already. A stream that goes on after its last event may end at once, which has a test too.

--- a/hitchingress/standby.go
+++ b/hitchingress/standby.go
@@ -111,7 +111,7 @@
 	switch {
 	case err != nil || count > 0:
 		return err == nil, err
-	case a.isWhole && len(a.begun) > 0:
+	case a.isWhole && req.isBrokenOff(a, a.begun):
 		return false, io.ErrUnexpectedEOF
 	case len(a.begun) > maxEventBytes:
 		return false, errEventTooLong
--- a/hitchingress/stream.go
+++ b/hitchingress/stream.go
@@ -126,10 +126,21 @@
 	return 0, false
 }
 
+// isBrokenOff reports whether a stream that has ended with its connection isn't whole, as it
+// ended inside an event, or before the first one.
+func (req *proxyRequest) isBrokenOff(a *attempt, rest []byte) bool {
+	isEmpty := req.stream.lastEventID == 0 && isUnframed(a.response)
+	return len(rest) > 0 || isEmpty
+}
+
+// isUnframed reports whether a response has neither a length nor chunks, so that nothing but
+// the end of its connection says that it is whole.
+func isUnframed(r *http.Response) bool { return r.ContentLength < 0 && len(r.TransferEncoding) == 0 }
+
 // finishStream ends an attempt whose stream was read to its end. The attempt has failed
-// if the last event is incomplete.
+// if the stream was broken off.
 func (req *proxyRequest) finishStream(a *attempt) attemptResult {
-	if len(req.stream.buffered) > 0 {
+	if req.isBrokenOff(a, req.stream.buffered) {
 		return attemptResult{outcome: hitchretry.Lost, balancerResult: hitchbalance.ResultConnectionLost, err: io.ErrUnexpectedEOF}
 	}
 	if !req.stream.headerSent {
