--- a/hitchquarantine/decision.go
+++ b/hitchquarantine/decision.go
@@ -58,6 +58,33 @@
 	})
 }
 
+// levels returns the levels of all suspects.
+func (t *Tracker) levels() map[hitchfleet.PartID]uint8 {
+	levels := make(map[hitchfleet.PartID]uint8, len(t.suspects))
+	for part, s := range t.suspects {
+		levels[part] = s.level
+	}
+	return levels
+}
+
+// recordChanges records the decisions that have changed levels, which follow from a message
+// of an instance unless from is empty.
+func (t *Tracker) recordChanges(before map[hitchfleet.PartID]uint8, from hitchfleet.InstanceID) {
+	for _, s := range t.sorted(func(_, _ *suspect) int { return 0 }) {
+		switch old := before[s.part]; {
+		case s.level == old:
+		case s.level == 0 && len(s.crashes) > 0:
+			t.record(s, Lifted, from)
+		case s.level == 0:
+			t.record(s, Released, from)
+		case old == 0:
+			t.record(s, Quarantined, from)
+		default:
+			t.record(s, Extended, from)
+		}
+	}
+}
+
 // TakeDecisions returns the decisions since the last call.
 func (t *Tracker) TakeDecisions() []Decision {
 	t.mu.Lock()
--- a/hitchquarantine/judge.go
+++ b/hitchquarantine/judge.go
@@ -28,11 +28,10 @@
 	for _, s := range suspects {
 		switch {
 		case isCause[s] && !s.isQuarantined():
-			t.quarantine(now, s, Quarantined)
+			t.quarantine(now, s)
 			s.extend(now)
 		case s.level == 1 && !isCause[s] && len(s.crashes) > 0:
 			s.level, s.releaseAt = 0, time.Time{}
-			t.record(s, Lifted, "")
 			s.extend(now)
 		}
 	}
--- a/hitchquarantine/spread.go
+++ b/hitchquarantine/spread.go
@@ -1,10 +1,6 @@
 package hitchquarantine
 
-import (
-	"time"
-
-	"citronhitch.example/citronhitch/hitchfleet"
-)
+import "time"
 
 // Times and sizes of messages.
 const (
@@ -69,15 +65,14 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.expire(now)
+	before := t.levels()
 	hasChanged := false
 	for _, m := range msg.Suspicions[:min(len(msg.Suspicions), maxPerMessage)] {
 		s := t.suspect(now, m.Part)
 		if s == nil {
 			continue
 		}
-		before := s.level
 		if s.merge(now, m) {
-			t.recordLearned(s, before, msg.From)
 			s.extend(now)
 			hasChanged = true
 		}
@@ -87,18 +82,6 @@
 	}
 	if hasChanged {
 		t.judge(now)
-	}
-}
-
-// recordLearned records the decision of another instance that has changed a suspect's level.
-func (t *Tracker) recordLearned(s *suspect, before uint8, from hitchfleet.InstanceID) {
-	switch {
-	case s.level == before:
-	case s.level == 0:
-		t.record(s, Released, from)
-	case before == 0:
-		t.record(s, Quarantined, from)
-	default:
-		t.record(s, Extended, from)
+		t.recordChanges(before, msg.From)
 	}
 }
--- a/hitchquarantine/tracker.go
+++ b/hitchquarantine/tracker.go
@@ -109,19 +109,21 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.expire(now)
+	before := t.levels()
 	for _, part := range limitParts(parts) {
 		s := t.suspect(now, part)
 		if s == nil {
 			continue
 		}
 		if s.isQuarantined() && !now.Before(s.releaseAt) {
-			t.quarantine(now, s, Extended)
+			t.quarantine(now, s)
 		}
 		if s.addCrash(now, crash) {
 			s.extend(now)
 		}
 	}
 	t.judge(now)
+	t.recordChanges(before, "")
 }
 
 // Refusal says which part of a request is quarantined, and until when.
@@ -238,12 +240,11 @@
 }
 
 // quarantine refuses requests with a part, for twice as long each further time.
-func (t *Tracker) quarantine(now time.Time, s *suspect, kind DecisionKind) {
+func (t *Tracker) quarantine(now time.Time, s *suspect) {
 	seconds := cmp.Or(t.limits.QuarantineSeconds, DefaultQuarantineSeconds)
 	length := min(time.Duration(seconds)*time.Second<<min(s.level, 16), maxQuarantine)
 	s.startLevel(s.level + 1)
 	s.releaseAt = now.Add(length)
-	t.record(s, kind, "")
 }
 
 // limitParts returns the last parts of a list, which the fewest requests have.
--- /dev/null
+++ b/hitchquarantine/tracker_test.go
@@ -0,0 +1,194 @@
+package hitchquarantine
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"citronhitch.example/citronhitch/hitchfleet"
+)
+
+type parts = []hitchfleet.PartID
+
+var start = time.Date(2026, 12, 4, 0, 0, 0, 0, time.UTC)
+
+func at(d time.Duration) time.Time { return start.Add(d) }
+
+// event is a crash with the parts of a request without an answer, or an answer.
+type event struct {
+	crash CrashID // 0 for an answer
+	parts parts
+}
+
+// TestJudge checks which requests are refused after a series of events, one each second.
+func TestJudge(t *testing.T) {
+	tests := map[string]struct {
+		events            []event
+		refused, admitted []parts
+	}{
+		"two crashes": {
+			events:   []event{{1, parts{1, 9}}, {2, parts{1, 9}}},
+			admitted: []parts{{1, 9}},
+		},
+		"three crashes, other parts differ": {
+			events:   []event{{1, parts{1, 9}}, {2, parts{2, 9}}, {3, parts{3, 9}}},
+			refused:  []parts{{9}, {1, 9}, {4, 5, 9}},
+			admitted: []parts{{1}, {2}, {1, 2, 3}},
+		},
+		"one crash seen by three requests": {
+			events:   []event{{1, parts{1, 9}}, {1, parts{2, 9}}, {1, parts{3, 9}}},
+			admitted: []parts{{9}},
+		},
+		"the same parts each time, only all of them are refused": {
+			events:   []event{{1, parts{1, 2, 9}}, {2, parts{1, 2, 9}}, {3, parts{1, 2, 9}}},
+			refused:  []parts{{1, 2, 9}, {1, 2, 9, 4}},
+			admitted: []parts{{1, 2}, {9}, {2, 9}},
+		},
+		"an answer clears the sound one of them": {
+			events:   []event{{1, parts{1, 9}}, {2, parts{1, 9}}, {3, parts{1, 9}}, {0, parts{1}}},
+			refused:  []parts{{9}, {1, 9}},
+			admitted: []parts{{1}},
+		},
+		"answers between the crashes": {
+			events:   []event{{1, parts{9}}, {0, parts{9}}, {2, parts{9}}, {0, parts{9}}, {3, parts{9}}, {0, parts{9}}, {4, parts{9}}},
+			admitted: []parts{{9}},
+		},
+		"answers only before the crashes": {
+			events:   []event{{0, parts{9}}, {1, parts{9}}, {2, parts{9}}, {3, parts{9}}, {4, parts{9}}},
+			admitted: []parts{{9}},
+		},
+		"answers only before five crashes": {
+			events:  []event{{0, parts{9}}, {1, parts{9}}, {2, parts{9}}, {3, parts{9}}, {4, parts{9}}, {5, parts{9}}},
+			refused: []parts{{9}},
+		},
+		"a sound part at the same endpoints": {
+			events:   []event{{1, parts{9}}, {1, parts{1}}, {2, parts{9}}, {2, parts{1}}, {3, parts{9}}, {4, parts{9}}},
+			refused:  []parts{{9}},
+			admitted: []parts{{1}},
+		},
+		"a sound part that many requests have": {
+			events: []event{
+				{0, parts{1}}, {1, parts{1, 9}}, {2, parts{1, 9}}, {3, parts{1, 9}}, {4, parts{1}},
+			},
+			refused:  []parts{{1, 9}, {9}},
+			admitted: []parts{{1}, {1, 2}},
+		},
+		"two causes with a part in common": {
+			events: []event{
+				{0, parts{1}}, {1, parts{1, 8}}, {2, parts{1, 9}}, {3, parts{1, 8}}, {0, parts{1}}, {4, parts{1, 9}}, {5, parts{1, 8}}, {6, parts{1, 9}},
+			},
+			refused:  []parts{{8}, {9}, {1, 8}, {1, 9}},
+			admitted: []parts{{1}},
+		},
+		"the common part is the cause": {
+			events: []event{
+				{1, parts{9, 1}}, {2, parts{9, 1}}, {3, parts{9, 1}}, {4, parts{9, 2}}, {5, parts{9, 3}},
+			},
+			refused:  []parts{{9}, {9, 1}, {9, 5}},
+			admitted: []parts{{1}, {2}},
+		},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			var tracker Tracker
+			now := start
+			for _, e := range test.events {
+				now = now.Add(time.Second)
+				if e.crash == 0 {
+					tracker.RecordAnswer(now, e.parts)
+				} else {
+					tracker.RecordCrash(now, e.crash, e.parts)
+				}
+			}
+			for _, p := range test.refused {
+				qt.Assert(t, tracker.Admit(now, p).Refusal, qt.IsNotNil, qt.Commentf("%v", p))
+			}
+			for _, p := range test.admitted {
+				qt.Assert(t, tracker.Admit(now, p).Refusal, qt.IsNil, qt.Commentf("%v", p))
+			}
+		})
+	}
+}
+
+// quarantined returns a tracker that has quarantined part 9.
+func quarantined(rank int) *Tracker {
+	t := &Tracker{Rank: func(hitchfleet.PartID) int { return rank }}
+	for crash := range CrashID(3) {
+		t.RecordCrash(start, crash+1, parts{9})
+	}
+	return t
+}
+
+// TestPartThatHasBeenMendedComesBack covers the trials after the end of a quarantine.
+func TestPartThatHasBeenMendedComesBack(t *testing.T) {
+	const length = DefaultQuarantineSeconds * time.Second
+	tracker := quarantined(0)
+	qt.Assert(t, tracker.Admit(at(length-time.Second), parts{9}).Refusal.ReleaseAt, qt.Equals, at(length))
+	qt.Assert(t, tracker.Admit(at(length), parts{9}), qt.Equals, Admission{IsTrial: true})
+	qt.Assert(t, tracker.Admit(at(length), parts{9}).Refusal, qt.IsNotNil, qt.Commentf("one trial at a time"))
+	tracker.RecordCrash(at(length+time.Second), 4, parts{9})
+	qt.Assert(t, tracker.Admit(at(length+time.Second), parts{9}).Refusal.ReleaseAt, qt.Equals, at(3*length+time.Second), qt.Commentf("twice as long"))
+	qt.Assert(t, tracker.Admit(at(3*length+time.Second), parts{9}).IsTrial, qt.IsTrue)
+	tracker.RecordAnswer(at(3*length+2*time.Second), parts{9})
+	qt.Assert(t, tracker.Admit(at(3*length+2*time.Second), parts{9}), qt.Equals, Admission{})
+	var kinds []DecisionKind
+	for _, d := range tracker.TakeDecisions() {
+		kinds = append(kinds, d.Kind)
+	}
+	qt.Assert(t, kinds, qt.DeepEquals, []DecisionKind{Quarantined, Tried, Extended, Tried, Released})
+}
+
+// TestInstancesTryOneAfterTheOther checks that an instance learns the result of a trial
+// before its own.
+func TestInstancesTryOneAfterTheOther(t *testing.T) {
+	tracker := quarantined(2)
+	end := at(DefaultQuarantineSeconds * time.Second)
+	qt.Assert(t, tracker.Admit(end.Add(2*trialStep-1), parts{9}).Refusal.ReleaseAt, qt.Equals, end.Add(2*trialStep))
+	qt.Assert(t, tracker.Admit(end.Add(2*trialStep), parts{9}).IsTrial, qt.IsTrue)
+}
+
+func TestLimits(t *testing.T) {
+	tests := map[string]struct {
+		limits  Limits
+		crashes int
+		want    time.Time
+	}{
+		"defaults":       {Limits{}, 3, at(time.Minute)},
+		"fewer crashes":  {Limits{Crashes: 2}, 2, at(time.Minute)},
+		"more crashes":   {Limits{Crashes: 4}, 3, time.Time{}},
+		"longer":         {Limits{QuarantineSeconds: 90}, 3, at(90 * time.Second)},
+		"off":            {Limits{IsOff: true}, 8, time.Time{}},
+		"at most maxima": {Limits{QuarantineSeconds: 7200}, 3, at(maxQuarantine)},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			var tracker Tracker
+			tracker.SetLimits(test.limits)
+			for crash := range test.crashes {
+				tracker.RecordCrash(start, CrashID(crash), parts{9})
+			}
+			var got time.Time
+			if refusal := tracker.Admit(start, parts{9}).Refusal; refusal != nil {
+				got = refusal.ReleaseAt
+			}
+			qt.Assert(t, got, qt.Equals, test.want)
+		})
+	}
+}
+
+// TestMemoryIsBounded covers a crash at which very many parts are in flight, and more parts
+// that crash endpoints than are kept.
+func TestMemoryIsBounded(t *testing.T) {
+	var tracker Tracker
+	for n := range hitchfleet.PartID(10_000) {
+		tracker.RecordCrash(start, CrashID(n%5), parts{n, n + 1, n + 2})
+		tracker.RecordAnswer(start, parts{100_000 + n})
+	}
+	qt.Assert(t, len(tracker.suspects) <= maxSuspects, qt.IsTrue)
+	qt.Assert(t, len(tracker.answered.current)+len(tracker.answered.previous) <= 2*maxGenerationParts, qt.IsTrue)
+	qt.Assert(t, len(tracker.Due(start, true)) <= maxPerMessage, qt.IsTrue)
+	later := at(2 * time.Hour)
+	tracker.RecordCrash(later, 1, parts{1})
+	qt.Assert(t, len(tracker.suspects), qt.Equals, 1, qt.Commentf("all others have expired"))
+}
