The quarantine outlasts the loss of all instances; its settings and its gauge

What callers would see: after all instances are lost, the part that crashes endpoints has to be found again, by three crashes.

Change: the primary hub writes the quarantined parts to the store when they change, and reads them in its first 30 s.

--- a/hitchedge/edge.go
+++ b/hitchedge/edge.go
@@ -2,7 +2,7 @@
 // its listen addresses, keeps its view of the fleet up to date, and shuts it down
 // gracefully.
 //
-//	err := hitchedge.Run(ctx, "/etc/citronhitch/node.toml", os.Stdout)
+//	err := hitchedge.Run(ctx, "/etc/citronhitch/node.toml", hitchedge.Options{}, os.Stdout)
 package hitchedge
 
 import (
@@ -26,6 +26,7 @@
 	"citronhitch.example/citronhitch/hitchdigest"
 	"citronhitch.example/citronhitch/hitchforward"
 	"citronhitch.example/citronhitch/hitchingress"
+	"citronhitch.example/citronhitch/hitchquarantine"
 	"citronhitch.example/citronhitch/hitchview"
 	hitchplatform "citronhitch.example/citronhitch/platform"
 )
@@ -62,8 +63,10 @@
 	unlisted hitchdigest.Unlisted
 	// isRemoving is set while entries of silent instances are removed from the store.
 	isRemoving atomic.Bool
-	// versionsRecord is used by followVersions alone.
-	versionsRecord versionsRecord
+	// versionsRecord, quarantineRecord and quarantineRead are used by followRecords alone.
+	versionsRecord, quarantineRecord storeRecord
+	// quarantineRead is set once the store's record of the quarantine was read.
+	quarantineRead bool
 	election       hitchdigest.Election
 	regionMu       sync.Mutex // held while region changes
 	region         atomic.Pointer[region]
@@ -77,9 +80,15 @@
 	currency currency
 }
 
+// Options are the settings that don't come from the platform.
+type Options struct {
+	// Quarantine sets when parts of prompts are quarantined.
+	Quarantine hitchquarantine.Limits
+}
+
 // Run runs an instance with the settings file at path until ctx ends, and then shuts
 // it down gracefully. The log is written to out.
-func Run(ctx context.Context, path string, out io.Writer) error {
+func Run(ctx context.Context, path string, options Options, out io.Writer) error {
 	// Once registered, SIGHUP no longer ends the process.
 	reloadSignals := make(chan os.Signal, 1)
 	signal.Notify(reloadSignals, syscall.SIGHUP)
@@ -93,6 +102,7 @@
 	log := hclog.New(&hclog.LoggerOptions{Name: "citronhitch", Level: hclog.Info, Output: sink})
 	edge := &Edge{Settings: settings, Log: log}
 	edge.initialize()
+	edge.gateway.Quarantine.SetLimits(options.Quarantine)
 	go edge.reloadOnSignal(ctx, path, reloadSignals)
 	return edge.Run(ctx)
 }
@@ -157,7 +167,7 @@
 	group.Go(func() error { e.follower.Run(runCtx); return nil })
 	group.Go(func() error { return e.exchangeDatagrams(runCtx) })
 	group.Go(func() error { e.trackCurrency(runCtx); return nil })
-	group.Go(func() error { e.followVersions(runCtx); return nil })
+	group.Go(func() error { e.followRecords(runCtx); return nil })
 	leaving, leave := context.WithCancel(runCtx)
 	defer leave()
 	stopLeave := context.AfterFunc(ctx, leave)
@@ -272,7 +282,8 @@
 	}
 	w.Header().Set("Content-Type", "text/plain; version=0.0.4")
 	view := e.gateway.View()
-	_, eraErr := fmt.Fprintf(w, "citronhitch_store_era %d\ncitronhitch_store_revision %d\n", view.Revision.Era(), view.Revision.Number())
+	_, eraErr := fmt.Fprintf(w, "citronhitch_store_era %d\ncitronhitch_store_revision %d\ncitronhitch_quarantined_parts %d\n",
+		view.Revision.Era(), view.Revision.Number(), e.gateway.Quarantine.Quarantined(time.Now()))
 	_, err := e.metrics.WriteTo(w)
 	if err = errors.Join(eraErr, err); err != nil {
 		e.Log.Warn("failed to write metrics", "Error", err)
--- a/hitchedge/suspicion.go
+++ b/hitchedge/suspicion.go
@@ -1,6 +1,9 @@
 package hitchedge
 
 import (
+	"context"
+	"encoding/json"
+	"errors"
 	"net"
 	"slices"
 	"time"
@@ -8,6 +11,7 @@
 	"citronhitch.example/citronhitch/hitchdigest"
 	"citronhitch.example/citronhitch/hitchfleet"
 	"citronhitch.example/citronhitch/hitchquarantine"
+	hitchplatform "citronhitch.example/citronhitch/platform"
 )
 
 // sendSuspicions sends what is known of parts of prompts at which endpoints crash: to the
@@ -43,3 +47,45 @@
 	}
 	return hubs
 }
+
+// startTime is how long after its start an instance may be one of a fleet that was lost as a
+// whole. Later it knows what the others know.
+const startTime = 30 * time.Second
+
+// followQuarantine keeps the store's record of the quarantined parts, which the primary hub
+// reads after its start. It isn't written before there is one.
+func (e *Edge) followQuarantine(ctx context.Context) {
+	if isStarting := time.Since(e.gateway.StartedAt) < startTime; isStarting && !e.quarantineRead {
+		e.quarantineRead = e.readQuarantine(ctx)
+		return
+	}
+	record := e.gateway.Quarantine.Record(time.Now())
+	if len(record.Parts) > 0 || e.quarantineRecord.written != "" {
+		e.writeRecord(ctx, hitchplatform.QuarantineRecord, &e.quarantineRecord, record)
+	}
+}
+
+// readQuarantine adds what the store's record says. It returns false if the store couldn't
+// be read.
+func (e *Edge) readQuarantine(ctx context.Context) bool {
+	now := time.Now()
+	if now.Before(e.quarantineRecord.retryAt) {
+		return false
+	}
+	value, err := e.store.Record(ctx, hitchplatform.QuarantineRecord)
+	if errors.Is(err, hitchplatform.ErrNotFound) {
+		return true
+	}
+	if err != nil {
+		e.quarantineRecord.retryAt = now.Add(recordRetryDelay)
+		return false
+	}
+	var record hitchquarantine.Record
+	if err := json.Unmarshal(value, &record); err != nil {
+		e.Log.Warn("failed to decode the record of the quarantine", "Error", err)
+		return true
+	}
+	e.quarantineRecord.written, e.quarantineRecord.era = string(value), e.gateway.View().Revision.Era()
+	e.gateway.InheritQuarantine(time.Now(), record)
+	return true
+}
--- a/hitchedge/versions.go
+++ b/hitchedge/versions.go
@@ -25,21 +25,10 @@
 	// doubles while nobody knows.
 	minLearnDelay = 50 * time.Millisecond
 	maxLearnDelay = 8 * time.Second
-	// versionsRetryDelay is how long a failed write to the store is put off.
-	versionsRetryDelay = time.Second
 	// maxVersionsBytes limits a response.
 	maxVersionsBytes = 1 << 20
 )
 
-// versionsRecord is the record in the store of which versions there have been lately, as
-// far as this instance has written it. A fleet that is lost as a whole starts with it.
-type versionsRecord struct {
-	written string
-	era     int64
-	// retryAt is when the store may be written to again.
-	retryAt time.Time
-}
-
 // versionsQuestions spaces out the questions for versions that this instance has missed. The
 // zero value asks at once.
 type versionsQuestions struct {
@@ -75,10 +64,11 @@
 	}
 }
 
-// followVersions keeps this instance's knowledge of which versions there have been lately,
-// and the store's, complete until ctx ends. Otherwise a fleet whose instances are
-// restarted wouldn't know for a while where streams may go on.
-func (e *Edge) followVersions(ctx context.Context) {
+// followRecords keeps this instance's knowledge of which versions there have been lately,
+// and the store's records, complete until ctx ends. Otherwise a fleet whose instances are
+// restarted wouldn't know for a while where streams may go on, and at which requests
+// endpoints crash.
+func (e *Edge) followRecords(ctx context.Context) {
 	ticker := time.NewTicker(versionsInterval)
 	defer ticker.Stop()
 	var questions versionsQuestions
@@ -99,8 +89,10 @@
 		}
 		if e.currentRegion().isPrimaryHub(e.Settings.Self.ID) {
 			e.recordVersions(ctx)
+			e.followQuarantine(ctx)
 		} else {
-			e.versionsRecord.written = ""
+			e.versionsRecord.forget()
+			e.quarantineRecord.forget()
 		}
 	}
 }
@@ -114,7 +106,7 @@
 			return
 		}
 	}
-	value, err := e.store.Versions(ctx)
+	value, err := e.store.Record(ctx, hitchplatform.VersionsRecord)
 	if errors.Is(err, hitchplatform.ErrNotFound) {
 		return
 	}
@@ -138,22 +130,9 @@
 // recordVersions writes the versions that there have been lately to the store, if these
 // have changed or the store may have lost them.
 func (e *Edge) recordVersions(ctx context.Context) {
-	now := time.Now()
-	recent, ok := e.gateway.Origins.Recent(now)
-	if !ok || now.Before(e.versionsRecord.retryAt) {
-		return
-	}
-	value, err := json.Marshal(recent)
-	era := e.gateway.View().Revision.Era()
-	if err != nil || string(value) == e.versionsRecord.written && era == e.versionsRecord.era {
-		return
-	}
-	if err := e.store.PutVersions(ctx, value); err != nil {
-		e.versionsRecord.retryAt = now.Add(versionsRetryDelay)
-		e.Log.Info("failed to record the versions of endpoints", "Error", err)
-		return
+	if recent, ok := e.gateway.Origins.Recent(time.Now()); ok {
+		e.writeRecord(ctx, hitchplatform.VersionsRecord, &e.versionsRecord, recent)
 	}
-	e.versionsRecord.written, e.versionsRecord.era = string(value), era
 }
 
 // fetchVersions asks the instance at addr which versions it has seen lately.
--- a/hitchedge/versions_test.go
+++ b/hitchedge/versions_test.go
@@ -24,7 +24,7 @@
 	f.addInstance(t, len(f.edges))
 	f.setRunningView()
 	e := f.edges[len(f.edges)-1]
-	go e.followVersions(t.Context())
+	go e.followRecords(t.Context())
 	for begun := time.Now(); !e.gateway.Origins.IsComplete(time.Now()) && time.Since(begun) < 5*time.Second; {
 		tick(t)
 	}
--- a/hitchingress/quarantine.go
+++ b/hitchingress/quarantine.go
@@ -91,6 +91,12 @@
 	g.logQuarantine()
 }
 
+// InheritQuarantine adds which parts were quarantined before the instance started.
+func (g *Gateway) InheritQuarantine(now time.Time, record hitchquarantine.Record) {
+	g.Quarantine.Inherit(now, record)
+	g.logQuarantine()
+}
+
 // TrialRank returns how many other instances try a part of prompts before this one.
 func (g *Gateway) TrialRank(part hitchfleet.PartID) (rank int) {
 	own := hitchfleet.Score(hitchfleet.Key(part), g.Self.Key())
