--- a/hitchsoak/caller.go
+++ b/hitchsoak/caller.go
@@ -1,6 +1,7 @@
 package hitchsoak
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -42,6 +43,8 @@
 	SaysLeaving bool
 	// IsResumption is set if the request is for the rest of a stream.
 	IsResumption bool
+	// IsCrashing is set if endpoints crash at the request.
+	IsCrashing bool
 	// SealedBy is the endpoint whose header the response has, or empty if it has none.
 	SealedBy string
 }
@@ -54,6 +57,9 @@
 	client        http.Client
 	addrs         []string
 	addrsExpireAt time.Time
+	// part is one more part in the prompts of all requests; empty means none. path is the
+	// path of all requests; empty means random ones.
+	part, path string
 }
 
 // run makes calls until ctx ends and passes each finished one to record.
@@ -105,7 +111,7 @@
 // newCall returns a call with a random path and organisation.
 func (c *caller) newCall(rng *rand.Rand, n int) call {
 	return call{
-		Attempt: fmt.Sprintf("%x-%d", c.seed, n), Path: paths[rng.IntN(len(paths))], Key: rng.IntN(len(c.fleet.keys)),
+		Attempt: fmt.Sprintf("%x-%d", c.seed, n), Path: cmp.Or(c.path, paths[rng.IntN(len(paths))]), Key: rng.IntN(len(c.fleet.keys)),
 		Instance: c.addrs[rng.IntN(len(c.addrs))], Begin: time.Now(),
 	}
 }
@@ -120,7 +126,11 @@
 	r.Header.Set("X-Attempt-Id", x.Attempt)
 	r.Header.Set("Api-Key", c.fleet.keys[x.Key])
 	r.Header.Set("X-Time-Budget-Ms", strconv.FormatInt(callTimeout.Milliseconds(), 10))
-	r.Header.Set("X-Prompt-Prefix", fmt.Sprintf("1:2000,%x:5000,%x:100", rng.IntN(20)+2, rng.Uint32()))
+	more := ""
+	if c.part != "" {
+		more = c.part + ":50,"
+	}
+	r.Header.Set("X-Prompt-Prefix", fmt.Sprintf("1:2000,%x:5000,%s%x:100", rng.IntN(20)+2, more, rng.Uint32()))
 	return r, nil
 }
 
--- a/hitchsoak/engine.go
+++ b/hitchsoak/engine.go
@@ -11,7 +11,7 @@
 	hitchstandin "citronhitch.example/citronhitch/platform/standin"
 )
 
-// Engines of a soak of VariantVersions.
+// Engines of a soak.
 const (
 	// engineSlots is the number of engines that serve at a time.
 	engineSlots = 8
@@ -50,6 +50,8 @@
 	fleet    *fleet
 	ip       string
 	versions []string
+	// crashing are the parts at which engines crash.
+	crashing hitchstandin.CrashingParts
 	// newContext returns the context of an engine.
 	newContext func() (context.Context, context.CancelFunc)
 
@@ -94,6 +96,7 @@
 func (s *engineSet) startEngine(id, version, addr string, born int64) (*engine, error) {
 	e := &engine{relay: &hitchfake.Relay{}}
 	e.ID, e.Service, e.Version, e.Born, e.RunLog = id, "engines", version, born, &s.fleet.runLog
+	e.Crashing, e.Crash = &s.crashing, func() { s.crash(e) }
 	s.mu.Lock()
 	e.Zone = zoneOf(len(s.all))
 	s.all = append(s.all, e)
@@ -262,6 +265,11 @@
 	var err error
 	e := s.present(fault.Target)
 	switch fault.Kind {
+	case CrashingRequests:
+		s.crashing.Add(crashingPart(fault))
+		undo = func() { s.crashing.Remove(crashingPart(fault)) }
+	case CrashEndpoint:
+		s.crash(e)
 	case ReplaceEndpoints:
 		undo, err = s.replace(ctx, fault.Target)
 	case RestartAtAddress:
--- a/hitchsoak/fleet.go
+++ b/hitchsoak/fleet.go
@@ -33,7 +33,7 @@
 	// copies are the store's last copies, the newest at the end.
 	copies []hitchstandin.Copy
 
-	// engines are the endpoints of a soak of VariantVersions. Otherwise it is nil.
+	// engines are the endpoints if the soak has any. Otherwise it is nil.
 	engines *engineSet
 
 	mu              sync.Mutex
@@ -101,7 +101,7 @@
 		f.keys = append(f.keys, fmt.Sprintf("key-%d", n))
 	}
 	f.writeConfig()
-	if s.isVersions() {
+	if s.hasEngines() {
 		if err := f.startEngines(ctx, s); err != nil {
 			return err
 		}
--- a/hitchsoak/plan.go
+++ b/hitchsoak/plan.go
@@ -80,7 +80,7 @@
 
 // String returns the kind's name as it is printed in reports.
 func (k FaultKind) String() string {
-	if name, ok := versionKindNames[k]; ok {
+	if name, ok := engineKindNames[k]; ok {
 		return name
 	}
 	return [...]string{
--- a/hitchsoak/soak.go
+++ b/hitchsoak/soak.go
@@ -37,7 +37,7 @@
 	// LogDir, if set, is the directory to which the processes' logs are written if
 	// there is a violation.
 	LogDir string
-	// Variant is VariantVersions or VariantFaults; empty means VariantFaults.
+	// Variant is one of Variants; empty means VariantFaults.
 	Variant string
 }
 
@@ -71,9 +71,9 @@
 	return defaultInstances
 }
 
-// endpoints returns the number of endpoints besides the engines of VariantVersions.
+// endpoints returns the number of endpoints besides the engines.
 func (s *Soak) endpoints() int {
-	if s.isVersions() {
+	if s.hasEngines() {
 		return 0
 	}
 	return endpointCount
@@ -117,10 +117,14 @@
 	}
 	calls, streams := s.runCallsAndFaults(ctx, f, c)
 	report := newReport(c, calls)
-	if s.isVersions() {
+	if s.hasEngines() {
 		violations, notes := c.checkStreams(streams, f.engines.countServing)
 		report.Violations, report.Notes = append(report.Violations, violations...), notes
 	}
+	if s.Variant == VariantCrashes {
+		violations, notes := c.checkCrashes(calls, f.engines.crashing.Arrivals())
+		report.Violations, report.Notes = append(report.Violations, violations...), append(report.Notes, notes...)
+	}
 	report.Seed = s.Seed
 	report.Violations = append(report.Violations, f.processViolations()...)
 	if s.LogDir != "" && len(report.Violations) > 0 {
@@ -130,7 +134,7 @@
 }
 
 // runCallsAndFaults runs the callers and the plan's faults, and returns the calls, and the
-// streams of VariantVersions.
+// streams of a soak with engines.
 func (s *Soak) runCallsAndFaults(ctx context.Context, f *fleet, c *checker) (calls []call, streams []stream) {
 	callCtx, cancel := context.WithDeadline(ctx, c.end)
 	defer cancel()
@@ -141,7 +145,10 @@
 		calls = append(calls, done)
 	}
 	var wg sync.WaitGroup
-	if s.isVersions() {
+	if s.Variant == VariantCrashes {
+		wg.Go(func() { s.runCrashCallers(callCtx, f, c, record) })
+	}
+	if s.hasEngines() {
 		wg.Go(func() { streams = s.runStreams(callCtx, f, record) })
 	}
 	for n := range s.callers(callersPerInstance) {
--- a/hitchsoak/versionplan.go
+++ b/hitchsoak/versionplan.go
@@ -5,7 +5,7 @@
 	"time"
 )
 
-// The kinds of faults that only soaks of VariantVersions have. Their numbers are apart from
+// The kinds of faults that only soaks with engines have. Their numbers are apart from
 // those of the other kinds, on whose count the plans of NewPlan depend.
 const (
 	// ReplaceEndpoints starts endpoints of another version and then takes as many out of
@@ -19,14 +19,20 @@
 	RestartSameID
 	// KillAllInstances kills all processes together by SIGKILL and starts them again.
 	KillAllInstances
+	// CrashingRequests are requests of callers at which endpoints crash.
+	CrashingRequests
+	// CrashEndpoint ends an endpoint without notice. It starts again at its address, with its
+	// ID.
+	CrashEndpoint
 )
 
 const firstVersionKind = 200
 
-// versionKindNames are the names of these kinds in reports.
-var versionKindNames = map[FaultKind]string{
+// engineKindNames are the names of these kinds in reports.
+var engineKindNames = map[FaultKind]string{
 	ReplaceEndpoints: "ReplaceEndpoints", RestartAtAddress: "RestartAtAddress",
 	RestartSameID: "RestartSameID", KillAllInstances: "KillAllInstances",
+	CrashingRequests: "CrashingRequests", CrashEndpoint: "CrashEndpoint",
 }
 
 // versionPlanKinds are the kinds of such a plan. A kind that is listed twice is twice as
@@ -54,12 +60,19 @@
 // The same arguments give the same plan.
 func newVersionPlan(seed uint64, length time.Duration, instances int) []Fault {
 	rng := rand.New(rand.NewPCG(seed, 5))
-	plan := planKillsOfAll(rng, length)
-	for at := faultFreeStart; at < length-faultFreeEnd; at += time.Duration(rng.ExpFloat64() * float64(meanFaultInterval)) {
-		f := Fault{Kind: versionPlanKinds[rng.IntN(len(versionPlanKinds))], Begin: at}
+	return addEngineFaults(rng, planKillsOfAll(rng, length), length, instances, func() FaultKind {
+		kind := versionPlanKinds[rng.IntN(len(versionPlanKinds))]
 		if rng.Float64() < sameIDShare {
-			f.Kind = RestartSameID
+			kind = RestartSameID
 		}
+		return kind
+	})
+}
+
+// addEngineFaults adds random faults of the kinds that pickKind returns to a plan.
+func addEngineFaults(rng *rand.Rand, plan []Fault, length time.Duration, instances int, pickKind func() FaultKind) []Fault {
+	for at := faultFreeStart; at < length-faultFreeEnd; at += time.Duration(rng.ExpFloat64() * float64(meanFaultInterval)) {
+		f := Fault{Kind: pickKind(), Begin: at}
 		switch f.Kind {
 		case CompactStore, RestoreStore:
 		case KillInstance, StopInstance, PauseInstance, ThrottleInstance, SilenceStore, PauseStore:
--- a/hitchsoak/versions.go
+++ b/hitchsoak/versions.go
@@ -13,19 +13,25 @@
 	// VariantVersions has engines of two or three versions that serve side by side, and
 	// callers that take up streams that ended in their middle.
 	VariantVersions = "versions"
+	// VariantCrashes has callers whose requests crash engines, beside sound ones and faults.
+	VariantCrashes = "crashes"
 )
 
+// Variants returns the names of the variants.
+func Variants() []string { return []string{VariantFaults, VariantVersions, VariantCrashes} }
+
 // engineIPNumber is the number of the loopback address of the engines, which no instance
 // has.
 const engineIPNumber = 200
 
-// isVersions reports whether the soak is of VariantVersions.
-func (s *Soak) isVersions() bool { return s.Variant == VariantVersions }
+// hasEngines reports whether the soak has engines that may end, in place of endpoints that
+// don't.
+func (s *Soak) hasEngines() bool { return s.Variant != "" && s.Variant != VariantFaults }
 
-// callers returns the number of callers of a kind that doesn't take up streams. A soak of
-// VariantVersions has none.
+// callers returns the number of callers of a kind that doesn't take up streams. A soak with
+// engines has none.
 func (s *Soak) callers(perInstance int) int {
-	if s.isVersions() {
+	if s.hasEngines() {
 		return 0
 	}
 	return perInstance * s.instances()
@@ -33,16 +39,22 @@
 
 // plan returns the faults of the soak.
 func (s *Soak) plan() []Fault {
-	if s.isVersions() {
+	switch s.Variant {
+	case VariantVersions:
 		return newVersionPlan(s.Seed, s.length(), s.instances())
+	case VariantCrashes:
+		return newCrashPlan(s.Seed, s.length(), s.instances())
 	}
 	return NewPlan(s.Faults, s.Seed, s.length(), s.instances(), s.endpoints(), s.organisations())
 }
 
-// startEngines starts the engines of a soak of VariantVersions: two versions for even seeds,
-// three for odd ones.
+// startEngines starts the engines. In a soak of VariantVersions they have two versions for
+// even seeds and three for odd ones, otherwise none is named.
 func (f *fleet) startEngines(ctx context.Context, s *Soak) error {
-	f.engines = &engineSet{fleet: f, ip: s.ip(engineIPNumber), versions: versionNames[:2+s.Seed%2]}
+	f.engines = &engineSet{fleet: f, ip: s.ip(engineIPNumber), versions: []string{""}}
+	if s.Variant == VariantVersions {
+		f.engines.versions = versionNames[:2+s.Seed%2]
+	}
 	return f.engines.start(ctx)
 }
 
