hitchrouter: the own API refuses chats with a message at which engines crash

What callers would see: a message that crashes an engine is retried at up to three others, and by its caller again.

Change: the messages of a chat are its parts, the last one too, as a caller that returns sends it again. Engines of the own platform don't report when they started, so that crashes of one engine are told apart by time.

Not tested with whole engines that crash: the fakes of dev only close connections.

--- a/hitchapi/chat.go
+++ b/hitchapi/chat.go
@@ -96,7 +96,12 @@
 		return hitchrouter.ChatRequest{}, false, err
 	}
 	isBatch := isBatch(r, organisation)
+	var parts []hitchfleet.PartID
+	for _, message := range parsed.Messages {
+		parts = append(parts, hitchrouter.MessagePart(message.Role, string(message.Content)))
+	}
 	return hitchrouter.ChatRequest{
+		Parts:        parts,
 		Organisation: organisation,
 		Route:        route,
 		ID:           chatID,
--- a/hitchapi/problem.go
+++ b/hitchapi/problem.go
@@ -52,6 +52,7 @@
 	hitchoutcome.ReasonStoreOut:        http.StatusServiceUnavailable,
 	hitchoutcome.ReasonStale:           http.StatusServiceUnavailable,
 	hitchoutcome.ReasonLeaving:         http.StatusServiceUnavailable,
+	hitchoutcome.ReasonQuarantined:     http.StatusServiceUnavailable,
 	hitchoutcome.ReasonConflict:        http.StatusConflict,
 }
 
--- a/hitchedge/edge.go
+++ b/hitchedge/edge.go
@@ -207,7 +207,7 @@
 
 		OriginExchange: e.originExchange(),
 	}
-	e.gateway.Quarantine.Rank = e.gateway.TrialRank
+	e.gateway.Quarantine.SetRank(e.gateway.TrialRank)
 	feed := &hitchplatform.StoreFeed{Store: &e.store, Log: e.Log, Self: settings.Self.ID}
 	e.peerClient = newPeerClient()
 	e.follower.Snapshot, e.follower.Watch, e.follower.Probe = feed.Snapshot, feed.Watch, feed.Probe
--- a/hitchforward/probe.go
+++ b/hitchforward/probe.go
@@ -3,10 +3,29 @@
 import (
 	"context"
 	"errors"
+	"net/url"
 	"syscall"
 	"time"
+
+	"citronhitch.example/citronhitch/hitchfleet"
 )
 
+// IsGone reports whether nothing listens at an endpoint's address any more. An address that
+// doesn't respond before ctx ends doesn't count as gone.
+func (c *Client) IsGone(ctx context.Context, e hitchfleet.Endpoint) bool {
+	c.init()
+	base, err := url.Parse(e.URL)
+	if err != nil {
+		return false
+	}
+	conn, err := c.pooled.DialContext(ctx, "tcp", base.Host)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	_ = conn.Close()
+	return false
+}
+
 // IsGone reports whether nothing listens at an address any more. A connection that can be
 // opened is kept for the next exchange; an address that doesn't respond before ctx ends
 // doesn't count as gone.
--- a/hitchingress/quarantine.go
+++ b/hitchingress/quarantine.go
@@ -79,9 +79,7 @@
 	now := time.Now()
 	for _, d := range g.Quarantine.TakeDecisions() {
 		g.Metrics.countQuarantineDecision(d.Kind)
-		g.Log.Warn("quarantine of a part of prompts", "Decision", d.Kind, "Part", d.Part, "Crashes", d.Crashes,
-			"FirstCrashAge", age(now, d.FirstCrashAt), "LastCrashAge", age(now, d.LastCrashAt), "HasAnswered", d.HasAnswered,
-			"From", d.From, "For", max(d.ReleaseAt.Sub(now), 0))
+		g.Log.Warn("quarantine of a part of prompts", d.LogPairs(now)...)
 	}
 }
 
--- a/hitchnode/settings.go
+++ b/hitchnode/settings.go
@@ -9,6 +9,7 @@
 	"citronhitch.example/citronhitch/hitchconfig"
 	"citronhitch.example/citronhitch/hitchfleet"
 	"citronhitch.example/citronhitch/hitchpeer"
+	"citronhitch.example/citronhitch/hitchquarantine"
 )
 
 // Settings configure an instance at its start.
@@ -42,7 +43,9 @@
 	GracePeriodMillis int
 	// MaxConnections limits the open connections of callers.
 	MaxConnections int
-	Log            hclog.Logger
+	// Quarantine sets when requests are refused, as engines crash at them.
+	Quarantine hitchquarantine.Limits
+	Log        hclog.Logger
 }
 
 // DefaultGracePeriodMillis is used if Settings.GracePeriodMillis isn't set.
--- a/hitchnode/wire.go
+++ b/hitchnode/wire.go
@@ -63,7 +63,7 @@
 
 func provideRouter(i do.Injector) (*hitchrouter.Router, error) {
 	n := do.MustInvoke[*Node](i)
-	return &hitchrouter.Router{
+	router := &hitchrouter.Router{
 		Forward: n.forwardClient(),
 		Log:     n.Settings.Log,
 		Bookings: &hitchrouter.Bookings{
@@ -71,7 +71,9 @@
 			Secrets: n.Settings.BookingSecrets,
 			Log:     n.Settings.Log,
 		},
-	}, nil
+	}
+	router.Quarantine.SetLimits(n.Settings.Quarantine)
+	return router, nil
 }
 
 func provideConfig(i do.Injector) (*configSource, error) {
@@ -102,6 +104,8 @@
 		n.router.ApplyModels(value.Origin, value.Body)
 	case hitchrouter.TopicCacheAges.Name:
 		n.router.ApplyCacheAges(value.Body)
+	case hitchrouter.TopicSuspicions.Name:
+		n.router.ApplySuspicions(value.Origin, value.Body)
 	case hitchrouter.TopicHome.Name:
 		n.router.ApplyHome(value.Origin, value.Body)
 	}
--- a/hitchquarantine/decision.go
+++ b/hitchquarantine/decision.go
@@ -44,6 +44,20 @@
 	ReleaseAt time.Time
 }
 
+// LogPairs returns the decision as the keys and values of a log line.
+func (d Decision) LogPairs(now time.Time) []any {
+	age := func(then time.Time) time.Duration {
+		if then.IsZero() {
+			return 0
+		}
+		return now.Sub(then)
+	}
+	return []any{
+		"Decision", d.Kind, "Part", d.Part, "Crashes", d.Crashes, "FirstCrashAge", age(d.FirstCrashAt), "LastCrashAge", age(d.LastCrashAt),
+		"HasAnswered", d.HasAnswered, "From", d.From, "For", max(d.ReleaseAt.Sub(now), 0),
+	}
+}
+
 // maxDecisions limits the decisions that are kept for TakeDecisions.
 const maxDecisions = 256
 
--- a/hitchquarantine/simulation_test.go
+++ b/hitchquarantine/simulation_test.go
@@ -73,7 +73,8 @@
 
 // restart makes an instance forget everything.
 func (f *simFleet) restart(n int) {
-	f.trackers[n] = &Tracker{Rank: func(hitchfleet.PartID) int { return n }}
+	f.trackers[n] = &Tracker{}
+	f.trackers[n].SetRank(func(hitchfleet.PartID) int { return n })
 	f.startedAt[n] = f.now
 }
 
--- a/hitchquarantine/tracker.go
+++ b/hitchquarantine/tracker.go
@@ -66,11 +66,9 @@
 // Tracker holds the suspects that an instance knows. The zero value knows none. Its methods
 // are safe for concurrent use.
 type Tracker struct {
-	// Rank returns how many other instances try a part before this one; nil means none. It
-	// is set before the first call.
-	Rank func(part hitchfleet.PartID) int
-
-	mu       sync.Mutex
+	mu sync.Mutex
+	// rankOf returns how many other instances try a part before this one; nil means none.
+	rankOf   func(part hitchfleet.PartID) int
 	limits   Limits
 	suspects map[hitchfleet.PartID]*suspect
 	// answered holds the parts on which answers have begun.
@@ -85,6 +83,14 @@
 	t.limits = l
 }
 
+// SetRank sets the function that returns how many other instances try a part before this
+// one.
+func (t *Tracker) SetRank(rank func(part hitchfleet.PartID) int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.rankOf = rank
+}
+
 // RecordAnswer records that an endpoint began to answer a request with parts.
 func (t *Tracker) RecordAnswer(now time.Time, parts []hitchfleet.PartID) {
 	t.mu.Lock()
@@ -179,10 +185,10 @@
 }
 
 func (t *Tracker) rank(part hitchfleet.PartID) int {
-	if t.Rank == nil {
+	if t.rankOf == nil {
 		return 0
 	}
-	return t.Rank(part)
+	return t.rankOf(part)
 }
 
 // Quarantined returns the number of quarantined parts.
--- a/hitchquarantine/tracker_test.go
+++ b/hitchquarantine/tracker_test.go
@@ -113,7 +113,8 @@
 
 // quarantined returns a tracker that has quarantined part 9.
 func quarantined(rank int) *Tracker {
-	t := &Tracker{Rank: func(hitchfleet.PartID) int { return rank }}
+	t := &Tracker{}
+	t.SetRank(func(hitchfleet.PartID) int { return rank })
 	for crash := range CrashID(3) {
 		t.RecordCrash(start, crash+1, parts{9})
 	}
--- a/hitchrouter/loop.go
+++ b/hitchrouter/loop.go
@@ -20,6 +20,7 @@
 // Run does the router's periodic work until ctx is done.
 func (rt *Router) Run(ctx context.Context) {
 	rt.heldSlots.Self = rt.Self.ID
+	rt.Quarantine.SetRank(rt.trialRank)
 	var group sync.WaitGroup
 	group.Go(func() { runEvery(ctx, tickInterval, rt.tick) })
 	group.Go(func() { runEvery(ctx, shareInterval, rt.shareAndRebuild) })
@@ -54,6 +55,7 @@
 // latest loads of all endpoints.
 func (rt *Router) shareAndRebuild() {
 	rt.shareLoads()
+	rt.shareSuspicions()
 	rt.rebuildPlacement()
 	rt.loads.removeUnlisted(rt.placement().endpoints)
 }
--- a/hitchrouter/request.go
+++ b/hitchrouter/request.go
@@ -22,6 +22,8 @@
 	PromptBytes int64
 	MaxTokens   int64
 	Call        hitchforward.Call
+	// Parts are the messages of the chat.
+	Parts []hitchfleet.PartID
 }
 
 // ChatKey returns the placement key of a chat. Chats of two organisations have
@@ -73,6 +75,10 @@
 	fullVersions []string
 	// failedEndpoints are the endpoints at which an attempt failed.
 	failedEndpoints []hitchfleet.EndpointID
+	// parts are the messages of the chat, and hasAnswer is set once the engine of the current
+	// attempt has begun its answer.
+	parts     []hitchfleet.PartID
+	hasAnswer bool
 }
 
 func (chat ChatRequest) proxyRequest() *proxyRequest {
@@ -92,6 +98,7 @@
 		responseCost: responseCost,
 		deadline:     chat.Call.Deadline,
 		isIdempotent: true,
+		parts:        chat.Parts,
 	}
 }
 
--- a/hitchrouter/router.go
+++ b/hitchrouter/router.go
@@ -27,6 +27,7 @@
 	"citronhitch.example/citronhitch/hitchforward"
 	"citronhitch.example/citronhitch/hitchoutcome"
 	"citronhitch.example/citronhitch/hitchplace"
+	"citronhitch.example/citronhitch/hitchquarantine"
 )
 
 // defaultRetryDelay is the time after which a caller may retry, for refusals whose
@@ -47,6 +48,9 @@
 	// Bookings runs calls that aren't idempotent; if it is nil, they are refused.
 	Bookings *Bookings
 
+	// Quarantine decides which messages are refused, as engines crash at them.
+	Quarantine hitchquarantine.Tracker
+
 	view             atomic.Pointer[View]
 	currentPlacement atomic.Pointer[placement]
 	isDraining       atomic.Bool
--- a/hitchrouter/serve.go
+++ b/hitchrouter/serve.go
@@ -31,6 +31,7 @@
 	return rt.serve(ctx, req, &tracker, func(ctx context.Context, s *slot) error {
 		stream.Deliver = func(event hitchforward.Event) error {
 			s.recordFirstByte(rt.now())
+			rt.observeAnswer(req)
 			req.isVersionFixed = true
 			if event.Done() {
 				// Recorded before the caller gets the end of the stream, as it may send
@@ -74,6 +75,10 @@
 	wait := backoff.NewExponentialBackOff()
 	wait.InitialInterval = initialBackoff
 	for attempt := 1; ; attempt++ {
+		req.hasAnswer = false
+		if refusal := rt.admitParts(req, tracker); refusal != nil {
+			return refusal
+		}
 		s, refusal := rt.acquireSlot(ctx, req)
 		if refusal != nil {
 			return tracker.Refuse(refusal.Reason, refusal.RetryAt, "%s", refusal.Detail)
@@ -81,6 +86,7 @@
 		err := send(ctx, s)
 		rt.releaseSlot(s)
 		rt.recordEndpointAttempt(s.endpoint.ID, err)
+		rt.observeAttempt(req, s.endpoint, err)
 		if err == nil {
 			rt.recordSuccess(req, s)
 			return nil
