--- a/hitchdigest/suspicion_bench_test.go
+++ b/hitchdigest/suspicion_bench_test.go
@@ -19,7 +19,7 @@
 				var tracker hitchquarantine.Tracker
 				for part := range count {
 					for crash := range crashes {
-						id := hitchquarantine.CrashIDOf(hitchfleet.EndpointID(fmt.Sprintf("i-%d-%d", part, crash)), now.UnixMilli())
+						id := hitchfleet.RunIDOf(hitchfleet.EndpointID(fmt.Sprintf("i-%d-%d", part, crash)), now.UnixMilli())
 						tracker.RecordCrash(now, id, []hitchfleet.PartID{hitchfleet.PartID(hitchfleet.KeyOf(fmt.Sprint(part)))})
 					}
 				}
--- a/hitchedge/suspicion_test.go
+++ b/hitchedge/suspicion_test.go
@@ -17,7 +17,7 @@
 
 // quarantine makes an instance quarantine a part.
 func quarantine(e *Edge, part hitchfleet.PartID) {
-	for crash := range hitchquarantine.CrashID(hitchquarantine.DefaultCrashes) {
+	for crash := range hitchfleet.RunID(hitchquarantine.DefaultCrashes) {
 		e.gateway.Quarantine.RecordCrash(time.Now(), crash, []hitchfleet.PartID{part})
 	}
 }
--- a/hitchingress/quarantine.go
+++ b/hitchingress/quarantine.go
@@ -33,7 +33,7 @@
 	if !a.wasCut || a.hasAnswered || len(parts) == 0 {
 		return
 	}
-	crash := hitchquarantine.CrashIDOf(a.pick.Endpoint.ID, a.pick.Endpoint.Born)
+	crash := a.pick.Endpoint.Run()
 	if !g.hasCrashed(a.pick.Endpoint) {
 		return
 	}
--- a/hitchquarantine/bench_test.go
+++ b/hitchquarantine/bench_test.go
@@ -11,7 +11,7 @@
 func BenchmarkRequest(b *testing.B) {
 	var tracker Tracker
 	for n := range hitchfleet.PartID(maxSuspects) {
-		tracker.RecordCrash(start, CrashID(n), parts{n})
+		tracker.RecordCrash(start, hitchfleet.RunID(n), parts{n})
 	}
 	n := hitchfleet.PartID(0)
 	b.ReportAllocs()
--- a/hitchquarantine/judge.go
+++ b/hitchquarantine/judge.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"citronhitch.example/citronhitch/hitchfleet"
 )
 
 // judge quarantines the parts that explain the crashes: time and again the one that has most
@@ -11,7 +13,7 @@
 // same endpoints, have fewer crashes, or none that isn't explained.
 func (t *Tracker) judge(now time.Time) {
 	suspects := t.sorted(func(_, _ *suspect) int { return 0 })
-	explained := make(map[CrashID]bool)
+	explained := make(map[hitchfleet.RunID]bool)
 	isCause := make(map[*suspect]bool)
 	for {
 		cause := t.nextCause(suspects, isCause, explained)
@@ -38,7 +40,7 @@
 }
 
 // nextCause returns the suspect that explains the most crashes, if these are enough, or nil.
-func (t *Tracker) nextCause(suspects []*suspect, isCause map[*suspect]bool, explained map[CrashID]bool) (best *suspect) {
+func (t *Tracker) nextCause(suspects []*suspect, isCause map[*suspect]bool, explained map[hitchfleet.RunID]bool) (best *suspect) {
 	bestCount := 0
 	for _, s := range suspects {
 		if isCause[s] {
@@ -68,7 +70,7 @@
 
 // unexplained returns the number of crashes that count against a suspect and that no other
 // part explains.
-func (s *suspect) unexplained(explained map[CrashID]bool) (n int) {
+func (s *suspect) unexplained(explained map[hitchfleet.RunID]bool) (n int) {
 	for _, crash := range s.crashes {
 		if !explained[crash] {
 			n++
--- a/hitchquarantine/record.go
+++ b/hitchquarantine/record.go
@@ -17,7 +17,7 @@
 type RecordedPart struct {
 	Part        string // as callers write it
 	Epoch       uint32
-	Crashes     []CrashID
+	Crashes     []hitchfleet.RunID
 	HasAnswered bool
 	Level       uint8
 	ReleaseAt   time.Time
--- a/hitchquarantine/simulation_test.go
+++ b/hitchquarantine/simulation_test.go
@@ -136,7 +136,7 @@
 func (f *simFleet) crash(endpoint int, cause ...simRequest) {
 	f.crashes++
 	e := &f.endpoints[endpoint]
-	crash := CrashIDOf(hitchfleet.EndpointID(fmt.Sprint(endpoint)), e.born)
+	crash := hitchfleet.RunIDOf(hitchfleet.EndpointID(fmt.Sprint(endpoint)), e.born)
 	e.born++
 	e.downTo = f.now.Add(3 * time.Second)
 	lost := cause
--- a/hitchquarantine/suspicion.go
+++ b/hitchquarantine/suspicion.go
@@ -1,22 +1,12 @@
 package hitchquarantine
 
 import (
-	"fmt"
 	"slices"
 	"time"
 
 	"citronhitch.example/citronhitch/hitchfleet"
 )
 
-// CrashID identifies the end of one run of an endpoint, in four bytes.
-type CrashID uint32
-
-// CrashIDOf returns the ID of the crash that ends a run of an endpoint. Born is the run's
-// start, in Unix milliseconds.
-func CrashIDOf(id hitchfleet.EndpointID, born int64) CrashID {
-	return CrashID(hitchfleet.KeyOf(string(id), fmt.Sprint(born)))
-}
-
 // maxCrashes limits the crashes that are kept of a part.
 const maxCrashes = 8
 
@@ -28,7 +18,7 @@
 	// doesn't count.
 	Epoch uint32
 	// Crashes are those at which requests with the part had no answer yet.
-	Crashes []CrashID
+	Crashes []hitchfleet.RunID
 	// HasAnswered is set if answers on the part began before the first of the crashes.
 	HasAnswered bool
 	// Level counts how often the part was quarantined in a row.
@@ -49,7 +39,7 @@
 type suspect struct {
 	part        hitchfleet.PartID
 	epoch       uint32
-	crashes     []CrashID // sorted
+	crashes     []hitchfleet.RunID // sorted
 	hasAnswered bool
 	level       uint8
 	releaseAt   time.Time
@@ -68,7 +58,7 @@
 func (s *suspect) isQuarantined() bool { return s.level > 0 }
 
 // addCrash adds a crash and reports whether it is new, and there was room.
-func (s *suspect) addCrash(now time.Time, crash CrashID) bool {
+func (s *suspect) addCrash(now time.Time, crash hitchfleet.RunID) bool {
 	i, found := slices.BinarySearch(s.crashes, crash)
 	if found || len(s.crashes) >= maxCrashes {
 		return false
@@ -148,7 +138,7 @@
 	if m.Epoch != s.epoch {
 		return m.Epoch > s.epoch
 	}
-	isMissing := func(crash CrashID) bool { return !slices.Contains(m.Crashes, crash) }
+	isMissing := func(crash hitchfleet.RunID) bool { return !slices.Contains(m.Crashes, crash) }
 	return m.Level >= s.level && (len(m.Crashes) >= maxCrashes || !slices.ContainsFunc(s.crashes, isMissing))
 }
 
--- a/hitchquarantine/tracker.go
+++ b/hitchquarantine/tracker.go
@@ -10,7 +10,7 @@
 // clear the sound ones.
 //
 //	var t hitchquarantine.Tracker
-//	t.RecordCrash(now, hitchquarantine.CrashIDOf(endpoint.ID, endpoint.Born), prompt.Shared())
+//	t.RecordCrash(now, hitchfleet.RunIDOf(endpoint.ID, endpoint.Born), prompt.Shared())
 //	if refusal := t.Admit(now, prompt.Shared()).Refusal; refusal != nil {
 //		// ... refuse the request until refusal.ReleaseAt ...
 //	}
@@ -111,7 +111,7 @@
 
 // RecordCrash records that an endpoint crashed before it began to answer a request with
 // parts.
-func (t *Tracker) RecordCrash(now time.Time, crash CrashID, parts []hitchfleet.PartID) {
+func (t *Tracker) RecordCrash(now time.Time, crash hitchfleet.RunID, parts []hitchfleet.PartID) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.expire(now)
--- a/hitchquarantine/tracker_test.go
+++ b/hitchquarantine/tracker_test.go
@@ -17,7 +17,7 @@
 
 // event is a crash with the parts of a request without an answer, or an answer.
 type event struct {
-	crash CrashID // 0 for an answer
+	crash hitchfleet.RunID // 0 for an answer
 	parts parts
 }
 
@@ -115,7 +115,7 @@
 func quarantined(rank int) *Tracker {
 	t := &Tracker{}
 	t.SetRank(func(hitchfleet.PartID) int { return rank })
-	for crash := range CrashID(3) {
+	for crash := range hitchfleet.RunID(3) {
 		t.RecordCrash(start, crash+1, parts{9})
 	}
 	return t
@@ -167,7 +167,7 @@
 			var tracker Tracker
 			tracker.SetLimits(test.limits)
 			for crash := range test.crashes {
-				tracker.RecordCrash(start, CrashID(crash), parts{9})
+				tracker.RecordCrash(start, hitchfleet.RunID(crash), parts{9})
 			}
 			var got time.Time
 			if refusal := tracker.Admit(start, parts{9}).Refusal; refusal != nil {
@@ -183,7 +183,7 @@
 func TestMemoryIsBounded(t *testing.T) {
 	var tracker Tracker
 	for n := range hitchfleet.PartID(10_000) {
-		tracker.RecordCrash(start, CrashID(n%5), parts{n, n + 1, n + 2})
+		tracker.RecordCrash(start, hitchfleet.RunID(n%5), parts{n, n + 1, n + 2})
 		tracker.RecordAnswer(start, parts{100_000 + n})
 	}
 	qt.Assert(t, len(tracker.suspects) <= maxSuspects, qt.IsTrue)
--- a/hitchrouter/quarantine.go
+++ b/hitchrouter/quarantine.go
@@ -73,7 +73,7 @@
 		run = now.UnixMilli() / minDownTime.Milliseconds()
 	}
 	rt.log().Info("engine crashed before its answer began", "Route", req.route.ID, "Chat", req.key, "Endpoint", e.ID, "Messages", len(req.parts))
-	rt.Quarantine.RecordCrash(now, hitchquarantine.CrashIDOf(e.ID, run), req.parts)
+	rt.Quarantine.RecordCrash(now, hitchfleet.RunIDOf(e.ID, run), req.parts)
 	rt.logQuarantine()
 }
 
