--- a/hitchingress/attempt.go
+++ b/hitchingress/attempt.go
@@ -108,6 +108,7 @@
 		g.Balancer.ObserveLoad(now, a.pick.Endpoint.ID, a.head.Load)
 	}
 	g.observeNotice(a.pick, a.head)
+	g.observeQuota(a.pick, a.head)
 }
 
 // checkResponseHead returns an error if the response belongs to another request
--- a/hitchingress/gateway.go
+++ b/hitchingress/gateway.go
@@ -23,6 +23,7 @@
 	"citronhitch.example/citronhitch/hitchforward"
 	"citronhitch.example/citronhitch/hitchorigin"
 	"citronhitch.example/citronhitch/hitchquarantine"
+	"citronhitch.example/citronhitch/hitchquota"
 	"citronhitch.example/citronhitch/hitchretry"
 	"citronhitch.example/citronhitch/hitchview"
 )
@@ -51,6 +52,9 @@
 	// Quarantine decides which parts of prompts are refused, as endpoints crash at them.
 	Quarantine hitchquarantine.Tracker
 
+	// Quotas holds the quotas that endpoints name.
+	Quotas hitchquota.Tracker
+
 	crashChecks singleflight.Group
 	view        atomic.Pointer[hitchview.View]
 	drain       atomic.Pointer[Drain] // nil unless the instance shuts down
--- a/hitchingress/protocol.go
+++ b/hitchingress/protocol.go
@@ -6,6 +6,7 @@
 
 	"citronhitch.example/citronhitch/hitchbalance"
 	"citronhitch.example/citronhitch/hitchfleet"
+	"citronhitch.example/citronhitch/hitchquota"
 )
 
 // Request is the decoded header of a caller's request.
@@ -59,6 +60,8 @@
 	// PausedUntil is until when the endpoint wants no requests from this instance; the zero
 	// time if it asks for no pause.
 	PausedUntil time.Time
+	// Quota is the limit of the requests that the endpoint names, if any.
+	Quota hitchquota.Quota
 	// Load is the load that the endpoint reports. It is valid only if HasLoad is set.
 	Load    hitchbalance.Load
 	HasLoad bool
