--- a/hitchingress/gateway_test.go
+++ b/hitchingress/gateway_test.go
@@ -22,6 +22,7 @@
 	"citronhitch.example/citronhitch/hitchfake"
 	"citronhitch.example/citronhitch/hitchfleet"
 	"citronhitch.example/citronhitch/hitchforward"
+	"citronhitch.example/citronhitch/hitchquota"
 	"citronhitch.example/citronhitch/hitchroute"
 	"citronhitch.example/citronhitch/hitchview"
 )
@@ -43,10 +44,16 @@
 			pausedUntil = now.Add(time.Minute)
 		}
 		return ResponseHead{RequestID: h.Get("Id"), HasDigest: h.Get("Digest") != "", DidNotRun: h.Get("Not-Run") != "", HasContentEncoding: h.Get("Content-Encoding") != "",
-			IsLeaving: h.Get("Leaving") != "", PausedUntil: pausedUntil, IsOtherEndpoint: h.Get("Other") != ""}
+			Quota: quotaOf(h.Get("Limit")), IsLeaving: h.Get("Leaving") != "", PausedUntil: pausedUntil, IsOtherEndpoint: h.Get("Other") != ""}
 	},
 }
 
+// quotaOf returns the quota of a number of requests a second, if any.
+func quotaOf(s string) hitchquota.Quota {
+	perSecond, err := strconv.ParseFloat(s, 64)
+	return hitchquota.Quota{PerSecond: perSecond, IsLimited: err == nil}
+}
+
 // promptOf returns the prompt with parts such as 1,2,3.
 func promptOf(parts string) (p hitchbalance.Prompt) {
 	for field := range strings.SplitSeq(parts, ",") {
