hitchquota: endpoints get no more requests than the quota that they name, from all instances together

Cause: nothing read the header, and no instance could have known what the others send. Class: a bound of the whole fleet that nobody in the fleet could know alone.

Change: the quota that the newest response named is known to all instances, through the hubs; for each such endpoint one instance, the first in its rendezvous order, gives permits at the named rate, and the others ask it by a datagram before each request, first attempts, retries and standbys alike. So demand divides the quota, an instance without requests holds none of it, and a restarted one begins with one permit. An owner that doesn't respond within 60 ms is followed by the next one, and that by an equal division that starts empty. Without a permit the endpoint gets no requests until the next one is due: another one is picked, up to four are asked, and then the caller is refused as not run with the time at which its turn comes. A response without the header ends the quota.

--- a/hitchbalance/balancer.go
+++ b/hitchbalance/balancer.go
@@ -128,6 +128,9 @@
 	firstSeen time.Time
 	removedAt time.Time
 	coldLimit coldLimiter
+	// heldUntil is until when the endpoint has got as many requests as it takes, and returnAt
+	// when a caller that is refused for that may return.
+	heldUntil, returnAt time.Time
 }
 
 // SetFleet replaces the state of the fleet. Endpoints that stay in the fleet keep
@@ -220,6 +223,16 @@
 	}
 }
 
+// Hold keeps requests from the endpoint of a pick until a time, as it has got as many as it
+// takes. Callers that are refused for that may return at returnAt.
+func (b *Balancer) Hold(p Pick, until, returnAt time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if e := b.endpointOf(p); e != nil {
+		e.heldUntil, e.returnAt = until, returnAt
+	}
+}
+
 // Result is the result of a request to an endpoint.
 type Result uint8
 
--- a/hitchbalance/pick.go
+++ b/hitchbalance/pick.go
@@ -56,7 +56,8 @@
 	isLongPrefill bool
 	id            uint64
 	sentAt        time.Time
-	// RetryAt is when an endpoint wants requests again, if none was picked as AllPaused.
+	// RetryAt is when an endpoint takes requests again, if none was picked as AllPaused or
+	// AllAtQuota.
 	RetryAt time.Time
 	// UncachedTokens counts the prompt's tokens that the engine isn't known to have cached.
 	UncachedTokens int
@@ -81,11 +82,14 @@
 	AllCold
 	// AllPaused means that the remaining endpoints asked for a pause, or are cold.
 	AllPaused
+	// AllAtQuota means that the remaining endpoints have got as many requests as they take, or
+	// may get none for another reason.
+	AllAtQuota
 )
 
 // String returns the refusal's name in logs.
 func (r Refusal) String() string {
-	return [...]string{"", "NoEndpoint", "OtherVersions", "AllTried", "AllCold", "AllPaused"}[r]
+	return [...]string{"", "NoEndpoint", "OtherVersions", "AllTried", "AllCold", "AllPaused", "AllAtQuota"}[r]
 }
 
 // A prompt stays at its engine up to affinityBoundShare of the load bound that holds
@@ -122,7 +126,7 @@
 	defer b.mu.Unlock()
 	c, refusal := b.findCandidates(now, r)
 	if refusal != NotRefused {
-		return Pick{RetryAt: c.pauseEnd}, refusal
+		return Pick{RetryAt: c.returnAt}, refusal
 	}
 	e, reason := b.choose(now, c.best, r, b.loadBound(now, r.Service, c))
 	p := Pick{Endpoint: e.Endpoint, Reason: reason, Tier: c.tier, Load: b.load(now, e), LoadUpdatedAt: later(b.digestAt, e.reportedAt), MeanLoad: c.mean}
--- a/hitchbalance/tier.go
+++ b/hitchbalance/tier.go
@@ -65,9 +65,16 @@
 	// the request's count too, as the load bound is that of the service.
 	count int
 	mean  float64
-	// pauseEnd is when the first of the paused endpoints wants requests again; the zero
-	// time if none is paused.
-	pauseEnd time.Time
+	// returnAt is when the first of the endpoints that are paused or at their quota takes
+	// requests again; the zero time if there is none.
+	returnAt time.Time
+}
+
+// returnBy records that an endpoint takes requests again at a time.
+func (c *candidates) returnBy(at time.Time) {
+	if c.returnAt.IsZero() || at.Before(c.returnAt) {
+		c.returnAt = at
+	}
 }
 
 // findCandidates returns the endpoints that may get a request.
@@ -85,12 +92,13 @@
 			refusal = max(refusal, OtherVersions)
 			b.otherVersions = append(b.otherVersions, e)
 		case now.Before(notice.PausedUntil):
-			refusal = AllPaused
-			if c.pauseEnd.IsZero() || notice.PausedUntil.Before(c.pauseEnd) {
-				c.pauseEnd = notice.PausedUntil
-			}
+			refusal = max(refusal, AllPaused)
+			c.returnBy(notice.PausedUntil)
 		case slices.Contains(r.Tried, e.ID):
 			refusal = max(refusal, AllTried)
+		case now.Before(e.heldUntil):
+			refusal = max(refusal, AllAtQuota)
+			c.returnBy(e.returnAt)
 		case now.Before(e.ColdUntil) && !e.coldLimit.hasToken(now):
 			refusal = max(refusal, AllCold)
 		default:
--- a/hitchdigest/message.go
+++ b/hitchdigest/message.go
@@ -22,6 +22,7 @@
 	"citronhitch.example/citronhitch/hitchfleet"
 	"citronhitch.example/citronhitch/hitchorigin"
 	"citronhitch.example/citronhitch/hitchquarantine"
+	"citronhitch.example/citronhitch/hitchquota"
 )
 
 // EndpointRef identifies an endpoint in four bytes.
@@ -120,6 +121,11 @@
 	Origins []hitchorigin.Origin
 	// Suspicions are those of an instance, for the hubs, or of a hub, for all.
 	Suspicions *hitchquarantine.SuspicionsMsg
+	// Quotas are those of endpoints, as an instance tells the hubs, or a hub all.
+	Quotas *hitchquota.NoticesMsg
+	// PermitRequest asks the owner of an endpoint for a permit, which PermitReply answers.
+	PermitRequest *hitchquota.PermitRequestMsg
+	PermitReply   *hitchquota.PermitReplyMsg
 }
 
 // Encode returns the packet's CBOR encoding.
--- a/hitchedge/digest.go
+++ b/hitchedge/digest.go
@@ -49,6 +49,7 @@
 		r := e.updateRoles(time.Now())
 		e.sendReportAndDigests(socket, r)
 		e.sendSuspicions(socket, r)
+		e.sendQuotas(socket, r)
 		e.removeSilent(ctx, r)
 		e.sendCacheUpdatesUntil(ctx, socket, r, time.Now().Add(sendInterval(len(r.instances))))
 	}
@@ -138,6 +139,16 @@
 	}
 }
 
+// sendTo sends one datagram to an address.
+func (e *Edge) sendTo(socket *net.UDPConn, packet hitchdigest.Packet, addr *net.UDPAddr) {
+	data, err := packet.Encode()
+	if err != nil {
+		e.Log.Error("failed to encode datagram", "Error", err)
+		return
+	}
+	_, _ = socket.WriteToUDP(data, addr)
+}
+
 // readDatagrams handles the datagrams of other instances until the socket is closed.
 func (e *Edge) readDatagrams(ctx context.Context, socket *net.UDPConn) {
 	buf := make([]byte, maxDatagramBytes)
@@ -154,6 +165,9 @@
 			e.Log.Warn("failed to decode datagram", "From", from, "Error", err)
 			continue
 		}
+		if packet.PermitRequest != nil {
+			e.answerPermit(time.Now(), *packet.PermitRequest, from)
+		}
 		e.handlePacket(packet, from.String())
 	}
 }
@@ -172,6 +186,12 @@
 	if packet.Suspicions != nil {
 		e.gateway.ReceiveSuspicions(now, *packet.Suspicions, e.currentRegion().isHub(packet.Suspicions.From))
 	}
+	if packet.Quotas != nil {
+		e.gateway.ReceiveQuotas(now, *packet.Quotas, e.currentRegion().isHub(packet.Quotas.From))
+	}
+	if packet.PermitReply != nil {
+		e.permits.receive(*packet.PermitReply)
+	}
 	if len(packet.Origins) > 0 {
 		e.gateway.ReceiveOrigins(now, packet.Origins)
 	}
--- a/hitchedge/edge.go
+++ b/hitchedge/edge.go
@@ -78,6 +78,7 @@
 	// socket sends datagrams. It is nil before the instance listens for them.
 	socket   atomic.Pointer[net.UDPConn]
 	currency currency
+	permits  permits
 }
 
 // Options are the settings that don't come from the platform.
@@ -208,6 +209,8 @@
 		OriginExchange: e.originExchange(),
 	}
 	e.gateway.Quarantine.SetRank(e.gateway.TrialRank)
+	e.gateway.Permits = e.askPermit
+	e.permits.reserve.StartsEmpty = true
 	feed := &hitchplatform.StoreFeed{Store: &e.store, Log: e.Log, Self: settings.Self.ID}
 	e.peerClient = newPeerClient()
 	e.follower.Snapshot, e.follower.Watch, e.follower.Probe = feed.Snapshot, feed.Watch, feed.Probe
@@ -282,8 +285,8 @@
 	}
 	w.Header().Set("Content-Type", "text/plain; version=0.0.4")
 	view := e.gateway.View()
-	_, eraErr := fmt.Fprintf(w, "citronhitch_store_era %d\ncitronhitch_store_revision %d\ncitronhitch_quarantined_parts %d\n",
-		view.Revision.Era(), view.Revision.Number(), e.gateway.Quarantine.Quarantined(time.Now()))
+	_, eraErr := fmt.Fprintf(w, "citronhitch_store_era %d\ncitronhitch_store_revision %d\ncitronhitch_quarantined_parts %d\ncitronhitch_limited_endpoints %d\n",
+		view.Revision.Era(), view.Revision.Number(), e.gateway.Quarantine.Quarantined(time.Now()), e.gateway.Quotas.Limited(time.Now()))
 	_, err := e.metrics.WriteTo(w)
 	if err = errors.Join(eraErr, err); err != nil {
 		e.Log.Warn("failed to write metrics", "Error", err)
--- a/hitchedge/suspicion.go
+++ b/hitchedge/suspicion.go
@@ -21,18 +21,23 @@
 	now := time.Now()
 	self := e.Settings.Self
 	isHub := r.isHub(self.ID)
-	due := e.gateway.Quarantine.Due(now, isHub)
-	if len(due) == 0 {
-		return
+	if due := e.gateway.Quarantine.Due(now, isHub); len(due) > 0 {
+		e.send(socket, hitchdigest.Packet{Suspicions: &hitchquarantine.SuspicionsMsg{From: self.ID, Suspicions: due}}, e.recipients(now, r)...)
 	}
-	recipients := r.roles.Hubs
-	if isHub {
-		recipients = slices.Concat(r.instances, e.unlisted.Instances(now, r.instances))
+}
+
+// recipients returns the instances to which this one tells what it knows: the hubs, or, from
+// a hub, all instances of the region, and those that report to it without being listed.
+func (e *Edge) recipients(now time.Time, r *region) []hitchfleet.Instance {
+	self := e.Settings.Self
+	if !r.isHub(self.ID) {
+		return r.roles.Hubs
 	}
+	recipients := slices.Concat(r.instances, e.unlisted.Instances(now, r.instances))
 	if r.isPrimaryHub(self.ID) {
 		recipients = append(recipients, hubsOfOtherRegions(self.Region, e.gateway.View().Instances())...)
 	}
-	e.send(socket, hitchdigest.Packet{Suspicions: &hitchquarantine.SuspicionsMsg{From: self.ID, Suspicions: due}}, recipients...)
+	return recipients
 }
 
 // hubsOfOtherRegions returns the hubs of all regions but one, as they are unless hubs have
--- a/hitchingress/gateway.go
+++ b/hitchingress/gateway.go
@@ -9,6 +9,7 @@
 package hitchingress
 
 import (
+	"context"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
@@ -52,8 +53,13 @@
 	// Quarantine decides which parts of prompts are refused, as endpoints crash at them.
 	Quarantine hitchquarantine.Tracker
 
-	// Quotas holds the quotas that endpoints name.
-	Quotas hitchquota.Tracker
+	// Quotas holds the quotas that endpoints name. Permits asks for a permit for a request to
+	// a run of an endpoint that names one; nil means that this instance is alone.
+	Quotas  hitchquota.Tracker
+	Permits func(ctx context.Context, run hitchfleet.RunID) hitchquota.Permit
+	// IgnoreQuotas is set if no permits are needed.
+	IgnoreQuotas bool
+	permitIssuer hitchquota.Issuer
 
 	crashChecks singleflight.Group
 	view        atomic.Pointer[hitchview.View]
--- a/hitchingress/metrics.go
+++ b/hitchingress/metrics.go
@@ -31,6 +31,8 @@
 	// quarantineRefusals the requests that were ended for them.
 	quarantineDecisions map[hitchquarantine.DecisionKind]int64
 	quarantineRefusals  int64
+	// permits counts the answers to questions for permits, by whether one was granted.
+	permits map[bool]int64
 }
 
 // requestKey holds the labels of the request counter.
@@ -124,6 +126,19 @@
 	m.quarantineRefusals++
 }
 
+// countPermit counts the answer to a question for a permit.
+func (m *Metrics) countPermit(isGranted bool) {
+	if m == nil {
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.permits == nil {
+		m.permits = make(map[bool]int64)
+	}
+	m.permits[isGranted]++
+}
+
 // quantiles are the exported latency quantiles, in percent.
 var quantiles = []float64{50, 90, 99}
 
@@ -144,6 +159,9 @@
 	for kind, count := range m.quarantineDecisions {
 		out.printf("citronhitch_quarantine_decisions_total{decision=%q} %d\n", kind, count)
 	}
+	for isGranted, count := range m.permits {
+		out.printf("citronhitch_permits_total{granted=\"%t\"} %d\n", isGranted, count)
+	}
 	out.printf("citronhitch_quarantine_refusals_total %d\n", m.quarantineRefusals)
 	for kind, histogram := range m.latencies {
 		for _, quantile := range quantiles {
--- a/hitchingress/quota.go
+++ b/hitchingress/quota.go
@@ -1,6 +1,7 @@
 package hitchingress
 
 import (
+	"context"
 	"time"
 
 	"citronhitch.example/citronhitch/hitchbalance"
@@ -8,6 +9,14 @@
 	"citronhitch.example/citronhitch/hitchquota"
 )
 
+// Limits of the questions for permits.
+const (
+	// maxPermitRequests is how many endpoints are asked about for one attempt.
+	maxPermitRequests = 4
+	// minHold is how long an endpoint without a permit gets no requests at least.
+	minHold = 30 * time.Millisecond
+)
+
 // observeQuota records which quota a response names. A response of another endpoint at the
 // same address says nothing about this one.
 func (g *Gateway) observeQuota(pick hitchbalance.Pick, head ResponseHead) {
@@ -19,6 +28,42 @@
 	}
 }
 
+// ReceiveQuotas adds what another instance knows of the quotas of endpoints.
+func (g *Gateway) ReceiveQuotas(now time.Time, msg hitchquota.NoticesMsg, isFromHub bool) {
+	for _, change := range g.Quotas.Receive(now, msg, isFromHub) {
+		g.logQuota(change)
+	}
+}
+
+// permit returns the permit for a request to the picked endpoint. If it has got as many as it
+// takes, the pick is given back, and the endpoint gets none for a while.
+func (g *Gateway) permit(ctx context.Context, req *proxyRequest, pick hitchbalance.Pick) hitchquota.Permit {
+	run := pick.Endpoint.Run()
+	quota, namedAt := g.Quotas.QuotaSince(time.Now(), run)
+	if !quota.IsLimited || g.IgnoreQuotas {
+		return hitchquota.Permit{IsGranted: true}
+	}
+	permit := g.askPermit(ctx, run, quota)
+	now := time.Now()
+	g.Metrics.countPermit(permit.IsGranted)
+	if permit.IsGranted {
+		return permit
+	}
+	g.Log.Info("no permit for an endpoint with a quota", "ID", req.ID, "Endpoint", pick.Endpoint.ID, "PerSecond", quota.PerSecond,
+		"QuotaAge", now.Sub(namedAt), "AvailableIn", permit.AvailableAt.Sub(now), "ReturnIn", permit.ReturnAt.Sub(now))
+	g.Balancer.Finish(now, pick, hitchbalance.ResultAbandoned)
+	g.Balancer.Hold(pick, later(permit.AvailableAt, now.Add(minHold)), permit.ReturnAt)
+	return permit
+}
+
+// askPermit asks for a permit for one request.
+func (g *Gateway) askPermit(ctx context.Context, run hitchfleet.RunID, quota hitchquota.Quota) hitchquota.Permit {
+	if g.Permits == nil {
+		return g.permitIssuer.Issue(time.Now(), run, quota)
+	}
+	return g.Permits(ctx, run)
+}
+
 // logQuota logs a quota that an endpoint names, has changed, or names no more.
 func (g *Gateway) logQuota(c hitchquota.Change) {
 	g.Log.Info("quota of an endpoint changed", "Endpoint", g.endpointOfRun(c.Run), "PerSecond", c.New.PerSecond, "IsLimited", c.New.IsLimited,
--- a/hitchingress/run.go
+++ b/hitchingress/run.go
@@ -64,7 +64,7 @@
 // there is none, and the request has its final response.
 func (g *Gateway) nextAttempt(ctx context.Context, req *proxyRequest) *attempt {
 	req.isTrial = false
-	for {
+	for permitRequests := 0; ; {
 		if !req.isTrial {
 			if refusal := g.admit(req); refusal != nil {
 				g.finishQuarantined(req, *refusal)
@@ -76,10 +76,18 @@
 			g.finishWithoutEndpoint(req, refusal, pick.RetryAt)
 			return nil
 		}
-		if pick.PendingPrefix == 0 || !req.logEntry.prefillWaitFrom.IsZero() {
+		if pick.PendingPrefix != 0 && req.logEntry.prefillWaitFrom.IsZero() {
+			g.waitForPrefill(ctx, req, pick)
+			continue
+		}
+		permit := g.permit(ctx, req, pick)
+		if permit.IsGranted {
 			return g.startAttempt(ctx, req, pick)
 		}
-		g.waitForPrefill(ctx, req, pick)
+		if permitRequests++; permitRequests == maxPermitRequests {
+			g.finishWithoutEndpoint(req, hitchbalance.AllAtQuota, permit.ReturnAt)
+			return nil
+		}
 	}
 }
 
--- a/hitchingress/standby.go
+++ b/hitchingress/standby.go
@@ -1,6 +1,7 @@
 package hitchingress
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net/http"
@@ -11,6 +12,10 @@
 	"citronhitch.example/citronhitch/hitchretry"
 )
 
+// maxStandbyPermitWait is how long the permit for a standby is waited for. Meanwhile events
+// of the silent endpoint, which may go on, aren't forwarded.
+const maxStandbyPermitWait = 40 * time.Millisecond
+
 // handleSilence starts a standby: the current attempt is silent, and so is each standby.
 func (f *follower) handleSilence() {
 	now := time.Now()
@@ -48,6 +53,11 @@
 	if refusal != hitchbalance.NotRefused {
 		return nil
 	}
+	permitCtx, cancel := context.WithTimeout(f.ctx, maxStandbyPermitWait)
+	defer cancel()
+	if !f.gateway.permit(permitCtx, req, pick).IsGranted {
+		return nil
+	}
 	if !budget.TryOptionalRetry(now) {
 		f.gateway.Balancer.Finish(now, pick, hitchbalance.ResultAbandoned)
 		return nil
--- a/hitchquota/quota.go
+++ b/hitchquota/quota.go
@@ -10,7 +10,7 @@
 //	var t hitchquota.Tracker
 //	t.Observe(now, endpoint.Run(), hitchquota.Quota{PerSecond: 2.5, IsLimited: true})
 //	if quota := t.Quota(now, endpoint.Run()); quota.IsLimited {
-//		// ... ask hitchquota.Owner(endpoint.Run(), instances) for a permit ...
+//		// ... ask the first of hitchquota.Owners(endpoint.Run(), instances, 2) for a permit ...
 //	}
 package hitchquota
 
@@ -44,14 +44,13 @@
 // knownQuota is the newest quota of a run of an endpoint.
 type knownQuota struct {
 	Quota
-	// namedAt is when a response said so, and firstNamedAt when the first of those with a
-	// limit did.
-	namedAt, firstNamedAt time.Time
-	expiresAt             time.Time
-	// changedAt is when this instance learned of a change, and sentAt when it last told
-	// others.
+	// namedAt is when a response said so.
+	namedAt   time.Time
+	expiresAt time.Time
+	// changedAt is when this instance learned that there is a quota, or none any more, and
+	// sentAt when it last told others.
 	changedAt, sentAt time.Time
-	// confirmedAt is when a hub last named the same quota.
+	// confirmedAt is when what a hub knows was named.
 	confirmedAt time.Time
 }
 
@@ -91,9 +90,6 @@
 		}
 	}
 	change := Change{Run: run, Old: k.Quota, New: q, NamedAt: namedAt, From: from}
-	if q.IsLimited && !k.IsLimited {
-		k.firstNamedAt = namedAt
-	}
 	k.Quota, k.namedAt = q, namedAt
 	k.expiresAt = namedAt.Add(quotaTTL)
 	if !q.IsLimited {
@@ -102,7 +98,9 @@
 	if change.Old == change.New {
 		return Change{}, false
 	}
-	k.changedAt = now
+	if change.Old.IsLimited != change.New.IsLimited {
+		k.changedAt = now
+	}
 	return change, true
 }
 
