--- a/hitchedge/edge_test.go
+++ b/hitchedge/edge_test.go
@@ -33,12 +33,17 @@
 // newEdge returns an instance with a configuration and a view of other instances.
 func newEdge(others ...hitchfleet.Instance) *Edge {
 	e := newStartingEdge()
+	e.gateway.SetView(time.Now(), newView(others...))
+	return e
+}
+
+// newView returns a view with a configuration and instances.
+func newView(instances ...hitchfleet.Instance) hitchview.View {
 	view := hitchview.View{}.Update(hitchview.TableMsg{Revision: 1, Table: hitchroute.NewTable(hitchroute.Config{Version: 1})})
-	for _, i := range others {
+	for _, i := range instances {
 		view = view.Update(hitchview.InstanceMsg{Revision: 2, Instance: i})
 	}
-	e.gateway.SetView(time.Now(), view)
-	return e
+	return view
 }
 
 // silentRefs returns the sorted references of instances.
--- a/hitchedge/permit.go
+++ b/hitchedge/permit.go
@@ -13,8 +13,10 @@
 
 // Times of questions for permits.
 const (
-	// permitTimeout is how long an owner may take to answer.
-	permitTimeout = 60 * time.Millisecond
+	// permitTimeout is how long an owner may take to answer, and permitTries how often it is
+	// asked: if each lost datagram led to the next instance, both would give permits.
+	permitTimeout = 40 * time.Millisecond
+	permitTries   = 2
 	// ownerCount is how many instances may give permits for an endpoint: the second one if
 	// the first doesn't respond.
 	ownerCount = 2
@@ -112,8 +114,18 @@
 	return e.permits.reserve.Issue(now, run, quota)
 }
 
-// askOwner asks one instance. It returns false if that doesn't respond in time.
-func (e *Edge) askOwner(ctx context.Context, owner hitchfleet.Instance, run hitchfleet.RunID) (_ hitchquota.Permit, ok bool) {
+// askOwner asks one instance. It returns false if that doesn't respond.
+func (e *Edge) askOwner(ctx context.Context, owner hitchfleet.Instance, run hitchfleet.RunID) (permit hitchquota.Permit, ok bool) {
+	for range permitTries {
+		if permit, ok = e.askOwnerOnce(ctx, owner, run); ok {
+			return permit, true
+		}
+	}
+	return permit, false
+}
+
+// askOwnerOnce sends one question. It returns false if no answer arrives in time.
+func (e *Edge) askOwnerOnce(ctx context.Context, owner hitchfleet.Instance, run hitchfleet.RunID) (_ hitchquota.Permit, ok bool) {
 	socket := e.socket.Load()
 	if socket == nil {
 		return hitchquota.Permit{}, false
