hitchrouter: the own API keeps the quotas that endpoints name

Every attempt needs a slot from the endpoint's owner, so that the owner keeps the quota of all routers: it refuses the slot with the time of the next one, and the search goes on at another endpoint. Routers tell the owner what an endpoint has named, at a change and with each request for a slot. Packets have one more field. Test: TestEndpointGetsNoMoreThanItsQuota.

--- a/hitchadmit/codec.go
+++ b/hitchadmit/codec.go
@@ -4,6 +4,8 @@
 	"fmt"
 
 	"github.com/fxamacker/cbor/v2"
+
+	"citronhitch.example/citronhitch/hitchquota"
 )
 
 // Packet is one message between routers about slots. The receiver handles each
@@ -20,6 +22,8 @@
 	LoadReport  *LoadReport
 	Digest      *Digest
 	Handover    *Handover
+	// Quota is what an endpoint that the receiver owns has named to the sender.
+	Quota *hitchquota.Notice
 }
 
 var (
--- a/hitchforward/attempt.go
+++ b/hitchforward/attempt.go
@@ -68,6 +68,9 @@
 	if err := a.checkAttemptID(); err != nil {
 		return nil, err
 	}
+	if c.ObserveHeader != nil {
+		c.ObserveHeader(endpoint, a.response.Header)
+	}
 	return a, nil
 }
 
--- a/hitchforward/forward.go
+++ b/hitchforward/forward.go
@@ -20,6 +20,8 @@
 	"time"
 
 	"github.com/oklog/ulid/v2"
+
+	"citronhitch.example/citronhitch/hitchfleet"
 )
 
 // Default limits of a Client.
@@ -44,6 +46,8 @@
 	// InactivityTimeoutMillis is how long, in milliseconds, a connection may carry
 	// no data before the attempt fails with FailureSilent.
 	InactivityTimeoutMillis int
+	// ObserveHeader is called with the header of each response; nil means that nothing is.
+	ObserveHeader func(e hitchfleet.Endpoint, h http.Header)
 	// MaxResponseBytes is the maximum size of the body of a response that isn't
 	// streamed.
 	MaxResponseBytes int64
--- a/hitchnode/wire.go
+++ b/hitchnode/wire.go
@@ -72,6 +72,7 @@
 			Log:     n.Settings.Log,
 		},
 	}
+	router.Forward.ObserveHeader = router.ObserveHeader
 	router.Quarantine.SetLimits(n.Settings.Quarantine)
 	return router, nil
 }
--- a/hitchrouter/admit.go
+++ b/hitchrouter/admit.go
@@ -21,10 +21,15 @@
 func (rt *Router) handleAdmissionPacket(from hitchfleet.Instance, p hitchadmit.Packet) (response hitchadmit.Packet) {
 	now := rt.now()
 	var deferred []hitchadmit.DeferredDecision
+	if p.Quota != nil {
+		rt.receiveQuota(now, from.ID, *p.Quota)
+	}
 	if p.SlotRequest != nil {
 		p.SlotRequest.Requester = from.ID
-		var d hitchadmit.Decision
-		d, deferred = rt.Admission.RequestSlot(now, *p.SlotRequest, deferred)
+		d, isRefused := rt.refuseAboveQuota(now, *p.SlotRequest)
+		if !isRefused {
+			d, deferred = rt.Admission.RequestSlot(now, *p.SlotRequest, deferred)
+		}
 		response.Decision = &d
 	}
 	if p.FirstToken != nil {
--- /dev/null
+++ b/hitchrouter/quota_test.go
@@ -0,0 +1,50 @@
+package hitchrouter
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"citronhitch.example/citronhitch/hitchadmit"
+	"citronhitch.example/citronhitch/hitchfleet"
+	"citronhitch.example/citronhitch/hitchoutcome"
+	"citronhitch.example/citronhitch/hitchpeer"
+)
+
+// TestEndpointGetsNoMoreThanItsQuota guards against an endpoint that gets more requests from
+// all routers together than it has named to one of them: its owner refuses the slots, with
+// the time of the next one.
+func TestEndpointGetsNoMoreThanItsQuota(t *testing.T) {
+	const perSecond = 0.5
+	endpoint := hitchfleet.Endpoint{ID: "e-0"}
+	owner := &Router{Self: hitchfleet.Instance{ID: "r-0"}}
+	asking := &Router{Self: hitchfleet.Instance{ID: "r-1"}}
+	asking.Peers.Call = func(_ context.Context, to hitchfleet.InstanceID, _ uint64, _ hitchpeer.Kind, body []byte) ([]byte, error) {
+		qt.Check(t, to, qt.Equals, owner.Self.ID)
+		return owner.handleAdmit(context.Background(), asking.Self, body)
+	}
+	for _, rt := range []*Router{owner, asking} {
+		rt.currentPlacement.Store(&placement{
+			endpoints: map[hitchfleet.EndpointID]hitchfleet.Endpoint{endpoint.ID: endpoint},
+			owners:    map[hitchfleet.EndpointID]hitchfleet.Instance{endpoint.ID: owner.Self},
+		})
+	}
+	ask := func(rt *Router) hitchadmit.Decision {
+		return rt.sendSlotRequest(context.Background(), hitchadmit.SlotRequest{Endpoint: endpoint.ID}, endpoint, owner.Self)
+	}
+	isAtQuota := func(d hitchadmit.Decision) bool {
+		return d.Verdict == hitchadmit.Refused && d.Reason == hitchoutcome.ReasonOverloaded && !d.RetryAt.IsZero()
+	}
+	qt.Assert(t, isAtQuota(ask(owner)) || isAtQuota(ask(asking)), qt.IsFalse, qt.Commentf("it names none"))
+	asking.ObserveHeader(endpoint, http.Header{QuotaHeader: {strconv.FormatFloat(perSecond, 'f', -1, 64)}})
+	ask(asking)
+	for _, rt := range []*Router{owner, asking} {
+		d := ask(rt)
+		qt.Assert(t, isAtQuota(d), qt.IsTrue, qt.Commentf("%s: %+v", rt.Self.ID, d))
+	}
+	owner.ObserveHeader(endpoint, http.Header{})
+	qt.Assert(t, isAtQuota(ask(owner)), qt.IsFalse, qt.Commentf("it names none any more"))
+}
--- a/hitchrouter/router.go
+++ b/hitchrouter/router.go
@@ -28,6 +28,7 @@
 	"citronhitch.example/citronhitch/hitchoutcome"
 	"citronhitch.example/citronhitch/hitchplace"
 	"citronhitch.example/citronhitch/hitchquarantine"
+	"citronhitch.example/citronhitch/hitchquota"
 )
 
 // defaultRetryDelay is the time after which a caller may retry, for refusals whose
@@ -48,6 +49,10 @@
 	// Bookings runs calls that aren't idempotent; if it is nil, they are refused.
 	Bookings *Bookings
 
+	// quotas holds the quotas that endpoints name, and permitIssuer gives permits for those
+	// that this router owns.
+	quotas       hitchquota.Tracker
+	permitIssuer hitchquota.Issuer
 	// Quarantine decides which messages are refused, as engines crash at them.
 	Quarantine hitchquarantine.Tracker
 
--- a/hitchrouter/slot.go
+++ b/hitchrouter/slot.go
@@ -146,7 +146,7 @@
 	}
 	decisions := make(chan hitchadmit.Decision, 1)
 	rt.pendingDecisions.put(uint64(slotRequest.ID), decisions)
-	d := rt.sendSlotRequest(ctx, slotRequest, owner)
+	d := rt.sendSlotRequest(ctx, slotRequest, e, owner)
 	if d.Verdict == hitchadmit.Queued {
 		d = rt.awaitDecision(ctx, slotRequest, decisions)
 	}
@@ -163,9 +163,12 @@
 // sendSlotRequest sends a slot request to the owner of the endpoint. Without a
 // response the request counts as refused; cancelSlotRequest then releases the slot in
 // case the owner granted it.
-func (rt *Router) sendSlotRequest(ctx context.Context, slotRequest hitchadmit.SlotRequest, owner hitchfleet.Instance) hitchadmit.Decision {
+func (rt *Router) sendSlotRequest(ctx context.Context, slotRequest hitchadmit.SlotRequest, e hitchfleet.Endpoint, owner hitchfleet.Instance) hitchadmit.Decision {
 	refused := hitchadmit.Decision{ID: slotRequest.ID, Reason: hitchoutcome.ReasonStale}
 	p := hitchadmit.Packet{SlotRequest: &slotRequest}
+	if notice := rt.quotaNotice(e); notice.IsLimited {
+		p.Quota = notice
+	}
 	if owner.ID == rt.Self.ID {
 		return *rt.handleAdmissionPacket(rt.Self, p).Decision
 	}
