hitchbalance: a request that gets no permit isn't announced as a prefill

Cause: a pick tells the other instances at once which prompt an engine prefills, so that they wait for it. A pick whose endpoint then has no permit is given back, but the others were told, and waited up to two seconds for a prefill that never began. Evidence: the logs have Held=2.0s for these requests, and nothing was sent for them. Change: a pick that needs a permit is announced once it has one. Test: TestRequestThatIsNotSentIsNotAnnounced, whose case without a permit fails on the code before (2 updates).

--- a/hitchbalance/await.go
+++ b/hitchbalance/await.go
@@ -22,12 +22,9 @@
 	if p.UncachedTokens-prompt.tokensAfter(known) >= longPrefillTokens && !isProbe {
 		p.PendingPrefix = b.prefixKeys[known-1]
 	}
-	b.queuePromptUpdates(e, prompt, now)
+	p.updates = b.promptUpdates(e, prompt, now)
 	p.newPrefixes = e.cache.recordRequest(b.prefixKeys, prompt, now)
 	p.isLongPrefill = len(p.newPrefixes) > 0 && p.UncachedTokens-prompt.tokensAfter(len(b.prefixKeys)) >= longPrefillTokens
-	if p.isLongPrefill {
-		b.signalUrgent()
-	}
 }
 
 // AwaitPrefill returns a channel that is closed when the known state of any engine's
--- a/hitchbalance/await_test.go
+++ b/hitchbalance/await_test.go
@@ -6,6 +6,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"citronhitch.example/citronhitch/hitchdigest"
+	"citronhitch.example/citronhitch/hitchfleet"
 )
 
 // sendCacheUpdate sends the cache update of one balancer to all.
@@ -109,3 +110,33 @@
 		qt.Assert(t, c.IsPrefilled, qt.IsTrue)
 	}
 }
+
+// TestRequestThatIsNotSentIsNotAnnounced guards against requests that wait for a prefill which
+// never happens, as other instances were told of a request that got no permit.
+func TestRequestThatIsNotSentIsNotAnnounced(t *testing.T) {
+	tests := map[string]struct {
+		needsPermit, isSent bool
+		want                int
+	}{
+		"needs no permit": {false, true, 2},
+		"got a permit":    {true, true, 2},
+		"got no permit":   {true, false, 0},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			b := balancers(fleet(1, 3))[0]
+			p, refusal := b.Pick(start, Request{
+				Service: "llm", Prompt: prompt(77), IsRetrySafe: true,
+				NeedsPermit: func(hitchfleet.Endpoint) bool { return test.needsPermit },
+			})
+			qt.Assert(t, refusal, qt.Equals, NotRefused)
+			if test.isSent {
+				b.Announce(p)
+			} else {
+				b.Finish(start, p, ResultAbandoned)
+			}
+			qt.Assert(t, b.TakeCacheUpdate().CachedPrefixes, qt.HasLen, test.want)
+			qt.Assert(t, pick(t, b, start, prompt(77)).PendingPrefix != 0, qt.Equals, test.isSent)
+		})
+	}
+}
--- a/hitchbalance/digest.go
+++ b/hitchbalance/digest.go
@@ -110,9 +110,9 @@
 	}
 }
 
-// queuePromptUpdates queues a cache update for each prefix of a request to an
-// engine, except those that were used within cacheUpdateInterval.
-func (b *Balancer) queuePromptUpdates(e *endpoint, prompt Prompt, now time.Time) {
+// promptUpdates returns a cache update for each prefix of a request to an engine, except
+// those that were used within cacheUpdateInterval.
+func (b *Balancer) promptUpdates(e *endpoint, prompt Prompt, now time.Time) (updates []hitchdigest.CachedPrefix) {
 	for i, key := range b.prefixKeys {
 		prefix := e.cache.byKey[key]
 		if now.Sub(prefix.usedAt) < cacheUpdateInterval {
@@ -122,8 +122,27 @@
 		if !c.IsPrefilled {
 			c.PrefillTokens = prompt.Parts[i].Tokens
 		}
+		updates = append(updates, c)
+	}
+	return updates
+}
+
+// Announce queues the cache updates of a request that wasn't certain to be sent when it was
+// picked.
+func (b *Balancer) Announce(p Pick) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.announce(&p)
+}
+
+func (b *Balancer) announce(p *Pick) {
+	for _, c := range p.updates {
 		b.queueCacheUpdate(c)
 	}
+	if p.isLongPrefill && len(p.updates) > 0 {
+		b.signalUrgent()
+	}
+	p.updates = nil
 }
 
 // queueCacheUpdate queues a cache update in place of an earlier one for the same
--- a/hitchbalance/pick.go
+++ b/hitchbalance/pick.go
@@ -4,6 +4,7 @@
 	"math"
 	"time"
 
+	"citronhitch.example/citronhitch/hitchdigest"
 	"citronhitch.example/citronhitch/hitchfleet"
 )
 
@@ -54,8 +55,10 @@
 	// isLongPrefill is set if newPrefixes isn't empty and at least longPrefillTokens of
 	// the prompt's shared prefixes aren't cached.
 	isLongPrefill bool
-	id            uint64
-	sentAt        time.Time
+	// updates are the cache updates that the request causes. They are nil once queued.
+	updates []hitchdigest.CachedPrefix
+	id      uint64
+	sentAt  time.Time
 	// RetryAt is when an endpoint takes requests again, if none was picked as AllPaused or
 	// AllAtQuota.
 	RetryAt time.Time
@@ -133,6 +136,9 @@
 	if key, ok := r.Prompt.Affinity(); ok {
 		p.CacheSource = b.cacheSource(now, e, key, b.prefixKeys)
 		b.recordPrompt(now, e, &p, r.Prompt)
+		if r.NeedsPermit == nil || !r.NeedsPermit(e.Endpoint) {
+			b.announce(&p)
+		}
 	}
 	if now.Before(e.ColdUntil) {
 		e.coldLimit.takeToken()
--- a/hitchbalance/request.go
+++ b/hitchbalance/request.go
@@ -77,6 +77,9 @@
 	BacklogSlackTokens int
 	// UnreachableZones are the zones from which earlier attempts got no response.
 	UnreachableZones []hitchfleet.AvailabilityZone
+	// NeedsPermit reports whether a request to an endpoint may turn out not to be sent. Its
+	// cache updates are queued by Announce then. It may be nil.
+	NeedsPermit func(hitchfleet.Endpoint) bool
 	// Version limits the endpoints to those of the version that began the stream.
 	Version VersionConstraint
 }
--- a/hitchingress/quota.go
+++ b/hitchingress/quota.go
@@ -41,12 +41,14 @@
 	run := pick.Endpoint.Run()
 	quota, namedAt := g.Quotas.QuotaSince(time.Now(), run)
 	if !quota.IsLimited || g.IgnoreQuotas {
+		g.Balancer.Announce(pick) // the quota may have ended after the pick
 		return hitchquota.Permit{IsGranted: true}
 	}
 	permit := g.askPermit(ctx, run, quota)
 	now := time.Now()
 	g.Metrics.countPermit(permit.IsGranted)
 	if permit.IsGranted {
+		g.Balancer.Announce(pick)
 		return permit
 	}
 	g.Log.Info("no permit for an endpoint with a quota", "ID", req.ID, "Endpoint", pick.Endpoint.ID, "PerSecond", quota.PerSecond,
@@ -56,6 +58,11 @@
 	return permit
 }
 
+// needsPermit reports whether a request to an endpoint needs a permit.
+func (g *Gateway) needsPermit(e hitchfleet.Endpoint) bool {
+	return !g.IgnoreQuotas && g.Quotas.Quota(time.Now(), e.Run()).IsLimited
+}
+
 // askPermit asks for a permit for one request.
 func (g *Gateway) askPermit(ctx context.Context, run hitchfleet.RunID, quota hitchquota.Quota) hitchquota.Permit {
 	if g.Permits == nil {
--- a/hitchingress/run.go
+++ b/hitchingress/run.go
@@ -98,7 +98,7 @@
 		Service: req.service, Prompt: req.Prompt, Zone: g.Self.Zone, Tried: req.triedEndpoints,
 		BacklogSlackTokens: req.slackTokens(),
 		IsRetrySafe:        req.retryState.IsRetrySafe, UnreachableZones: slices.Clone(req.unreachableZones),
-		Version: g.versionConstraint(req),
+		Version: g.versionConstraint(req), NeedsPermit: g.needsPermit,
 	}
 }
 
