--- a/cmd/citronhitch/ingress.go
+++ b/cmd/citronhitch/ingress.go
@@ -11,13 +11,14 @@
 func (p *program) ingressCommand() command {
 	clause := p.app.Command("ingress", "Serve callers on the users' platform, whose store keeps the configuration and the endpoints.")
 	settings := clause.Flag("config", "Path of the settings file that the platform writes.").Required().Envar("CITRONHITCH_CONFIG").String()
-	var quarantine quarantineSettings
-	quarantine.addFlags(clause)
+	var protection protectionSettings
+	protection.addFlags(clause)
 	return command{clause, func(ctx context.Context) error {
-		limits, err := quarantine.validate()
+		limits, err := protection.validate()
 		if err != nil {
 			return err
 		}
-		return hitchedge.Run(ctx, *settings, hitchedge.Options{Quarantine: limits}, p.stdout)
+		options := hitchedge.Options{Quarantine: limits, IgnoreQuotas: protection.ignoreQuotas}
+		return hitchedge.Run(ctx, *settings, options, p.stdout)
 	}}
 }
--- a/cmd/citronhitch/quarantine.go
+++ b/cmd/citronhitch/protection.go
@@ -12,20 +12,21 @@
 	maxQuarantineSeconds = 3600
 )
 
-// quarantineSettings are the flags that set when requests are refused, as endpoints crash at
-// them.
-type quarantineSettings struct {
-	crashes int
-	seconds int
+// protectionSettings are the flags that set which requests endpoints are protected from.
+type protectionSettings struct {
+	crashes      int
+	seconds      int
+	ignoreQuotas bool
 }
 
-func (s *quarantineSettings) addFlags(clause *kingpin.CmdClause) {
+func (s *protectionSettings) addFlags(clause *kingpin.CmdClause) {
 	clause.Flag("quarantine-crashes", "Number of crashes of endpoints after which requests with a part in common are refused; 0 refuses none.").Default("3").IntVar(&s.crashes)
 	clause.Flag("quarantine-seconds", "How long such requests are refused before one is tried again, in seconds; doubles with each crash in a trial.").Default("60").IntVar(&s.seconds)
+	clause.Flag("ignore-quotas", "Send endpoints more requests a second than they say they take, as operators may need if one names too few.").BoolVar(&s.ignoreQuotas)
 }
 
-// validate returns the limits, or a *SettingError for the first invalid flag.
-func (s *quarantineSettings) validate() (limits hitchquarantine.Limits, err error) {
+// validate returns the limits of the quarantine, or a *SettingError for the first invalid flag.
+func (s *protectionSettings) validate() (limits hitchquarantine.Limits, err error) {
 	if err := checkRange("quarantine-crashes", s.crashes, 0, maxQuarantineCrashes); err != nil {
 		return limits, err
 	}
--- a/cmd/citronhitch/serve.go
+++ b/cmd/citronhitch/serve.go
@@ -21,7 +21,7 @@
 
 // serveSettings holds the unvalidated flags of a router instance.
 type serveSettings struct {
-	quarantine                 quarantineSettings
+	protection                 protectionSettings
 	id, region, zone           string
 	address, advertise         string
 	peerAddress                string
@@ -73,7 +73,7 @@
 	clause.Flag("grace-ms", "How long a router still accepts new requests after its shutdown has begun, in milliseconds.").Default("2000").IntVar(&s.graceMillis)
 	clause.Flag("connections", "Number of connections that callers may have open at the same time.").Default("10000").IntVar(&s.connections)
 	clause.Flag("stop-seconds", "Timeout of a graceful shutdown, in seconds.").Default("600").IntVar(&s.stopSeconds)
-	s.quarantine.addFlags(clause)
+	s.protection.addFlags(clause)
 	clause.Flag("log-level", "trace, debug, info, warn or error.").Default("info").EnumVar(&s.logLevel, "trace", "debug", "info", "warn", "error")
 }
 
@@ -135,9 +135,10 @@
 		PeerKeys:                hitchpeer.Keys{Certificate: s.peerCertificate, PrivateKey: s.peerKey, Authorities: s.peerAuthority}.Current,
 		InactivityTimeoutMillis: s.silenceMillis, GracePeriodMillis: s.graceMillis, MaxConnections: s.connections,
 	}
-	if out.Quarantine, err = s.quarantine.validate(); err != nil {
+	if out.Quarantine, err = s.protection.validate(); err != nil {
 		return out, err
 	}
+	out.IgnoreQuotas = s.protection.ignoreQuotas
 	secrets := hitchclaim.Secrets{}.WithSigning([]byte(s.bookingSecrets[0]))
 	for _, secret := range s.bookingSecrets[1:] {
 		secrets = secrets.WithAccepted([]byte(secret))
--- a/hitchedge/edge.go
+++ b/hitchedge/edge.go
@@ -85,6 +85,8 @@
 type Options struct {
 	// Quarantine sets when parts of prompts are quarantined.
 	Quarantine hitchquarantine.Limits
+	// IgnoreQuotas is set if endpoints may get more requests than they say they take.
+	IgnoreQuotas bool
 }
 
 // Run runs an instance with the settings file at path until ctx ends, and then shuts
@@ -104,6 +106,7 @@
 	edge := &Edge{Settings: settings, Log: log}
 	edge.initialize()
 	edge.gateway.Quarantine.SetLimits(options.Quarantine)
+	edge.gateway.IgnoreQuotas = options.IgnoreQuotas
 	go edge.reloadOnSignal(ctx, path, reloadSignals)
 	return edge.Run(ctx)
 }
--- a/hitchingress/gateway.go
+++ b/hitchingress/gateway.go
@@ -57,7 +57,7 @@
 	// a run of an endpoint that names one; nil means that this instance is alone.
 	Quotas  hitchquota.Tracker
 	Permits func(ctx context.Context, run hitchfleet.RunID) hitchquota.Permit
-	// IgnoreQuotas is set if no permits are needed.
+	// IgnoreQuotas is set if endpoints may get more requests than they say they take.
 	IgnoreQuotas bool
 	permitIssuer hitchquota.Issuer
 
--- a/hitchnode/settings.go
+++ b/hitchnode/settings.go
@@ -45,7 +45,9 @@
 	MaxConnections int
 	// Quarantine sets when requests are refused, as engines crash at them.
 	Quarantine hitchquarantine.Limits
-	Log        hclog.Logger
+	// IgnoreQuotas is set if endpoints may get more requests than they say they take.
+	IgnoreQuotas bool
+	Log          hclog.Logger
 }
 
 // DefaultGracePeriodMillis is used if Settings.GracePeriodMillis isn't set.
--- a/hitchnode/wire.go
+++ b/hitchnode/wire.go
@@ -66,6 +66,8 @@
 	router := &hitchrouter.Router{
 		Forward: n.forwardClient(),
 		Log:     n.Settings.Log,
+
+		IgnoreQuotas: n.Settings.IgnoreQuotas,
 		Bookings: &hitchrouter.Bookings{
 			Store:   claimStore(do.MustInvoke[*hitchstore.Client](i)),
 			Secrets: n.Settings.BookingSecrets,
--- a/hitchrouter/quota.go
+++ b/hitchrouter/quota.go
@@ -51,7 +51,7 @@
 // many requests as it takes. Every attempt needs a slot, so that retries count too.
 func (rt *Router) refuseAboveQuota(now time.Time, r hitchadmit.SlotRequest) (_ hitchadmit.Decision, isRefused bool) {
 	e, ok := rt.placement().endpoints[r.Endpoint]
-	if !ok {
+	if !ok || rt.IgnoreQuotas {
 		return hitchadmit.Decision{}, false
 	}
 	permit := rt.permitIssuer.Issue(now, e.Run(), rt.quotas.Quota(now, e.Run()))
--- a/hitchrouter/router.go
+++ b/hitchrouter/router.go
@@ -49,6 +49,9 @@
 	// Bookings runs calls that aren't idempotent; if it is nil, they are refused.
 	Bookings *Bookings
 
+	// IgnoreQuotas is set if endpoints may get more requests than they say they take.
+	IgnoreQuotas bool
+
 	// quotas holds the quotas that endpoints name, and permitIssuer gives permits for those
 	// that this router owns.
 	quotas       hitchquota.Tracker
