--- a/hitchsoak/check.go
+++ b/hitchsoak/check.go
@@ -140,6 +140,7 @@
 			stops++
 		case RevokeKey, LeaveEndpoint, ShedRequests, CompactStore, ThrottleInstance, ReloadInstance, StopAgain, RestoreStore, AnnounceLeave, AskForPause:
 		case FallSilentBeforeAnswer, FallSilentBeforeFirstEvent, FallSilentInStream, ChangeConfigs, ReloadSeries:
+		case NameQuota:
 		case SpoilAnswers: // harmless to the calls whose responses weren't spoiled
 		default:
 			return 0, false
--- a/hitchsoak/crashes.go
+++ b/hitchsoak/crashes.go
@@ -50,7 +50,7 @@
 	if rng.IntN(2) == 0 {
 		plan = append(plan, planKillsOfAll(rng, length)...)
 	}
-	return addEngineFaults(rng, plan, length, instances, func() FaultKind { return crashPlanKinds[rng.IntN(len(crashPlanKinds))] })
+	return addEngineFaults(rng, plan, length, meanFaultInterval, instances, func() FaultKind { return crashPlanKinds[rng.IntN(len(crashPlanKinds))] })
 }
 
 // crashingPart returns the part of a fault of kind CrashingRequests.
--- a/hitchsoak/engine.go
+++ b/hitchsoak/engine.go
@@ -52,6 +52,8 @@
 	versions []string
 	// crashing are the parts at which engines crash.
 	crashing hitchstandin.CrashingParts
+	// quotas are the quotas that engines name.
+	quotas hitchstandin.QuotaLog
 	// newContext returns the context of an engine.
 	newContext func() (context.Context, context.CancelFunc)
 
@@ -97,6 +99,7 @@
 	e := &engine{relay: &hitchfake.Relay{}}
 	e.ID, e.Service, e.Version, e.Born, e.RunLog = id, "engines", version, born, &s.fleet.runLog
 	e.Crashing, e.Crash = &s.crashing, func() { s.crash(e) }
+	e.Quotas = &s.quotas
 	s.mu.Lock()
 	e.Zone = zoneOf(len(s.all))
 	s.all = append(s.all, e)
@@ -270,6 +273,8 @@
 		undo = func() { s.crashing.Remove(crashingPart(fault)) }
 	case CrashEndpoint:
 		s.crash(e)
+	case NameQuota:
+		undo = s.quotas.Begin(e.ID, quotaOf(fault))
 	case ReplaceEndpoints:
 		undo, err = s.replace(ctx, fault.Target)
 	case RestartAtAddress:
--- a/hitchsoak/soak.go
+++ b/hitchsoak/soak.go
@@ -125,6 +125,10 @@
 		violations, notes := c.checkCrashes(calls, f.engines.crashing.Arrivals())
 		report.Violations, report.Notes = append(report.Violations, violations...), append(report.Notes, notes...)
 	}
+	if s.Variant == VariantQuotas {
+		violations, note := c.checkQuotas(calls, &f.engines.quotas)
+		report.Violations, report.Notes = append(report.Violations, violations...), append(report.Notes, note)
+	}
 	report.Seed = s.Seed
 	report.Violations = append(report.Violations, f.processViolations()...)
 	if s.LogDir != "" && len(report.Violations) > 0 {
@@ -148,6 +152,9 @@
 	if s.Variant == VariantCrashes {
 		wg.Go(func() { s.runCrashCallers(callCtx, f, c, record) })
 	}
+	if s.Variant == VariantQuotas {
+		wg.Go(func() { s.runBusyCallers(callCtx, f, record) })
+	}
 	if s.hasEngines() {
 		wg.Go(func() { streams = s.runStreams(callCtx, f, record) })
 	}
--- a/hitchsoak/versionplan.go
+++ b/hitchsoak/versionplan.go
@@ -24,6 +24,8 @@
 	// CrashEndpoint ends an endpoint without notice. It starts again at its address, with its
 	// ID.
 	CrashEndpoint
+	// NameQuota makes an endpoint name how many requests a second it takes.
+	NameQuota
 )
 
 const firstVersionKind = 200
@@ -32,7 +34,7 @@
 var engineKindNames = map[FaultKind]string{
 	ReplaceEndpoints: "ReplaceEndpoints", RestartAtAddress: "RestartAtAddress",
 	RestartSameID: "RestartSameID", KillAllInstances: "KillAllInstances",
-	CrashingRequests: "CrashingRequests", CrashEndpoint: "CrashEndpoint",
+	CrashingRequests: "CrashingRequests", CrashEndpoint: "CrashEndpoint", NameQuota: "NameQuota",
 }
 
 // versionPlanKinds are the kinds of such a plan. A kind that is listed twice is twice as
@@ -60,7 +62,7 @@
 // The same arguments give the same plan.
 func newVersionPlan(seed uint64, length time.Duration, instances int) []Fault {
 	rng := rand.New(rand.NewPCG(seed, 5))
-	return addEngineFaults(rng, planKillsOfAll(rng, length), length, instances, func() FaultKind {
+	return addEngineFaults(rng, planKillsOfAll(rng, length), length, meanFaultInterval, instances, func() FaultKind {
 		kind := versionPlanKinds[rng.IntN(len(versionPlanKinds))]
 		if rng.Float64() < sameIDShare {
 			kind = RestartSameID
@@ -69,9 +71,10 @@
 	})
 }
 
-// addEngineFaults adds random faults of the kinds that pickKind returns to a plan.
-func addEngineFaults(rng *rand.Rand, plan []Fault, length time.Duration, instances int, pickKind func() FaultKind) []Fault {
-	for at := faultFreeStart; at < length-faultFreeEnd; at += time.Duration(rng.ExpFloat64() * float64(meanFaultInterval)) {
+// addEngineFaults adds random faults of the kinds that pickKind returns to a plan, with a mean
+// interval between them.
+func addEngineFaults(rng *rand.Rand, plan []Fault, length, interval time.Duration, instances int, pickKind func() FaultKind) []Fault {
+	for at := faultFreeStart; at < length-faultFreeEnd; at += time.Duration(rng.ExpFloat64() * float64(interval)) {
 		f := Fault{Kind: pickKind(), Begin: at}
 		switch f.Kind {
 		case CompactStore, RestoreStore:
--- a/hitchsoak/versions.go
+++ b/hitchsoak/versions.go
@@ -15,10 +15,14 @@
 	VariantVersions = "versions"
 	// VariantCrashes has callers whose requests crash engines, beside sound ones and faults.
 	VariantCrashes = "crashes"
+	// VariantQuotas has engines that name how many requests a second they take.
+	VariantQuotas = "quotas"
 )
 
 // Variants returns the names of the variants.
-func Variants() []string { return []string{VariantFaults, VariantVersions, VariantCrashes} }
+func Variants() []string {
+	return []string{VariantFaults, VariantVersions, VariantCrashes, VariantQuotas}
+}
 
 // engineIPNumber is the number of the loopback address of the engines, which no instance
 // has.
@@ -44,6 +48,8 @@
 		return newVersionPlan(s.Seed, s.length(), s.instances())
 	case VariantCrashes:
 		return newCrashPlan(s.Seed, s.length(), s.instances())
+	case VariantQuotas:
+		return newQuotaPlan(s.Seed, s.length(), s.instances())
 	}
 	return NewPlan(s.Faults, s.Seed, s.length(), s.instances(), s.endpoints(), s.organisations())
 }
