hitchview: an instance that was cut off doesn't take its own cut for an outage of the store

What the endpoints saw: a request 2.4 s after an endpoint had left (DRAIN), from an instance whose cut had ended 3 s before.

Cause: entries that the store has removed when an instance reads it again are kept for 2.2 s, as they may have expired in the store's outage, and their endpoints write them again within two seconds of its return. The instance counted from when it could read again, though a hub had said for 1.3 s that it reached the store. Evidence: the log has 18 endpoints where the others have 16 at the same revision, and 16 from 31.7 s on, when the grace period ends. Change: the grace period counts from when a hub is known to have reached the store, without a gap.

--- a/hitchview/era.go
+++ b/hitchview/era.go
@@ -18,7 +18,7 @@
 // removes.
 func (f *Follower) keepExpiredUntil(b Batch) time.Time {
 	now := f.now()
-	until := f.storeHealth.keepExpiredUntil(now)
+	until := f.storeHealth.keepExpiredUntil(now, f.hubs.storeReachableSince(now))
 	if grace := now.Add(eraGracePeriod); f.View().isBeforeEraOf(b) && grace.After(until) {
 		return grace
 	}
--- a/hitchview/follower.go
+++ b/hitchview/follower.go
@@ -110,7 +110,7 @@
 	for _, msg := range messages {
 		out = out.with(now, msg)
 	}
-	out.KeepLapsedMilliseconds = max(f.storeHealth.keepExpiredUntil(now).Sub(now).Milliseconds(), v.NextExpiry().Sub(now).Milliseconds(), 0)
+	out.KeepLapsedMilliseconds = max(f.storeHealth.keepExpiredUntil(now, f.hubs.storeReachableSince(now)).Sub(now).Milliseconds(), v.NextExpiry().Sub(now).Milliseconds(), 0)
 	return out
 }
 
--- a/hitchview/hub.go
+++ b/hitchview/hub.go
@@ -24,6 +24,7 @@
 	addr     string
 	revision hitchfleet.Revision
 	statusCh chan struct{}
+	reach    hubReach
 }
 
 // statusReceived returns a channel that receives a value after each hub status.
@@ -41,6 +42,7 @@
 	statusCh := h.statusReceived()
 	h.mu.Lock()
 	h.heardAt = now
+	h.reach.record(now, status)
 	if status.Revision > h.revision {
 		h.revision, h.addr = status.Revision, status.Addr
 	}
@@ -73,6 +75,14 @@
 	return h.addr, h.revision
 }
 
+// storeReachableSince returns since when a hub has reached the store, or the zero time if none
+// does.
+func (h *hubState) storeReachableSince(now time.Time) time.Time {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.reach.since(now)
+}
+
 // HubStatus is the status that a hub reports about itself.
 type HubStatus struct {
 	// Addr is where to read the changes up to Revision.
--- a/hitchview/storehealth.go
+++ b/hitchview/storehealth.go
@@ -73,12 +73,16 @@
 }
 
 // keepExpiredUntil returns until when to keep entries that are removed now. The
-// zero time means that they are removed immediately.
-func (h *storeHealth) keepExpiredUntil(now time.Time) time.Time {
+// zero time means that they are removed immediately. A store that a hub has reached since
+// reachableSince came back then at the latest, even if this instance was cut off for longer.
+func (h *storeHealth) keepExpiredUntil(now, reachableSince time.Time) time.Time {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.recoveredAt.IsZero() || now.Sub(h.recoveredAt) > expiryReportWindow {
 		return time.Time{}
 	}
+	if !reachableSince.IsZero() && reachableSince.Before(h.recoveredAt) {
+		return reachableSince.Add(expiredGrace)
+	}
 	return h.recoveredAt.Add(expiredGrace)
 }
--- a/hitchview/view_test.go
+++ b/hitchview/view_test.go
@@ -122,7 +122,7 @@
 
 func TestOnlyEntriesRemovedJustAfterOutageAreKept(t *testing.T) {
 	var h storeHealth
-	qt.Assert(t, h.keepExpiredUntil(start).IsZero(), qt.IsTrue)
+	qt.Assert(t, h.keepExpiredUntil(start, time.Time{}).IsZero(), qt.IsTrue)
 	h.recordSuccess(start)
 	h.recordFailure(start.Add(time.Second))
 	qt.Assert(t, h.isUnreachable(start.Add(time.Second)), qt.IsTrue)
@@ -130,12 +130,12 @@
 	outage, ended := h.recordSuccess(end)
 	qt.Assert(t, ended, qt.IsTrue)
 	qt.Assert(t, outage, qt.Equals, 4*time.Second)
-	qt.Assert(t, h.keepExpiredUntil(end.Add(expiryReportWindow)), qt.Equals, end.Add(expiredGrace))
-	qt.Assert(t, h.keepExpiredUntil(end.Add(expiryReportWindow+1)).IsZero(), qt.IsTrue)
+	qt.Assert(t, h.keepExpiredUntil(end.Add(expiryReportWindow), time.Time{}), qt.Equals, end.Add(expiredGrace))
+	qt.Assert(t, h.keepExpiredUntil(end.Add(expiryReportWindow+1), time.Time{}).IsZero(), qt.IsTrue)
 	// A single failed call is not an outage.
 	h.recordFailure(end.Add(10 * time.Second))
 	h.recordSuccess(end.Add(10*time.Second + outageThreshold))
-	qt.Assert(t, h.keepExpiredUntil(end.Add(10*time.Second+outageThreshold)).IsZero(), qt.IsTrue)
+	qt.Assert(t, h.keepExpiredUntil(end.Add(10*time.Second+outageThreshold), time.Time{}).IsZero(), qt.IsTrue)
 }
 
 func TestChangeLogIsCompactedAndBounded(t *testing.T) {
