--- a/hitchquota/owner.go
+++ b/hitchquota/owner.go
@@ -16,7 +16,11 @@
 	}
 	var best []candidate
 	for _, i := range instances {
-		best = append(best, candidate{i, hitchfleet.Score(hitchfleet.Key(run), i.Key())})
+		score := hitchfleet.Score(hitchfleet.Key(run), i.Key())
+		if len(best) == count && score < best[count-1].score {
+			continue
+		}
+		best = append(best, candidate{i, score})
 		slices.SortFunc(best, func(a, b candidate) int { return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.ID, b.ID)) })
 		best = best[:min(len(best), count)]
 	}
