--- a/hitchquota/simulation_test.go
+++ b/hitchquota/simulation_test.go
@@ -76,8 +76,7 @@
 		n := slices.IndexFunc(f.instances, func(other *simInstance) bool { return other.ID == owner.ID })
 		other := f.instances[n]
 		isReachable := other == i || !f.now.Before(other.downTo) && !f.now.Before(other.cutTo) && !f.now.Before(i.cutTo)
-		isLost := f.rng.Float64() < simLoss && f.rng.Float64() < simLoss // asked twice
-		if !isReachable || isLost {
+		if !isReachable || f.areLost(2) {
 			continue
 		}
 		other.tracker.Receive(f.now, NoticesMsg{From: i.ID, Notices: []Notice{i.tracker.Notice(f.now, simRun)}}, false)
@@ -88,6 +87,16 @@
 	return i.reserve.Issue(f.now, simRun, quota)
 }
 
+// areLost reports whether each of a number of questions is lost.
+func (f *simFleet) areLost(questions int) bool {
+	for range questions {
+		if f.rng.Float64() >= simLoss {
+			return false
+		}
+	}
+	return true
+}
+
 // request is one caller's request at an instance, which the endpoint answers at once.
 func (f *simFleet) request(i *simInstance) {
 	if f.now.Before(i.downTo) || f.now.Before(i.heldUntil) {
