--- a/hitchedge/suspicion_test.go
+++ b/hitchedge/suspicion_test.go
@@ -48,14 +48,9 @@
 			r := &region{instances: []hitchfleet.Instance{peer, e.Settings.Self}, roles: hitchdigest.Roles{Hubs: []hitchfleet.Instance{test.hub}}}
 			e.sendSuspicions(newTestSocket(t), r)
 			for _, socket := range test.receivers {
-				buf := make([]byte, maxDatagramBytes)
-				_ = socket.SetReadDeadline(time.Now().Add(time.Second))
-				n, from, err := socket.ReadFromUDP(buf)
-				qt.Assert(t, err, qt.IsNil)
-				packet, err := hitchdigest.Decode(buf[:n])
-				qt.Assert(t, err, qt.IsNil)
+				packet, from := receivePacket(t, socket)
 				receiver := newEdge()
-				receiver.handlePacket(packet, from.String())
+				receiver.handlePacket(packet, from)
 				qt.Assert(t, isRefused(receiver, 9), qt.IsTrue)
 			}
 		})
--- a/hitchquarantine/decision.go
+++ b/hitchquarantine/decision.go
@@ -84,7 +84,7 @@
 // recordChanges records the decisions that have changed levels, which follow from a message
 // of an instance unless from is empty.
 func (t *Tracker) recordChanges(before map[hitchfleet.PartID]uint8, from hitchfleet.InstanceID) {
-	for _, s := range t.sorted(func(_, _ *suspect) int { return 0 }) {
+	for _, s := range t.sorted() {
 		switch old := before[s.part]; {
 		case s.level == old:
 		case s.level == 0 && len(s.crashes) > 0:
--- a/hitchquarantine/judge.go
+++ b/hitchquarantine/judge.go
@@ -12,7 +12,7 @@
 // of the unexplained crashes. Sound parts that are in the same requests, or in others at the
 // same endpoints, have fewer crashes, or none that isn't explained.
 func (t *Tracker) judge(now time.Time) {
-	suspects := t.sorted(func(_, _ *suspect) int { return 0 })
+	suspects := t.sorted()
 	explained := make(map[hitchfleet.RunID]bool)
 	isCause := make(map[*suspect]bool)
 	for {
--- a/hitchquarantine/record.go
+++ b/hitchquarantine/record.go
@@ -27,7 +27,7 @@
 func (t *Tracker) Record(now time.Time) (r Record) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for _, s := range t.sorted(func(_, _ *suspect) int { return 0 }) {
+	for _, s := range t.sorted() {
 		if s.isQuarantined() && now.Before(s.expiresAt) {
 			r.Parts = append(r.Parts, RecordedPart{
 				Part: s.part.String(), Epoch: s.epoch, Crashes: slices.Clone(s.crashes), HasAnswered: s.hasAnswered,
--- a/hitchquarantine/spread.go
+++ b/hitchquarantine/spread.go
@@ -1,6 +1,9 @@
 package hitchquarantine
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Times and sizes of messages.
 const (
@@ -23,7 +26,9 @@
 		return nil
 	}
 	t.expire(now)
-	for _, s := range t.sorted(bySending) {
+	suspects := t.sorted()
+	slices.SortStableFunc(suspects, bySending)
+	for _, s := range suspects {
 		if len(due) == maxPerMessage {
 			break
 		}
--- a/hitchquarantine/tracker.go
+++ b/hitchquarantine/tracker.go
@@ -23,6 +23,7 @@
 	"time"
 
 	"citronhitch.example/citronhitch/hitchfleet"
+	"citronhitch.example/citronhitch/hitchrecent"
 )
 
 // Times and limits of suspects.
@@ -53,6 +54,9 @@
 	answeredDiscount = 2
 )
 
+// answeredLimits limits the parts of which it is known that answers have begun on them.
+var answeredLimits = hitchrecent.Limits{Length: 2 * time.Minute, Size: 8 << 10}
+
 // Limits sets when parts are quarantined. The zero value stands for the defaults.
 type Limits struct {
 	// IsOff is set if no request is refused. Evidence is collected all the same.
@@ -72,7 +76,7 @@
 	limits   Limits
 	suspects map[hitchfleet.PartID]*suspect
 	// answered holds the parts on which answers have begun.
-	answered  recentParts
+	answered  hitchrecent.Map[hitchfleet.PartID, struct{}]
 	decisions []Decision
 }
 
@@ -96,7 +100,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, part := range limitParts(parts) {
-		t.answered.add(now, part)
+		t.answered.Add(now, answeredLimits, part, struct{}{})
 		s := t.suspects[part]
 		if s == nil || len(s.crashes) == 0 && !s.isQuarantined() {
 			continue
@@ -217,7 +221,9 @@
 		s = &suspect{part: part}
 		t.suspects[part] = s
 	}
-	s.hasAnswered = s.hasAnswered || t.answered.has(now, part)
+	t.answered.Expire(now, answeredLimits)
+	_, hasAnswered := t.answered.Get(part)
+	s.hasAnswered = s.hasAnswered || hasAnswered
 	return s
 }
 
@@ -258,12 +264,12 @@
 	return parts[max(len(parts)-maxPartsPerRequest, 0):]
 }
 
-// sorted returns the suspects in an order that doesn't depend on the map's.
-func (t *Tracker) sorted(compare func(x, y *suspect) int) []*suspect {
+// sorted returns the suspects by part, so that decisions don't depend on the map's order.
+func (t *Tracker) sorted() []*suspect {
 	list := make([]*suspect, 0, len(t.suspects))
 	for _, s := range t.suspects {
 		list = append(list, s)
 	}
-	slices.SortFunc(list, func(x, y *suspect) int { return cmp.Or(compare(x, y), cmp.Compare(x.part, y.part)) })
+	slices.SortFunc(list, func(x, y *suspect) int { return cmp.Compare(x.part, y.part) })
 	return list
 }
--- a/hitchquarantine/tracker_test.go
+++ b/hitchquarantine/tracker_test.go
@@ -187,7 +187,7 @@
 		tracker.RecordAnswer(start, parts{100_000 + n})
 	}
 	qt.Assert(t, len(tracker.suspects) <= maxSuspects, qt.IsTrue)
-	qt.Assert(t, len(tracker.answered.current)+len(tracker.answered.previous) <= 2*maxGenerationParts, qt.IsTrue)
+	qt.Assert(t, tracker.answered.Len() <= 2*answeredLimits.Size, qt.IsTrue)
 	qt.Assert(t, len(tracker.Due(start, true)) <= maxPerMessage, qt.IsTrue)
 	later := at(2 * time.Hour)
 	tracker.RecordCrash(later, 1, parts{1})
