--- a/hitchedge/permit.go
+++ b/hitchedge/permit.go
@@ -102,9 +102,13 @@
 		if e.permits.isResting(now, owner.ID) {
 			continue
 		}
-		if permit, ok := e.askOwner(ctx, owner, run); ok {
+		permit, ok := e.askOwner(ctx, owner, run)
+		if ok {
 			return permit
 		}
+		if ctx.Err() != nil { // the request has ended, which says nothing of the owner
+			return hitchquota.Permit{AvailableAt: now, ReturnAt: now}
+		}
 		e.permits.rest(time.Now(), owner.ID)
 		e.Log.Info("no answer about a permit", "Owner", owner.ID, "Instances", len(instances))
 	}
@@ -116,7 +120,7 @@
 
 // askOwner asks one instance. It returns false if that doesn't respond.
 func (e *Edge) askOwner(ctx context.Context, owner hitchfleet.Instance, run hitchfleet.RunID) (permit hitchquota.Permit, ok bool) {
-	for range permitTries {
+	for n := 0; n < permitTries && ctx.Err() == nil; n++ {
 		if permit, ok = e.askOwnerOnce(ctx, owner, run); ok {
 			return permit, true
 		}
--- a/hitchedge/quota_test.go
+++ b/hitchedge/quota_test.go
@@ -1,6 +1,7 @@
 package hitchedge
 
 import (
+	"context"
 	"net"
 	"testing"
 	"time"
@@ -90,6 +91,20 @@
 	}
 }
 
+// TestCallerThatLeavesDoesNotRestOwner covers a request that ends while it waits for a permit:
+// the owner is asked again for the next one.
+func TestCallerThatLeavesDoesNotRestOwner(t *testing.T) {
+	edges := newQuotaFleet(t, 3, 2)
+	run := runOwnedBy(t, edges, edges[2])
+	edges[0].gateway.Quotas.Observe(time.Now(), run, hitchquota.Quota{PerSecond: 0.2, IsLimited: true})
+	ctx, cancel := context.WithTimeout(t.Context(), permitTimeout/2)
+	defer cancel()
+	qt.Assert(t, edges[0].askPermit(ctx, run).IsGranted, qt.IsFalse)
+	qt.Assert(t, edges[0].permits.isResting(time.Now(), edges[2].Settings.Self.ID), qt.IsFalse)
+	edges[0].askPermit(t.Context(), run)
+	qt.Assert(t, edges[0].permits.isResting(time.Now(), edges[2].Settings.Self.ID), qt.IsTrue)
+}
+
 // runOwnedBy returns a run whose owner is an instance, and whose next owner is the second
 // instance.
 func runOwnedBy(t *testing.T, edges []*Edge, owner *Edge) hitchfleet.RunID {
