--- a/hitchingress/serve.go
+++ b/hitchingress/serve.go
@@ -37,7 +37,7 @@
 	unreachableZones []hitchfleet.AvailabilityZone
 	stream           streamState
 	origin           streamOrigin
-	// isTrial is set while the request tries whether a quarantined part has been mended.
+	// isTrial is set while the request tries whether a quarantined part has been fixed.
 	isTrial  bool
 	logEntry logEntry
 }
--- a/hitchquarantine/judge.go
+++ b/hitchquarantine/attribution.go
@@ -8,10 +8,10 @@
 	"citronhitch.example/citronhitch/hitchfleet"
 )
 
-// judge quarantines the parts that explain the crashes: time and again the one that has most
+// attribute quarantines the parts that explain the crashes: time and again the one that has most
 // of the unexplained crashes. Sound parts that are in the same requests, or in others at the
 // same endpoints, have fewer crashes, or none that isn't explained.
-func (t *Tracker) judge(now time.Time) {
+func (t *Tracker) attribute(now time.Time) {
 	suspects := t.sorted()
 	explained := make(map[hitchfleet.RunID]bool)
 	isCause := make(map[*suspect]bool)
--- a/hitchquarantine/spread.go
+++ b/hitchquarantine/spread.go
@@ -86,7 +86,7 @@
 		}
 	}
 	if hasChanged {
-		t.judge(now)
+		t.attribute(now)
 		t.recordChanges(before, msg.From)
 	}
 }
--- a/hitchquarantine/tracker.go
+++ b/hitchquarantine/tracker.go
@@ -5,7 +5,7 @@
 // A crash hits all requests in flight at an endpoint. Each shared part of those that had no
 // answer yet becomes a suspect. An answer that begins on a part clears it. A part that most
 // crashes have in common without being cleared is quarantined: requests with it are refused
-// until a deadline, from which on single requests try whether it has been mended. If several
+// until a deadline, from which on single requests try whether it has been fixed. If several
 // parts have the same crashes, only requests with all of them are refused, so that others can
 // clear the sound ones.
 //
@@ -132,7 +132,7 @@
 			s.extend(now)
 		}
 	}
-	t.judge(now)
+	t.attribute(now)
 	t.recordChanges(before, "")
 }
 
@@ -144,7 +144,7 @@
 
 // Admission says whether a request may be sent to an endpoint.
 type Admission struct {
-	// IsTrial is set if the request tries whether a part has been mended.
+	// IsTrial is set if the request tries whether a part has been fixed.
 	IsTrial bool
 	// Refusal is nil if the request is admitted.
 	Refusal *Refusal
--- a/hitchquarantine/tracker_test.go
+++ b/hitchquarantine/tracker_test.go
@@ -21,8 +21,8 @@
 	parts parts
 }
 
-// TestJudge checks which requests are refused after a series of events, one each second.
-func TestJudge(t *testing.T) {
+// TestAttribution checks which requests are refused after a series of events, one each second.
+func TestAttribution(t *testing.T) {
 	tests := map[string]struct {
 		events            []event
 		refused, admitted []parts
@@ -121,8 +121,8 @@
 	return t
 }
 
-// TestPartThatHasBeenMendedComesBack covers the trials after the end of a quarantine.
-func TestPartThatHasBeenMendedComesBack(t *testing.T) {
+// TestPartThatHasBeenFixedComesBack covers the trials after the end of a quarantine.
+func TestPartThatHasBeenFixedComesBack(t *testing.T) {
 	const length = DefaultQuarantineSeconds * time.Second
 	tracker := quarantined(0)
 	qt.Assert(t, tracker.Admit(at(length-time.Second), parts{9}).Refusal.ReleaseAt, qt.Equals, at(length))
