--- a/hitchbalance/notice.go
+++ b/hitchbalance/notice.go
@@ -30,7 +30,7 @@
 
 // afterRestart returns the notice that counts after the endpoint's restart: it no longer
 // leaves. A pause stays, as the restarted endpoint may have asked for it before this
-// instance heard of the restart.
+// instance learned of the restart.
 func (n Notice) afterRestart() Notice { return Notice{PausedUntil: n.PausedUntil} }
 
 // noticeTTL is how long the notice of an endpoint that is no longer listed is kept.
--- a/hitchdigest/election.go
+++ b/hitchdigest/election.go
@@ -38,7 +38,7 @@
 
 // Election decides which instances are hubs. All instances hear the hubs, so that they
 // agree on a successor without a call to each other or to the store. The zero value
-// has heard no hub. Its methods are safe for concurrent use.
+// has received no status of a hub. Its methods are safe for concurrent use.
 type Election struct {
 	mu sync.Mutex
 	// hubs are the instances that are or were hubs or sent a status.
@@ -74,7 +74,7 @@
 	defer e.mu.Unlock()
 	alive := make([]hitchfleet.Instance, 0, len(ranked))
 	for _, i := range ranked {
-		if i.ID == self || e.isHeard(now, i.ID) || !e.isLost(now, i.ID) && !isSilent(i.ID) {
+		if i.ID == self || e.hasRecentStatus(now, i.ID) || !e.isLost(now, i.ID) && !isSilent(i.ID) {
 			alive = append(alive, i)
 		}
 	}
@@ -94,13 +94,13 @@
 	return out
 }
 
-// countCandidates returns how many instances are hubs in addition while none is heard: as
+// countCandidates returns how many instances are hubs in addition while none sends a status: as
 // many as were lost before. The number of those tried doubles each time, so that hubs are
 // found soon even if all instances at the top of the ranking are down.
 func (e *Election) countCandidates(now time.Time, ranked []hitchfleet.Instance) (lost int) {
 	for _, i := range ranked {
 		switch {
-		case e.isHeard(now, i.ID):
+		case e.hasRecentStatus(now, i.ID):
 			return 0
 		case e.isLost(now, i.ID):
 			lost++
@@ -109,8 +109,8 @@
 	return lost
 }
 
-// isHeard reports whether an instance sent a status lately.
-func (e *Election) isHeard(now time.Time, id hitchfleet.InstanceID) bool {
+// hasRecentStatus reports whether an instance sent a status recently.
+func (e *Election) hasRecentStatus(now time.Time, id hitchfleet.InstanceID) bool {
 	record := e.hubs[id]
 	return record.hasStatus && now.Sub(record.heardAt) <= hubTimeout
 }
@@ -161,11 +161,11 @@
 	return lacksStore
 }
 
-// anyReachesStore reports whether any instance that sent a status lately reaches the
+// anyReachesStore reports whether any instance that sent a status recently reaches the
 // store.
 func (e *Election) anyReachesStore(now time.Time) bool {
 	for id, record := range e.hubs {
-		if record.isStoreReachable && e.isHeard(now, id) {
+		if record.isStoreReachable && e.hasRecentStatus(now, id) {
 			return true
 		}
 	}
--- a/hitchdigest/liveness.go
+++ b/hitchdigest/liveness.go
@@ -82,7 +82,7 @@
 // Liveness combines the silence that the hubs report. The zero value has no reports.
 // Its methods are safe for concurrent use.
 //
-// A hub that hears most instances is credible. One that doesn't may be cut off itself,
+// A hub that receives reports of most instances is credible. One that doesn't may be cut off itself,
 // or consider itself a hub because it is cut off from the real ones.
 type Liveness struct {
 	mu      sync.Mutex
@@ -127,7 +127,7 @@
 	}
 }
 
-// hasCredible reports whether a credible hub reported lately.
+// hasCredible reports whether a credible hub reported recently.
 func (l *Liveness) hasCredible(now time.Time) bool {
 	return slices.ContainsFunc(l.reports, func(r silenceReport) bool { return r.isCurrent(now) && !r.silence.IsMajority })
 }
@@ -175,7 +175,7 @@
 const (
 	removalDelay = 5 * time.Second
 	// unconfirmedRemovalDelay applies while the hubs of a single availability zone
-	// report, or none that hears most instances.
+	// report, or none that receives reports of most instances.
 	unconfirmedRemovalDelay = 30 * time.Second
 )
 
--- a/hitchedge/permit.go
+++ b/hitchedge/permit.go
@@ -69,7 +69,7 @@
 	}
 }
 
-// isResting reports whether an instance didn't respond lately.
+// isResting reports whether an instance didn't respond recently.
 func (p *permits) isResting(now time.Time, id hitchfleet.InstanceID) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/hitchedge/shutdown.go
+++ b/hitchedge/shutdown.go
@@ -66,7 +66,7 @@
 }
 
 // isListed reports whether other instances' directories may name this one: its entry is
-// in the store, the hubs haven't heard of its removal yet, or it is kept for a grace
+// in the store, the hubs haven't learned of its removal yet, or it is kept for a grace
 // period, as it may only have expired in an outage of the store.
 func (e *Edge) isListed() bool {
 	isSelf := func(i hitchfleet.Instance) bool { return i.ID == e.Settings.Self.ID }
--- a/hitchedge/versions.go
+++ b/hitchedge/versions.go
@@ -13,7 +13,7 @@
 	hitchplatform "citronhitch.example/citronhitch/platform"
 )
 
-// versionsPath is the path on which an instance says which versions it has seen lately.
+// versionsPath is the path on which an instance says which versions it has seen recently.
 const versionsPath = "/v1/versions"
 
 // Limits of the questions for versions.
@@ -50,7 +50,7 @@
 	return true
 }
 
-// serveVersions tells another instance which versions this one has seen lately, unless it
+// serveVersions tells another instance which versions this one has seen recently, unless it
 // has missed some itself.
 func (e *Edge) serveVersions(w http.ResponseWriter, r *http.Request) {
 	recent, ok := e.gateway.Origins.Recent(time.Now())
@@ -64,7 +64,7 @@
 	}
 }
 
-// followRecords keeps this instance's knowledge of which versions there have been lately,
+// followRecords keeps this instance's knowledge of which versions there have been recently,
 // and the store's records, complete until ctx ends. Otherwise a fleet whose instances are
 // restarted wouldn't know for a while where streams may go on, and at which requests
 // endpoints crash.
@@ -127,7 +127,7 @@
 	e.Log.Info("versions of endpoints learned", "From", from)
 }
 
-// recordVersions writes the versions that there have been lately to the store, if these
+// recordVersions writes the versions that there have been recently to the store, if these
 // have changed or the store may have lost them.
 func (e *Edge) recordVersions(ctx context.Context) {
 	if recent, ok := e.gateway.Origins.Recent(time.Now()); ok {
@@ -135,7 +135,7 @@
 	}
 }
 
-// fetchVersions asks the instance at addr which versions it has seen lately.
+// fetchVersions asks the instance at addr which versions it has seen recently.
 func (e *Edge) fetchVersions(ctx context.Context, addr string) (recent hitchorigin.Recent, err error) {
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
--- a/hitchfake/network.go
+++ b/hitchfake/network.go
@@ -81,7 +81,7 @@
 	return n.client
 }
 
-// StallConnections stalls the open connections to an address for good: data in
+// StallConnections stalls the open connections to an address permanently: data in
 // both directions is dropped, and neither end gets an error. New connections work.
 func (n *Network) StallConnections(addr string) {
 	n.mu.Lock()
--- a/hitchfake/relay.go
+++ b/hitchfake/relay.go
@@ -51,7 +51,7 @@
 	return listener.Addr().String(), nil
 }
 
-// StallConnections stalls the open connections for good, in both directions,
+// StallConnections stalls the open connections permanently, in both directions,
 // without closing them.
 func (r *Relay) StallConnections() {
 	r.mu.Lock()
--- a/hitchpeer/call.go
+++ b/hitchpeer/call.go
@@ -63,7 +63,7 @@
 }
 
 // verifiedLink returns a connection for a call. A connection on which nothing was
-// received lately is tested with an echo first, and replaced if that fails: at this
+// received recently is tested with an echo first, and replaced if that fails: at this
 // point the request is unsent, so that using another connection is safe.
 func (n *Node) verifiedLink(ctx context.Context, to hitchfleet.InstanceID) (*link, error) {
 	select {
--- a/hitchpeer/linkwatch.go
+++ b/hitchpeer/linkwatch.go
@@ -59,7 +59,7 @@
 	return w
 }
 
-// isTrusted reports whether data was received on the connection lately and no echo
+// isTrusted reports whether data was received on the connection recently and no echo
 // request is unanswered.
 func (w linkWatch) isTrusted(now time.Time) bool {
 	return w.unresponsiveAt.IsZero() && now.Sub(w.lastReceivedAt) < trustDuration
