--- a/hitchsoak/caller.go
+++ b/hitchsoak/caller.go
@@ -21,6 +21,9 @@
 	resolveTimeout = time.Second
 	// meanThinkTime is the mean pause between two calls of a caller.
 	meanThinkTime = 40 * time.Millisecond
+	// maxIdleConns limits the connections that a caller keeps for its next calls. All
+	// callers together have few file descriptors.
+	maxIdleConns = 8
 )
 
 // call is one attempt of a caller and its result.
@@ -65,7 +68,7 @@
 // run makes calls until ctx ends and passes each finished one to record.
 func (c *caller) run(ctx context.Context, record func(call)) {
 	rng := rand.New(rand.NewPCG(c.seed, 2))
-	c.client.Transport = &http.Transport{}
+	c.client.Transport = &http.Transport{MaxIdleConns: maxIdleConns}
 	for n := 0; ctx.Err() == nil; n++ {
 		if c.resolve(ctx, rng) {
 			record(c.sendCall(rng, n))
--- a/hitchsoak/crashes.go
+++ b/hitchsoak/crashes.go
@@ -97,7 +97,7 @@
 // runCrashing sends requests with such parts until ctx ends.
 func (c *caller) runCrashing(ctx context.Context, checker *checker, record func(call)) {
 	rng := rand.New(rand.NewPCG(c.seed, 7))
-	c.client.Transport = &http.Transport{}
+	c.client.Transport = &http.Transport{MaxIdleConns: maxIdleConns}
 	for n := 0; ctx.Err() == nil; n++ {
 		sleepUntil(ctx, time.Now().Add(time.Duration(rng.ExpFloat64()*float64(crashCallerPause))))
 		parts := checker.crashingParts(time.Now())
--- a/hitchsoak/quotas.go
+++ b/hitchsoak/quotas.go
@@ -29,7 +29,9 @@
 	quotaFaultInterval = 3 * time.Second
 	// busyCallersPerInstance is the number of callers that request short streams, so that
 	// engines would get more requests than they take.
-	busyCallersPerInstance               = 6
+	busyCallersPerInstance = 6
+	// maxBusyCallers are enough for that in a large fleet.
+	maxBusyCallers                       = 48
 	busyCallerSeed                       = 1 << 14
 	minQuotaPerSecond, maxQuotaPerSecond = 0.5, 4.0
 )
@@ -44,7 +46,7 @@
 // runBusyCallers runs the callers of a soak of VariantQuotas until ctx ends.
 func (s *Soak) runBusyCallers(ctx context.Context, f *fleet, record func(call)) {
 	var wg sync.WaitGroup
-	for n := range busyCallersPerInstance * s.instances() {
+	for n := range min(busyCallersPerInstance*s.instances(), maxBusyCallers) {
 		x := &caller{seed: s.Seed<<16 + busyCallerSeed + uint64(n), fleet: f, path: streamPaths[0]}
 		wg.Go(func() { x.run(ctx, record) })
 	}
