hitchingress: endpoints of a test that crash have addresses of their own

Cause, by reading: TestPartThatCrashesEndpointsIsRefused, new in this work, runs beside it and frees a port while an endpoint is down; another test's endpoint can be given the same port of 127.0.0.1 then, and gets the first test's requests. Not shown by a run: the first run's ports weren't logged. The test's endpoints have IP addresses that no other test uses. No check is changed.

--- a/hitchingress/quarantine_test.go
+++ b/hitchingress/quarantine_test.go
@@ -28,9 +28,11 @@
 
 const downTime = 400 * time.Millisecond
 
-func startCrashingBackend(t *testing.T, crashes *atomic.Int64) *crashingBackend {
+// startCrashingBackend starts a backend at an IP address that no other test uses: while it is
+// down, its port is free.
+func startCrashingBackend(t *testing.T, ip string, crashes *atomic.Int64) *crashingBackend {
 	b := &crashingBackend{crashes: crashes}
-	b.addr = "127.0.0.1:0"
+	b.addr = net.JoinHostPort(ip, "0")
 	qt.Assert(t, b.listen(), qt.IsNil)
 	t.Cleanup(b.close)
 	return b
@@ -93,11 +95,11 @@
 // once five endpoints have crashed).
 func TestPartThatCrashesEndpointsIsRefused(t *testing.T) {
 	const maxCrashes = 5
-	tests := map[string]struct{ parts string }{
-		"behind shared parts":  {"1,2,666,%d"},
-		"before a shared part": {"666,2,%d"},
-		"between them":         {"1,666,2,%d"},
-		"the only shared part": {"666,%d"},
+	tests := map[string]struct{ ip, parts string }{
+		"behind shared parts":  {"127.0.0.66", "1,2,666,%d"},
+		"before a shared part": {"127.0.0.67", "666,2,%d"},
+		"between them":         {"127.0.0.68", "1,666,2,%d"},
+		"the only shared part": {"127.0.0.69", "666,%d"},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -105,7 +107,7 @@
 			var crashes atomic.Int64
 			var backends []*backend
 			for range 8 {
-				backends = append(backends, &startCrashingBackend(t, &crashes).backend)
+				backends = append(backends, &startCrashingBackend(t, test.ip, &crashes).backend)
 			}
 			server := startGateway(t, resumableRoute, backends...)
 			ask := func(n int, parts string) (int, http.Header) {
