--- a/hitchorigin/records.go
+++ b/hitchorigin/records.go
@@ -12,7 +12,7 @@
 
 // recordLimits limits the origins that an instance keeps of streams that have ended, and
 // those that others shared with it.
-var recordLimits = hitchrecent.Limits{Length: Horizon, Size: maxGenerationRecords}
+var recordLimits = hitchrecent.Limits{Seconds: int(Horizon / time.Second), Size: maxGenerationRecords}
 
 // record is an origin that an instance knows. Route is set for its own streams.
 type record struct {
--- a/hitchquarantine/tracker.go
+++ b/hitchquarantine/tracker.go
@@ -55,7 +55,7 @@
 )
 
 // answeredLimits limits the parts of which it is known that answers have begun on them.
-var answeredLimits = hitchrecent.Limits{Length: 2 * time.Minute, Size: 8 << 10}
+var answeredLimits = hitchrecent.Limits{Seconds: 120, Size: 8 << 10}
 
 // Limits sets when parts are quarantined. The zero value stands for the defaults.
 type Limits struct {
--- a/hitchrecent/map.go
+++ b/hitchrecent/map.go
@@ -1,17 +1,22 @@
 // Package hitchrecent holds what was added last, within limits of time and number.
 //
 //	var m hitchrecent.Map[string, int]
-//	m.Add(now, hitchrecent.Limits{Length: time.Minute, Size: 1000}, "a", 1)
+//	m.Add(now, hitchrecent.Limits{Seconds: 60, Size: 1000}, "a", 1)
 //	value, ok := m.Get("a")
 package hitchrecent
 
 import "time"
 
-// Limits limits what a Map holds: each entry is kept for one to two times Length, and at most
+// Limits limits what a Map holds: each entry is kept for one to two times Seconds, and at most
 // twice Size of them.
 type Limits struct {
-	Length time.Duration
-	Size   int
+	Seconds int
+	Size    int
+}
+
+// endOf returns the end of a generation that begins at a time.
+func (l Limits) endOf(from time.Time) time.Time {
+	return from.Add(time.Duration(l.Seconds) * time.Second)
 }
 
 // Map holds its newest entries in two generations. The zero value is empty. All calls have the
@@ -29,7 +34,7 @@
 		m.previous, m.current = m.current, nil
 	}
 	if m.current == nil {
-		m.current, m.endsAt = make(map[K]V), now.Add(l.Length)
+		m.current, m.endsAt = make(map[K]V), l.endOf(now)
 	}
 	m.current[key] = value
 }
@@ -60,7 +65,7 @@
 func (m *Map[K, V]) Expire(now time.Time, l Limits) {
 	switch {
 	case m.current == nil || now.Before(m.endsAt):
-	case now.Before(m.endsAt.Add(l.Length)):
+	case now.Before(l.endOf(m.endsAt)):
 		m.previous, m.current = m.current, nil
 	default:
 		m.previous, m.current = nil, nil
--- a/hitchrecent/map_test.go
+++ b/hitchrecent/map_test.go
@@ -7,7 +7,7 @@
 	qt "github.com/frankban/quicktest"
 )
 
-var limits = Limits{Length: time.Minute, Size: 10}
+var limits = Limits{Seconds: 60, Size: 10}
 
 func TestEntriesAreKeptForOneToTwoLengths(t *testing.T) {
 	start := time.Now()
