--- a/hitchingress/quota.go
+++ b/hitchingress/quota.go
@@ -48,6 +48,7 @@
 	now := time.Now()
 	g.Metrics.countPermit(permit.IsGranted)
 	if permit.IsGranted {
+		g.Quotas.RecordPermit(run)
 		g.Balancer.Announce(pick)
 		return permit
 	}
@@ -74,7 +75,7 @@
 // logQuota logs a quota that an endpoint names, has changed, or names no more.
 func (g *Gateway) logQuota(c hitchquota.Change) {
 	g.Log.Info("quota of an endpoint changed", "Endpoint", g.endpointOfRun(c.Run), "PerSecond", c.New.PerSecond, "IsLimited", c.New.IsLimited,
-		"Old", c.Old.PerSecond, "Age", time.Since(c.NamedAt), "From", c.From)
+		"Old", c.Old.PerSecond, "Age", time.Since(c.NamedAt), "Permits", c.Permits, "From", c.From)
 }
 
 // endpointOfRun returns the endpoint whose run has an ID, or an empty string if the view has
--- a/hitchquota/quota.go
+++ b/hitchquota/quota.go
@@ -47,6 +47,8 @@
 	// namedAt is when a response said so.
 	namedAt   time.Time
 	expiresAt time.Time
+	// permits counts those that this instance got since there is a quota.
+	permits int
 	// changedAt is when this instance learned that there is a quota, or none any more, and
 	// sentAt when it last told others.
 	changedAt, sentAt time.Time
@@ -67,6 +69,8 @@
 	Old, New Quota
 	// NamedAt is when a response said so.
 	NamedAt time.Time
+	// Permits is the number of permits that this instance got since there is a quota.
+	Permits int
 	// From is the instance that told this one, or empty if a response of its own did.
 	From hitchfleet.InstanceID
 }
@@ -89,7 +93,7 @@
 			return Change{}, false
 		}
 	}
-	change := Change{Run: run, Old: k.Quota, New: q, NamedAt: namedAt, From: from}
+	change := Change{Run: run, Old: k.Quota, New: q, NamedAt: namedAt, Permits: k.permits, From: from}
 	k.Quota, k.namedAt = q, namedAt
 	k.expiresAt = namedAt.Add(quotaTTL)
 	if !q.IsLimited {
@@ -99,7 +103,7 @@
 		return Change{}, false
 	}
 	if change.Old.IsLimited != change.New.IsLimited {
-		k.changedAt = now
+		k.changedAt, k.permits = now, 0
 	}
 	return change, true
 }
@@ -146,6 +150,15 @@
 	return k.Quota, k.namedAt
 }
 
+// RecordPermit records that this instance got a permit for a request to a run.
+func (t *Tracker) RecordPermit(run hitchfleet.RunID) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if k := t.quotas[run]; k != nil {
+		k.permits++
+	}
+}
+
 // Limited returns the number of endpoints with a quota.
 func (t *Tracker) Limited(now time.Time) (n int) {
 	t.mu.Lock()
--- a/hitchquota/quota_test.go
+++ b/hitchquota/quota_test.go
@@ -158,3 +158,18 @@
 	tracker.Observe(at(quotaTTL), 1, limited(1))
 	qt.Assert(t, len(tracker.Due(at(quotaTTL), true)), qt.Equals, 1)
 }
+
+// TestChangeTellsShare checks that a change says how many permits the instance got, anew for
+// each time in which there is a quota.
+func TestChangeTellsShare(t *testing.T) {
+	var tracker Tracker
+	for n := range 3 {
+		tracker.Observe(at(time.Duration(10*n)), 7, limited(2))
+		for range n {
+			tracker.RecordPermit(7)
+		}
+		change, ok := tracker.Observe(at(time.Duration(10*n+5)), 7, Quota{})
+		qt.Assert(t, ok, qt.IsTrue)
+		qt.Assert(t, change.Permits, qt.Equals, n)
+	}
+}
