--- a/hitchingress/quota.go
+++ b/hitchingress/quota.go
@@ -54,9 +54,15 @@
 	}
 	g.Log.Info("no permit for an endpoint with a quota", "ID", req.ID, "Endpoint", pick.Endpoint.ID, "PerSecond", quota.PerSecond,
 		"QuotaAge", now.Sub(namedAt), "AvailableIn", permit.AvailableAt.Sub(now), "ReturnIn", permit.ReturnAt.Sub(now))
+	g.giveBack(now, pick, permit)
+	return permit
+}
+
+// giveBack gives a pick without a permit back, and keeps requests from its endpoint until the
+// next permit is there.
+func (g *Gateway) giveBack(now time.Time, pick hitchbalance.Pick, permit hitchquota.Permit) {
 	g.Balancer.Finish(now, pick, hitchbalance.ResultAbandoned)
 	g.Balancer.Hold(pick, later(permit.AvailableAt, now.Add(minHold)), permit.ReturnAt)
-	return permit
 }
 
 // needsPermit reports whether a request to an endpoint needs a permit.
--- a/hitchingress/standby_protection_test.go
+++ b/hitchingress/standby_protection_test.go
@@ -9,6 +9,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"citronhitch.example/citronhitch/hitchfleet"
+	"citronhitch.example/citronhitch/hitchquota"
 )
 
 // partFirstAt returns a part whose requests go to the first endpoint rather than to the other.
@@ -31,16 +32,23 @@
 }
 
 // TestStandbyCountsAsRequest guards against standbys that reach an endpoint which may not get
-// the request: a part of the prompt was quarantined while the first endpoint was silent.
+// the request: a part of the prompt was quarantined while the first endpoint was silent, or the
+// other endpoint has got as many requests as it takes.
 func TestStandbyCountsAsRequest(t *testing.T) {
 	part := partFirstAt("e0", "e1")
 	crash := func(g *Gateway) { quarantinePart(g, part) }
+	limit := func(g *Gateway) {
+		other := hitchfleet.RunIDOf("e1", 0)
+		g.Quotas.Observe(time.Now(), other, hitchquota.Quota{PerSecond: 0.1, IsLimited: true})
+		g.permitIssuer.Issue(time.Now(), other, hitchquota.Quota{PerSecond: 0.1, IsLimited: true}) // the only one
+	}
 	tests := map[string]struct {
 		meanwhile func(g *Gateway)
 		want      int64 // requests that reach the other endpoint
 	}{
-		"nothing happens": {func(*Gateway) {}, 1},
-		"a part crashes":  {crash, 0},
+		"nothing happens":    {func(*Gateway) {}, 1},
+		"a part crashes":     {crash, 0},
+		"it is at its quota": {limit, 0},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
