hitchforward: a stream whose resume is refused was cut, not unsent

Callers of the own API: a streamed chat whose message crashes engines went on to a fourth engine after three crashes, and so did each other chat with it.

Cause: a stream that is cut is resumed at the same engine over a new connection. After a crash that connection is refused, and the failure of the resume (no byte sent) stood for the whole stream. hitchrouter counts only cut attempts as evidence of a crash, so that streams gave none.

Evidence: a fleet of four routers and six engines, stopped one by one while they run the chat, logged three attempts as "Unsent: connection refused" and then served the chat. Ruled out: the check whether an engine is gone, and the attribution (both work with the failure that complete answers have).

The fleet test failed before (no refusal, the chat was served), and so did the one of the client (got Unsent, want Cut). Now every router refuses the message as not run, no engine gets it again, and another message is served. A stream that first is silent and then refused counts as cut too, so that it is cancelled at its engine. The ingress was not affected: it doesn't resume.

--- a/hitchdev/fleet_test.go
+++ b/hitchdev/fleet_test.go
@@ -24,9 +24,11 @@
 	conditionPollInterval = 20 * time.Millisecond
 )
 
-func startFleet(t *testing.T) *Fleet {
+func startFleet(t *testing.T) *Fleet { return startFleetWithEngines(t, 3) }
+
+func startFleetWithEngines(t *testing.T, engines int) *Fleet {
 	d := Kustakvariet()
-	d.Routers, d.Engines, d.Services, d.Organisations = 4, 3, 2, 2
+	d.Routers, d.Engines, d.Services, d.Organisations = 4, engines, 2, 2
 	f := &Fleet{Deployment: d}
 	qt.Assert(t, f.Start(context.Background()), qt.IsNil)
 	t.Cleanup(func() {
--- a/hitchforward/stream.go
+++ b/hitchforward/stream.go
@@ -37,7 +37,8 @@
 
 // Stream attempts a streamed call at an endpoint until the end of the response is
 // delivered. If the connection breaks or times out without data, the stream is
-// resumed at the same engine over a new connection. An error is a *Failure.
+// resumed at the same engine over a new connection. An error is a *Failure, of kind
+// FailureUnsent only if the call itself wasn't sent.
 func (c *Client) Stream(ctx context.Context, s *Stream, endpoint hitchfleet.Endpoint, tracker *hitchoutcome.DispatchTracker) error {
 	ctx, cancel := withDeadline(ctx, s.Call)
 	defer cancel()
@@ -45,7 +46,12 @@
 	s.Progress.startReplay()
 	err := c.streamAttempt(ctx, s, s.Call, endpoint, id, tracker)
 	for n := 0; n < maxResumes && canResume(err); n++ {
-		err = c.streamAttempt(ctx, s, newResumeCall(s, id), endpoint, id, tracker)
+		resumeErr := c.streamAttempt(ctx, s, newResumeCall(s, id), endpoint, id, tracker)
+		if isUnsent(resumeErr) {
+			err = &Failure{Kind: FailureCut, Endpoint: endpoint.ID, Attempt: id, Err: fmt.Errorf("resume: %w, after: %w", resumeErr, err)}
+			break
+		}
+		err = resumeErr
 	}
 	if mayStillRun(err) {
 		go c.cancelStream(context.WithoutCancel(ctx), endpoint, id)
@@ -53,6 +59,11 @@
 	return err
 }
 
+func isUnsent(err error) bool {
+	var f *Failure
+	return errors.As(err, &f) && f.Kind == FailureUnsent
+}
+
 // mayStillRun reports whether the engine may still be generating a failed stream.
 func mayStillRun(err error) bool {
 	var f *Failure
