hitchrouter: a refusal above a quota has the time of return by the requester's clock

Callers of the own API: if the clocks of two routers differ, Retry-After of a request above an endpoint's quota was wrong by the difference.

Cause: refuseAboveQuota put the owner's time into the decision, where the other refusals of owners count from the time that the request was sent.

The test failed before: 1h0m2s in place of at most 2 s with clocks an hour apart.

--- a/hitchrouter/quota.go
+++ b/hitchrouter/quota.go
@@ -58,7 +58,9 @@
 	if permit.IsGranted {
 		return hitchadmit.Decision{}, false
 	}
-	return hitchadmit.Decision{ID: r.ID, Verdict: hitchadmit.Refused, Reason: hitchoutcome.ReasonOverloaded, RetryAt: permit.ReturnAt}, true
+	// The requester's clock may differ.
+	retryAt := r.SentAt.Add(permit.ReturnAt.Sub(now))
+	return hitchadmit.Decision{ID: r.ID, Verdict: hitchadmit.Refused, Reason: hitchoutcome.ReasonOverloaded, RetryAt: retryAt}, true
 }
 
 func (rt *Router) logQuota(endpoint hitchfleet.EndpointID, c hitchquota.Change) {
--- a/hitchrouter/quota_test.go
+++ b/hitchrouter/quota_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"strconv"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
@@ -48,3 +49,19 @@
 	owner.ObserveHeader(endpoint, http.Header{})
 	qt.Assert(t, isAtQuota(ask(owner)), qt.IsFalse, qt.Commentf("it names none any more"))
 }
+
+// TestQuotaRefusalIsInRequesterTime guards against a wrong time of return if the owner's clock
+// differs from the requester's.
+func TestQuotaRefusalIsInRequesterTime(t *testing.T) {
+	endpoint := hitchfleet.Endpoint{ID: "e-0"}
+	owner := &Router{Self: hitchfleet.Instance{ID: "r-0"}}
+	owner.currentPlacement.Store(&placement{endpoints: map[hitchfleet.EndpointID]hitchfleet.Endpoint{endpoint.ID: endpoint}})
+	owner.ObserveHeader(endpoint, http.Header{QuotaHeader: {"0.5"}})
+	requesterNow := time.Now().Add(-time.Hour)
+	request := hitchadmit.SlotRequest{Endpoint: endpoint.ID, SentAt: requesterNow}
+	owner.refuseAboveQuota(time.Now(), request)
+	d, isRefused := owner.refuseAboveQuota(time.Now(), request)
+	qt.Assert(t, isRefused, qt.IsTrue)
+	wait := d.RetryAt.Sub(requesterNow)
+	qt.Assert(t, wait > 0 && wait <= 2*time.Second, qt.IsTrue, qt.Commentf("%s", wait))
+}
