--- a/review/harness/harness.go
+++ b/review/harness/harness.go
@@ -138,7 +138,7 @@
 		text := hitchstandin.Settings(i.Name, i.IP, i.Zone, relayAddr, seeds)
 		text = strings.Replace(text, "linkMbps = 1000.0", "linkMbps = 1000.0\nmemoryMb = 284", 1)
 		text = strings.Replace(text, "retryBudgetRatio = 0.2", "retryBudgetRatio = 0.2\nbudgetWindowS = 10\nretrySlack = 54\ncapFactor = 2", 1)
-		text = "heartbeatMs = 1200\n" + text
+		text = "heartbeatMs = 1200\n" + contracts + text
 		if settings != nil {
 			text = settings(text)
 		}
@@ -150,6 +150,9 @@
 	return f, nil
 }
 
+// contracts is the line of the settings with the parts of the rules that are in force.
+const contracts = `contracts = ["base","drain","config","cost","retry","recover","engine","stream","tenants","places","platform"]` + "\n"
+
 // freeIPs returns loopback addresses on which the port of the front is free.
 func freeIPs(n int) (ips []string, err error) {
 	for k := os.Getpid(); len(ips) < n; k++ {
