--- a/review/harness/harness.go
+++ b/review/harness/harness.go
@@ -155,11 +155,12 @@
 
 // freeIPs returns loopback addresses on which the port of the front is free.
 func freeIPs(n int) (ips []string, err error) {
-	for k := os.Getpid(); len(ips) < n; k++ {
+	first := os.Getpid() * 16 // fleets that run at the same time have addresses of their own
+	for k := first; len(ips) < n; k++ {
 		ip := fmt.Sprintf("127.%d.%d.%d", 32+k/250/250%90, k/250%250, 1+k%250)
 		l, err := net.Listen("tcp", hitchstandin.FrontAddr(ip))
 		if err != nil {
-			if k > os.Getpid()+1000 {
+			if k > first+1000 {
 				return nil, err
 			}
 			continue
