--- a/hitchingress/dispatch.go
+++ b/hitchingress/dispatch.go
@@ -271,7 +271,7 @@
 	if !ok {
 		return nil
 	}
-	if !req.serviceState.retryBudget.TryOptionalRetry(now) {
+	if !g.tryRetry(req, retryAtSilence, now) {
 		g.Balancer.Finish(now, pick, hitchbalance.ResultAbandoned)
 		g.Slots.Withdraw(answer.Slot)
 		return nil
--- a/hitchingress/gateway.go
+++ b/hitchingress/gateway.go
@@ -87,8 +87,8 @@
 
 	mu            sync.Mutex
 	serviceStates map[hitchfleet.ServiceID]*serviceState
-	// retrySlack is this instance's share of RetrySlack.
-	retrySlack float64
+	// retrySlack is this instance's share of RetrySlack, and loggedSlack the one logged last.
+	retrySlack, loggedSlack float64
 	// configuredCh is closed with the first configuration. It is nil until Configured is
 	// called.
 	configuredCh chan struct{}
@@ -149,24 +149,6 @@
 	g.isConfigured = true
 }
 
-// retrySlackShare is the part of RetrySlack that is used. The window of a retry budget
-// moves in steps of a tenth, so that a window in between may have a few more retries.
-const retrySlackShare = 0.8
-
-// retryRatioShare is the part of RetryRatio that is used. The fleet's bound is checked
-// against windows half a window apart, and one in between may have a third more requests.
-const retryRatioShare = 0.75
-
-// updateRetrySlack sets this instance's share of the slack in a fleet of a size.
-func (g *Gateway) updateRetrySlack(instances int) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.retrySlack = retrySlackShare * g.RetrySlack / float64(max(instances, 1))
-	for _, state := range g.serviceStates {
-		state.retryBudget.SetSlack(g.retrySlack)
-	}
-}
-
 // View returns the current view of the fleet, which is empty before the first
 // SetView.
 func (g *Gateway) View() hitchview.View {
--- a/hitchingress/metrics.go
+++ b/hitchingress/metrics.go
@@ -28,6 +28,8 @@
 type Metrics struct {
 	requests counts[requestKey]
 	failures counts[string]
+	// retries counts the retries that were wanted, by whether the budget allowed them.
+	retries counts[retryCountKey]
 	// resumptions counts streams that were to go on, by how their origin was known, or
 	// why they can't.
 	resumptions counts[string]
@@ -124,6 +126,19 @@
 	}
 }
 
+// retryCountKey holds the labels of the counter of retries.
+type retryCountKey struct {
+	kind      retryKind
+	isAllowed bool
+}
+
+// countRetry counts a retry that was wanted, and whether the budget allowed it.
+func (m *Metrics) countRetry(kind retryKind, isAllowed bool) {
+	if m != nil {
+		m.retries.add(retryCountKey{kind: kind, isAllowed: isAllowed})
+	}
+}
+
 // Results of resumptions beside the sources of origins.
 const (
 	resumptionNoEndpoint = "NoEndpoint"
@@ -260,6 +275,9 @@
 	for outcome, count := range m.failures.all() {
 		out.printf("citronhitch_failed_attempts_total{outcome=%q} %d\n", outcome, count)
 	}
+	for key, count := range m.retries.all() {
+		out.printf("citronhitch_retries_total{after=%q,allowed=\"%t\"} %d\n", key.kind, key.isAllowed, count)
+	}
 	for result, count := range m.resumptions.all() {
 		out.printf("citronhitch_stream_resumptions_total{result=%q} %d\n", result, count)
 	}
--- a/hitchingress/run.go
+++ b/hitchingress/run.go
@@ -50,7 +50,7 @@
 		req.retryState, decision = req.retryState.AfterAttempt(time.Now(), result.outcome)
 		if len(result.next) > 0 {
 			decision = hitchretry.Retry
-		} else if decision == hitchretry.Retry && (ctx.Err() != nil || !req.takeRetry(result.outcome)) {
+		} else if decision == hitchretry.Retry && (ctx.Err() != nil || !g.takeRetry(req, result.outcome)) {
 			decision = req.retryState.FinalDecision(result.outcome)
 		}
 		g.logFailedAttempt(req, open[0], result, decision)
@@ -146,22 +146,6 @@
 	}
 }
 
-// takeRetry takes a retry from the service's budget. The budget limits what reaches
-// endpoints, so that none is needed after an attempt that reached none. A request that
-// an endpoint responded to with an error often fails everywhere, and leaves a part of
-// the budget to those without a response.
-func (req *proxyRequest) takeRetry(previous hitchretry.Outcome) bool {
-	budget := &req.serviceState.retryBudget
-	switch previous {
-	case hitchretry.Unsent:
-		return true
-	case hitchretry.Failed:
-		return budget.TryOptionalRetry(time.Now())
-	default:
-		return budget.TryRetry(time.Now())
-	}
-}
-
 // slackTokens returns the number of tokens that an engine prefills in the extra time
 // that a request may queue at an engine that caches its prompt.
 func (req *proxyRequest) slackTokens() int {
--- a/hitchingress/standby.go
+++ b/hitchingress/standby.go
@@ -46,14 +46,13 @@
 // the silent one may go on, a part of the retry budget is left to requests without any.
 func (f *follower) startStandby(now time.Time) *attempt {
 	req := f.req
-	budget := &req.serviceState.retryBudget
 	if pick, ok := f.gateway.relayPick(req); ok {
-		if !budget.TryRetry(now) { // nothing goes on at the endpoint of a broken path
+		if !f.gateway.tryRetry(req, retryByRelay, now) { // nothing goes on at the endpoint of a broken path
 			return nil
 		}
 		return f.gateway.startRelay(f.ctx, req, pick)
 	}
-	if !budget.AllowsOptionalRetry(now) {
+	if !req.serviceState.retryBudget.AllowsOptionalRetry(now) {
 		return nil
 	}
 	if !f.gateway.admitsStandby(f.ctx, req) {
@@ -74,7 +73,7 @@
 	if !f.gateway.permit(permitCtx, req, pick).IsGranted {
 		return nil
 	}
-	if !budget.TryOptionalRetry(now) {
+	if !f.gateway.tryRetry(req, retryAtSilence, now) {
 		f.gateway.Balancer.Finish(now, pick, hitchbalance.ResultAbandoned)
 		return nil
 	}
