--- a/hitchingress/gateway_test.go
+++ b/hitchingress/gateway_test.go
@@ -115,6 +115,18 @@
 // startGateway starts a gateway in front of the backends. The first backend is tried
 // first, as it is the only one in the gateway's zone.
 func startGateway(t *testing.T, route hitchroute.Route, backends ...*backend) *httptest.Server {
+	g := &Gateway{
+		Self: hitchfleet.Instance{ID: "router", Zone: "0"}, Protocol: protocol, Balancer: &hitchbalance.Balancer{},
+		Conns: &hitchforward.ConnPool{}, Log: hclog.NewNullLogger(), Metrics: &Metrics{}, RetryRatio: 1, RetrySlack: 10,
+	}
+	g.SetView(time.Now(), viewOf(route, backends...))
+	server := httptest.NewServer(g)
+	t.Cleanup(server.Close)
+	return server
+}
+
+// viewOf returns a view of the backends, with a route to all of them.
+func viewOf(route hitchroute.Route, backends ...*backend) hitchview.View {
 	route.Name, route.Host, route.PathPrefix = "r", "h.example", "/"
 	route.Splits = []hitchroute.Split{{Service: "s", Weight: 1}}
 	if route.TimeoutMilliseconds == 0 {
@@ -130,14 +142,7 @@
 			ID: hitchfleet.EndpointID(fmt.Sprintf("e%d", i)), Service: "s", Addr: backend.addr, Zone: hitchfleet.AvailabilityZone(fmt.Sprint(i)), Version: backend.version,
 		}})
 	}
-	g := &Gateway{
-		Self: hitchfleet.Instance{ID: "router", Zone: "0"}, Protocol: protocol, Balancer: &hitchbalance.Balancer{},
-		Conns: &hitchforward.ConnPool{}, Log: hclog.NewNullLogger(), Metrics: &Metrics{}, RetryRatio: 1, RetrySlack: 10,
-	}
-	g.SetView(time.Now(), view)
-	server := httptest.NewServer(g)
-	t.Cleanup(server.Close)
-	return server
+	return view
 }
 
 // send sends a request and returns the status, the body and the header of the
--- /dev/null
+++ b/hitchingress/relaybudget_test.go
@@ -0,0 +1,118 @@
+package hitchingress
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/hashicorp/go-hclog"
+
+	"citronhitch.example/citronhitch/hitchbalance"
+	"citronhitch.example/citronhitch/hitchfleet"
+	"citronhitch.example/citronhitch/hitchforward"
+	"citronhitch.example/citronhitch/hitchpath"
+	"citronhitch.example/citronhitch/hitchroute"
+	"citronhitch.example/citronhitch/hitchview"
+)
+
+// relayingFleet is an instance that is cut off from endpoints, and others through which it serves.
+type relayingFleet struct {
+	sender   *httptest.Server
+	relays   []hitchfleet.Instance
+	backends []*backend
+}
+
+// startRelayingFleet starts two relays in front of backends. serve serves a relayed request.
+func startRelayingFleet(t *testing.T, route hitchroute.Route, ratio float64, serve func(g *Gateway, w http.ResponseWriter, r *http.Request), responses ...string) *relayingFleet {
+	f := &relayingFleet{}
+	for range 4 {
+		f.backends = append(f.backends, startBackend(t, responses...))
+	}
+	view := viewOf(route, f.backends...)
+	instances := []hitchfleet.Instance{{ID: "sender"}}
+	for _, i := range instances {
+		view = view.Update(hitchview.InstanceMsg{Revision: 90, Instance: i})
+	}
+	for n := range 2 {
+		g := newRelayGateway(fmt.Sprint("relay-", n), ratio)
+		g.SetView(time.Now(), view)
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { serve(g, w, r) }))
+		t.Cleanup(server.Close)
+		f.relays = append(f.relays, hitchfleet.Instance{ID: g.Self.ID, PeerAddr: server.Listener.Addr().String()})
+	}
+	sender := newRelayGateway("sender", ratio)
+	sender.Path.Ask = func(context.Context, hitchfleet.Endpoint) hitchpath.Evidence { return hitchpath.Unreached }
+	sender.Path.Endpoints = func() []hitchfleet.Endpoint { return view.Endpoints() }
+	sender.Path.Confirm = func(context.Context, bool) []hitchfleet.Instance { return f.relays }
+	sender.SetView(time.Now(), view)
+	cutOff := sender.Path.AwaitCutOff()
+	sender.Path.RecordFailure(time.Now())
+	<-cutOff
+	f.sender = httptest.NewServer(sender)
+	t.Cleanup(f.sender.Close)
+	return f
+}
+
+func newRelayGateway(id string, ratio float64) *Gateway {
+	p := protocol
+	p.EncodeRelay = func(h http.Header, info RelayInfo) { h.Set("Key", info.Key) }
+	return &Gateway{
+		Self: hitchfleet.Instance{ID: hitchfleet.InstanceID(id), Zone: "0"}, Protocol: p, Balancer: &hitchbalance.Balancer{},
+		Conns: &hitchforward.ConnPool{}, Log: hclog.NewNullLogger(), Metrics: &Metrics{}, RetryRatio: ratio,
+	}
+}
+
+// arrivals returns the number of requests that have reached the backends.
+func (f *relayingFleet) arrivals() (n int64) {
+	for _, b := range f.backends {
+		n += b.requests.Load()
+	}
+	return n
+}
+
+// TestRelayedRequestsKeepMaxAttempts guards against requests that run at more endpoints than their
+// route allows, as the instance that relays them doesn't know which attempts the other one has made
+// (rule BUDGET).
+func TestRelayedRequestsKeepMaxAttempts(t *testing.T) {
+	// breakOff serves a relayed request and ends before its response is sent.
+	breakOff := func(g *Gateway, _ http.ResponseWriter, r *http.Request) {
+		g.ServeRelayed(httptest.NewRecorder(), r)
+		panic(http.ErrAbortHandler)
+	}
+	tests := map[string]struct {
+		serve    func(g *Gateway, w http.ResponseWriter, r *http.Request)
+		response string
+	}{
+		"errors":                {(*Gateway).ServeRelayed, failedResponse},
+		"truncated responses":   {(*Gateway).ServeRelayed, truncatedResponse},
+		"closed connections":    {(*Gateway).ServeRelayed, ""},
+		"relays that break off": {breakOff, failedResponse},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			for _, maxAttempts := range []int{1, 2, 3} {
+				f := startRelayingFleet(t, hitchroute.Route{Kind: hitchroute.Idempotent, MaxAttempts: maxAttempts}, 10, test.serve, test.response)
+				_, _, _, err := send(t, f.sender, "k")
+				qt.Check(t, err, qt.IsNil)
+				qt.Check(t, f.arrivals(), qt.Equals, int64(maxAttempts))
+			}
+		})
+	}
+}
+
+// TestRelayedRequestsAllowNoMoreRetries guards against relayed requests that count as first attempts
+// both at the instance that relays them and at the one that sends them, so that they allow twice
+// as many retries (rule BUDGET).
+func TestRelayedRequestsAllowNoMoreRetries(t *testing.T) {
+	const requests = 40
+	f := startRelayingFleet(t, hitchroute.Route{Kind: hitchroute.Idempotent, MaxAttempts: 2}, 1, (*Gateway).ServeRelayed, notRunResponse)
+	for range requests {
+		_, _, _, err := send(t, f.sender, "k")
+		qt.Check(t, err, qt.IsNil)
+	}
+	qt.Assert(t, f.arrivals(), qt.Equals, int64(requests)) // the relays have no requests of their own
+}
