A retry budget's clock doesn't run fast when times arrive out of order

Cause: first attempts were recorded with the time at which their request came, retries with the time now, standbys with the time before they waited for a permit. The clock took a step back as nothing and the step forward that followed as time that has passed, so that each pair moved the window on by the age of the request. Change: in a budget a time that is older than the last event by no more than a window has no effect; an older one still means that the clock was set back. Tried: the same for all users of the clock. TestViewExpiresEvenIfTheClockIsSetBack forbids it: leases must rather expire early than late, so that they keep the clock that they had. Their times are read just before, so that steps back are short there.

--- a/hitchadmit/budget.go
+++ b/hitchadmit/budget.go
@@ -65,7 +65,7 @@
 func (b *RetryBudget) RecordFirstAttempt(now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.currentBucket(b.clock.advanceAtMost(now, budgetWindow+bucketLength)).firstAttempts++
+	b.currentBucket(b.advance(now)).firstAttempts++
 }
 
 // TryRetry counts a retry and returns true if the budget allows one more.
@@ -80,7 +80,7 @@
 func (b *RetryBudget) tryRetry(now time.Time, share float64) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	monotonic := b.clock.advanceAtMost(now, budgetWindow+bucketLength)
+	monotonic := b.advance(now)
 	if !b.allowsRetryAt(monotonic, share) {
 		return false
 	}
@@ -92,7 +92,7 @@
 func (b *RetryBudget) GiveBack(now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	monotonic := b.clock.advanceAtMost(now, budgetWindow+bucketLength)
+	monotonic := b.advance(now)
 	var last *retryBucket
 	for i := range b.buckets {
 		bucket := &b.buckets[i]
@@ -117,7 +117,7 @@
 func (b *RetryBudget) allowsRetry(now time.Time, share float64) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.allowsRetryAt(b.clock.advanceAtMost(now, budgetWindow+bucketLength), share)
+	return b.allowsRetryAt(b.advance(now), share)
 }
 
 func (b *RetryBudget) allowsRetryAt(monotonic time.Time, share float64) bool {
@@ -143,6 +143,11 @@
 	return float64(retries+1) <= share*limit
 }
 
+// advance returns the time now by the budget's clock.
+func (b *RetryBudget) advance(now time.Time) time.Time {
+	return b.clock.advanceInOrder(now, budgetWindow+bucketLength)
+}
+
 // currentBucket returns the bucket of the time now, and resets it if it holds
 // the counts of an earlier window.
 func (b *RetryBudget) currentBucket(now time.Time) *retryBucket {
--- a/hitchadmit/clock.go
+++ b/hitchadmit/clock.go
@@ -29,6 +29,18 @@
 	return c.now
 }
 
+// advanceInOrder is like advanceAtMost for callers that may wait after they have read their clock. A
+// time that is older than the last event by up to limit has no effect: with advanceAtMost, the step
+// that follows it would count twice. One that is older still means that the clock was set back. A
+// clock that was set back by less stands until it was made up for, so that this isn't for
+// anything that has to expire in time.
+func (c *monotonicClock) advanceInOrder(now time.Time, limit time.Duration) time.Time {
+	if behind := c.lastEvent.Sub(now); behind > 0 && behind <= limit {
+		return c.now
+	}
+	return c.advanceAtMost(now, limit)
+}
+
 // toMonotonic converts a time by the caller's clock, which was read for the
 // last event, to a monotonic time.
 func (c *monotonicClock) toMonotonic(t time.Time) time.Time {
--- a/hitchadmit/clock_test.go
+++ b/hitchadmit/clock_test.go
@@ -16,11 +16,11 @@
 		t.Run(name, func(t *testing.T) {
 			random := rand.New(rand.NewPCG(45, 1))
 			var c monotonicClock
-			c.advance(start)
+			c.advanceInOrder(start, maxAdvance)
 			now := start
 			for range 1000 {
 				now = now.Add(time.Duration(random.Int64N(int64(20 * time.Millisecond))))
-				got := c.advance(now.Add(-time.Duration(random.Int64N(int64(maxDelay)))))
+				got := c.advanceInOrder(now.Add(-time.Duration(random.Int64N(int64(maxDelay)))), maxAdvance)
 				qt.Assert(t, got.After(now), qt.IsFalse, qt.Commentf("the clock is ahead by %s after %s", got.Sub(now), now.Sub(start)))
 			}
 			qt.Assert(t, now.Sub(c.now) <= maxDelay, qt.IsTrue, qt.Commentf("the clock is behind by %s", now.Sub(c.now)))
@@ -34,9 +34,9 @@
 	for name, by := range map[string]time.Duration{"a second": time.Second, "an hour": time.Hour} {
 		t.Run(name, func(t *testing.T) {
 			var c monotonicClock
-			c.advance(start)
+			c.advanceInOrder(start, maxAdvance)
 			for at := time.Duration(0); at <= 10*time.Second; at += 100 * time.Millisecond {
-				c.advance(start.Add(at - by))
+				c.advanceInOrder(start.Add(at-by), maxAdvance)
 			}
 			passed := c.now.Sub(start)
 			qt.Assert(t, passed <= 10*time.Second, qt.IsTrue)
