A relayed request counts as a first attempt once

Endpoints got more repeats than the fleet's budget allows while instances were cut off from them (BUDGET). Cause: the instance that relays a request counted it as a first attempt, and the one that sent it on did too, so that it allowed twice the retries. Change: only the instance that the caller is connected to counts. A relay repeats on the budget of its own callers' requests.

--- a/hitchingress/relaybudget_test.go
+++ b/hitchingress/relaybudget_test.go
@@ -26,25 +26,23 @@
 	backends []*backend
 }
 
-// startRelayingFleet starts two relays in front of backends. serve serves a relayed request.
-func startRelayingFleet(t *testing.T, route hitchroute.Route, ratio float64, serve func(g *Gateway, w http.ResponseWriter, r *http.Request), responses ...string) *relayingFleet {
+// startRelayingFleet starts two relays in front of backends. slack is that for retries, and serve
+// serves a relayed request.
+func startRelayingFleet(t *testing.T, route hitchroute.Route, slack float64, serve func(g *Gateway, w http.ResponseWriter, r *http.Request), responses ...string) *relayingFleet {
 	f := &relayingFleet{}
 	for range 4 {
 		f.backends = append(f.backends, startBackend(t, responses...))
 	}
 	view := viewOf(route, f.backends...)
-	instances := []hitchfleet.Instance{{ID: "sender"}}
-	for _, i := range instances {
-		view = view.Update(hitchview.InstanceMsg{Revision: 90, Instance: i})
-	}
+	view = view.Update(hitchview.InstanceMsg{Revision: 90, Instance: hitchfleet.Instance{ID: "sender"}})
 	for n := range 2 {
-		g := newRelayGateway(fmt.Sprint("relay-", n), ratio)
+		g := newRelayGateway(fmt.Sprint("relay-", n), slack)
 		g.SetView(time.Now(), view)
 		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { serve(g, w, r) }))
 		t.Cleanup(server.Close)
 		f.relays = append(f.relays, hitchfleet.Instance{ID: g.Self.ID, PeerAddr: server.Listener.Addr().String()})
 	}
-	sender := newRelayGateway("sender", ratio)
+	sender := newRelayGateway("sender", slack)
 	sender.Path.Ask = func(context.Context, hitchfleet.Endpoint) hitchpath.Evidence { return hitchpath.Unreached }
 	sender.Path.Endpoints = func() []hitchfleet.Endpoint { return view.Endpoints() }
 	sender.Path.Confirm = func(context.Context, bool) []hitchfleet.Instance { return f.relays }
@@ -57,12 +55,12 @@
 	return f
 }
 
-func newRelayGateway(id string, ratio float64) *Gateway {
+func newRelayGateway(id string, slack float64) *Gateway {
 	p := protocol
 	p.EncodeRelay = func(h http.Header, info RelayInfo) { h.Set("Key", info.Key) }
 	return &Gateway{
 		Self: hitchfleet.Instance{ID: hitchfleet.InstanceID(id), Zone: "0"}, Protocol: p, Balancer: &hitchbalance.Balancer{},
-		Conns: &hitchforward.ConnPool{}, Log: hclog.NewNullLogger(), Metrics: &Metrics{}, RetryRatio: ratio,
+		Conns: &hitchforward.ConnPool{}, Log: hclog.NewNullLogger(), Metrics: &Metrics{}, RetryRatio: 1, RetrySlack: slack,
 	}
 }
 
@@ -95,7 +93,7 @@
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			for _, maxAttempts := range []int{1, 2, 3} {
-				f := startRelayingFleet(t, hitchroute.Route{Kind: hitchroute.Idempotent, MaxAttempts: maxAttempts}, 10, test.serve, test.response)
+				f := startRelayingFleet(t, hitchroute.Route{Kind: hitchroute.Idempotent, MaxAttempts: maxAttempts}, 20, test.serve, test.response)
 				_, _, _, err := send(t, f.sender, "k")
 				qt.Check(t, err, qt.IsNil)
 				qt.Check(t, f.arrivals(), qt.Equals, int64(maxAttempts))
@@ -109,7 +107,7 @@
 // as many retries (rule BUDGET).
 func TestRelayedRequestsAllowNoMoreRetries(t *testing.T) {
 	const requests = 40
-	f := startRelayingFleet(t, hitchroute.Route{Kind: hitchroute.Idempotent, MaxAttempts: 2}, 1, (*Gateway).ServeRelayed, notRunResponse)
+	f := startRelayingFleet(t, hitchroute.Route{Kind: hitchroute.Idempotent, MaxAttempts: 2}, 0, (*Gateway).ServeRelayed, notRunResponse)
 	for range requests {
 		_, _, _, err := send(t, f.sender, "k")
 		qt.Check(t, err, qt.IsNil)
--- a/hitchingress/run.go
+++ b/hitchingress/run.go
@@ -29,7 +29,9 @@
 	ctx, cancel := context.WithDeadline(ctx, req.effectiveDeadline)
 	defer cancel()
 	req.serviceState = g.serviceState(req.service)
-	req.serviceState.retryBudget.RecordFirstAttempt(time.Now())
+	if req.relayedBy == "" { // otherwise that instance has counted it
+		req.serviceState.retryBudget.RecordFirstAttempt(time.Now())
+	}
 	req.messages = make(chan exchangeMsg)
 	hasPathFailure := false // of the attempt before
 	var open []*attempt     // the first one is followed, the others are its standbys
