Relayed requests keep maxAttempts: a relay says how many attempts may have run

Cause: an attempt through another instance counted as one run, whatever that one had made of the attempts it was given: it returned the endpoint's error after both, and the sender made one more. A relay that became the standby of a silent attempt was given all attempts too, without those that were open. Change: an attempt has a number of runs that it may make.

--- a/hitchingress/attempt.go
+++ b/hitchingress/attempt.go
@@ -27,6 +27,9 @@
 // goroutine that serves the request.
 type attempt struct {
 	pick hitchbalance.Pick
+	// maxRuns is how many endpoints may run the request for the attempt: more than one if another
+	// instance makes it.
+	maxRuns int
 	// slot is that at the endpoint, until it is released; zero if it needs none.
 	slot     Slot
 	sentAt   time.Time
@@ -74,7 +77,7 @@
 	if req.stream.headerSent {
 		g.Metrics.countResumption(req.origin.source.String())
 	}
-	a := &attempt{pick: pick, slot: slot, sentAt: time.Now()}
+	a := &attempt{pick: pick, maxRuns: 1, slot: slot, sentAt: time.Now()}
 	req.beginSample(a)
 	if expected, ok := req.serviceState.firstByteLatency.OverdueAfter(pick.UncachedTokens); ok {
 		g.Balancer.ExpectResponseBy(pick, a.sentAt.Add(expected))
@@ -86,6 +89,15 @@
 	return a
 }
 
+// runs returns how many endpoints may have run the request for the attempt. An instance that has sent
+// it on says so once it has a response that is whole.
+func (a *attempt) runs() int {
+	if a.response != nil && a.head.Runs > 0 && a.response.StatusCode >= http.StatusInternalServerError {
+		return min(a.head.Runs, a.maxRuns)
+	}
+	return a.maxRuns
+}
+
 // finishAttempt ends an attempt. Its connection is closed unless the response was read
 // to its end.
 func (g *Gateway) finishAttempt(req *proxyRequest, a *attempt, result hitchbalance.Result) {
--- a/hitchingress/protocol.go
+++ b/hitchingress/protocol.go
@@ -67,6 +67,9 @@
 	IsBrittle bool
 	// Refusal is that of another instance that was to send the request on; nil if there is none.
 	Refusal *hitchoutcome.Refusal
+	// Runs is how many endpoints may have run the request until the response, if another instance has
+	// sent it on; 0 if that isn't known.
+	Runs int
 	// Load is the load that the endpoint reports. It is valid only if HasLoad is set.
 	Load    hitchbalance.Load
 	HasLoad bool
--- a/hitchingress/relay.go
+++ b/hitchingress/relay.go
@@ -19,6 +19,7 @@
 const (
 	headerRelayedBy = "Citronhitch-Relayed-By"
 	headerAttempts  = "Citronhitch-Attempts"
+	headerRuns      = "Citronhitch-Runs"
 	headerRefusal   = "Citronhitch-Refusal"
 	headerOutcome   = "Citronhitch-Outcome"
 )
@@ -38,12 +39,12 @@
 }
 
 // relayMessage builds the request that is sent to another instance: as the caller sent it, with
-// what is left of its time and attempts.
-func (g *Gateway) relayMessage(req *proxyRequest) hitchforward.Request {
+// what is left of its time, and a number of attempts.
+func (g *Gateway) relayMessage(req *proxyRequest, attempts int) hitchforward.Request {
 	h := req.Header.Clone()
 	g.Protocol.EncodeRelay(h, RelayInfo{Key: req.Key, Deadline: req.Deadline, LastEventID: req.stream.lastEventID})
 	h.Set(headerRelayedBy, string(g.Self.ID))
-	h.Set(headerAttempts, strconv.Itoa(req.retryState.AttemptsLeft()))
+	h.Set(headerAttempts, strconv.Itoa(attempts))
 	return hitchforward.Request{Method: req.original.Method, Target: req.original.RequestURI, Host: req.original.Host, Header: h, Body: req.body}
 }
 
@@ -96,6 +97,8 @@
 // decodeRelayed decodes the header of a response that another instance has relayed.
 func (g *Gateway) decodeRelayed(status int, h http.Header, now time.Time) ResponseHead {
 	head := g.Protocol.DecodeResponse(status, h, now)
+	head.Runs, _ = strconv.Atoi(h.Get(headerRuns))
+	h.Del(headerRuns)
 	if reason := h.Get(headerRefusal); reason != "" {
 		head.Refusal = &hitchoutcome.Refusal{Reason: hitchoutcome.Reason(reason), Outcome: hitchoutcome.Unknown, RetryAt: head.PausedUntil}
 		if h.Get(headerOutcome) == hitchoutcome.NotRun.String() {
@@ -135,14 +138,15 @@
 	return result
 }
 
-// startRelay relays a request through another instance.
-func (g *Gateway) startRelay(ctx context.Context, req *proxyRequest, pick hitchbalance.Pick) *attempt {
+// startRelay relays a request through another instance, which may make all attempts that are left
+// beside the runs of open ones.
+func (g *Gateway) startRelay(ctx context.Context, req *proxyRequest, pick hitchbalance.Pick, openRuns int) *attempt {
 	g.Metrics.countRelayed("Sent")
 	g.Log.Info("request relayed", "ID", req.ID, "Route", req.route.Name, "Relay", pick.Relay, "Path", g.Path.State(time.Now()), "Events", req.stream.eventCount)
 	req.logEntry.attempts++
-	a := &attempt{pick: pick, sentAt: time.Now()}
+	a := &attempt{pick: pick, maxRuns: req.retryState.AttemptsLeft(openRuns), sentAt: time.Now()}
 	a.exchange = startExchange(ctx, exchangeParams{
-		id: req.ID, pool: g.Conns, addr: pick.Endpoint.Addr, request: g.relayMessage(req), deadline: req.effectiveDeadline,
+		id: req.ID, pool: g.Conns, addr: pick.Endpoint.Addr, request: g.relayMessage(req, a.maxRuns), deadline: req.effectiveDeadline,
 		tracker: &req.dispatchTracker, decode: g.decodeRelayed, isStream: req.isStream,
 	}, req.messages)
 	return a
--- a/hitchingress/response.go
+++ b/hitchingress/response.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"slices"
+	"strconv"
 
 	"citronhitch.example/citronhitch/hitchforward"
 )
@@ -22,6 +23,9 @@
 // writeResponse writes an endpoint's complete response to the caller.
 func (g *Gateway) writeResponse(req *proxyRequest, response *unaryResponse) {
 	copyHeader(req.writer.Header(), response.header)
+	if req.relayedBy != "" {
+		req.writer.Header().Set(headerRuns, strconv.Itoa(req.retryState.PossibleRuns()))
+	}
 	req.writer.WriteHeader(response.status)
 	err := req.writeBody(response.body, false)
 	end := "Answered"
--- a/hitchingress/run.go
+++ b/hitchingress/run.go
@@ -49,7 +49,7 @@
 			return
 		}
 		var decision hitchretry.Decision
-		req.retryState, decision = req.retryState.AfterAttempt(time.Now(), result.outcome)
+		req.retryState, decision = req.retryState.AfterAttempts(time.Now(), result.outcome, open[0].runs())
 		if len(result.next) > 0 {
 			decision = hitchretry.Retry
 		} else if decision == hitchretry.Retry && (ctx.Err() != nil || !g.takeRetry(req, result.outcome)) {
@@ -74,7 +74,7 @@
 	defer func() { sent() }()
 	for permitRequests := 0; ; {
 		if pick, ok := g.relayPick(req); ok {
-			return g.startRelay(ctx, req, pick)
+			return g.startRelay(ctx, req, pick, 0)
 		}
 		if !req.isTrial {
 			if refusal := g.admit(ctx, req); refusal != nil {
--- a/hitchingress/silence.go
+++ b/hitchingress/silence.go
@@ -1,10 +1,6 @@
 package hitchingress
 
-import (
-	"time"
-
-	"citronhitch.example/citronhitch/hitchretry"
-)
+import "time"
 
 // Times of a silent attempt.
 const (
@@ -74,9 +70,14 @@
 // allowsStandby reports whether one more endpoint may run the request, if each open
 // attempt does.
 func (f *follower) allowsStandby() bool {
-	state := f.req.retryState
-	for range f.standbys {
-		state, _ = state.AfterAttempt(time.Time{}, hitchretry.Lost)
+	return f.req.retryState.AllowsAttemptBeside(f.openRuns())
+}
+
+// openRuns returns how many runs the open attempts may make together.
+func (f *follower) openRuns() int {
+	runs := f.current.maxRuns
+	for _, a := range f.standbys {
+		runs += a.maxRuns
 	}
-	return state.AllowsRetry()
+	return runs
 }
--- a/hitchingress/standby.go
+++ b/hitchingress/standby.go
@@ -50,7 +50,7 @@
 		if !f.gateway.tryRetry(req, retryByRelay, now) { // nothing goes on at the endpoint of a broken path
 			return nil
 		}
-		return f.gateway.startRelay(f.ctx, req, pick)
+		return f.gateway.startRelay(f.ctx, req, pick, f.openRuns())
 	}
 	if !req.serviceState.retryBudget.AllowsOptionalRetry(now) {
 		return nil
@@ -172,7 +172,7 @@
 		req.serviceState.retryBudget.GiveBack(time.Now())
 	}
 	var decision hitchretry.Decision
-	req.retryState, decision = req.retryState.AfterAttempt(time.Now(), result.outcome)
+	req.retryState, decision = req.retryState.AfterAttempts(time.Now(), result.outcome, a.runs())
 	f.gateway.logFailedAttempt(req, a, result, decision)
 	f.timer.Stop()
 	if decision == hitchretry.Retry {
@@ -188,7 +188,7 @@
 func (f *follower) dropStandbys() {
 	for _, a := range f.standbys {
 		f.gateway.finishAttempt(f.req, a, hitchbalance.ResultAbandoned)
-		f.req.retryState, _ = f.req.retryState.AfterAttempt(time.Now(), hitchretry.Lost)
+		f.req.retryState, _ = f.req.retryState.AfterAttempts(time.Now(), hitchretry.Lost, a.runs())
 	}
 	f.standbys = nil
 }
--- a/hitchretry/retry.go
+++ b/hitchretry/retry.go
@@ -71,10 +71,16 @@
 // AfterAttempt returns the request with the outcome of an attempt counted, and the decision
 // that follows from it.
 func (r Request) AfterAttempt(now time.Time, o Outcome) (Request, Decision) {
+	return r.AfterAttempts(now, o, 1)
+}
+
+// AfterAttempts is like AfterAttempt for attempts that another instance has made in place of this
+// one, of which a number may have run. o is the outcome of the last one.
+func (r Request) AfterAttempts(now time.Time, o Outcome, runs int) (Request, Decision) {
 	if o == Unsent || o == Refused {
 		r.notRun++
 	} else {
-		r.possibleRuns++
+		r.possibleRuns += runs
 	}
 	return r, r.decide(now, o)
 }
@@ -105,8 +111,11 @@
 	return r.possibleRuns == 0 || r.IsRetrySafe && r.possibleRuns < r.MaxAttempts
 }
 
-// AttemptsLeft returns how many more attempts may run, at least one.
-func (r Request) AttemptsLeft() int { return max(r.MaxAttempts-r.possibleRuns, 1) }
+// AttemptsLeft returns how many more attempts may run beside those that are open, at least one.
+func (r Request) AttemptsLeft(open int) int { return max(r.MaxAttempts-r.possibleRuns-open, 1) }
+
+// PossibleRuns returns the number of attempts that may have run.
+func (r Request) PossibleRuns() int { return r.possibleRuns }
 
 // IsFirstAttempt reports whether no attempt has been made yet.
 func (r Request) IsFirstAttempt() bool { return r.possibleRuns == 0 && r.notRun == 0 }
@@ -114,9 +123,9 @@
 // MayHaveRun reports whether an endpoint may have run the request.
 func (r Request) MayHaveRun() bool { return r.possibleRuns > 0 }
 
-// AllowsRetry reports whether another attempt may run if the present one fails.
-func (r Request) AllowsRetry() bool {
-	return r.IsRetrySafe && r.possibleRuns+1 < r.MaxAttempts
+// AllowsAttemptBeside reports whether another attempt may run if a number of open ones do.
+func (r Request) AllowsAttemptBeside(open int) bool {
+	return r.IsRetrySafe && r.possibleRuns+open < r.MaxAttempts
 }
 
 // FinalDecision returns the decision after an attempt if no retry is allowed.
--- a/hitchretry/retry_test.go
+++ b/hitchretry/retry_test.go
@@ -93,3 +93,27 @@
 	_, decision = r.AfterProgress().AfterAttempt(start, Lost)
 	qt.Assert(t, decision, qt.Equals, GiveUp)
 }
+
+// TestAttemptsBesideOpenOnes covers a request of which another instance makes several attempts.
+func TestAttemptsBesideOpenOnes(t *testing.T) {
+	tests := map[string]struct {
+		request    Request
+		open, left int
+		isAllowed  bool
+	}{
+		"nothing is open":          {Request{IsRetrySafe: true, MaxAttempts: 2}, 0, 2, true},
+		"one is open":              {Request{IsRetrySafe: true, MaxAttempts: 2}, 1, 1, true},
+		"all are open":             {Request{IsRetrySafe: true, MaxAttempts: 2}, 2, 1, false},
+		"one has run, one is open": {Request{IsRetrySafe: true, MaxAttempts: 2, possibleRuns: 1}, 1, 1, false},
+		"it may not be repeated":   {Request{MaxAttempts: 2}, 1, 1, false},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			qt.Check(t, test.request.AttemptsLeft(test.open), qt.Equals, test.left)
+			qt.Check(t, test.request.AllowsAttemptBeside(test.open), qt.Equals, test.isAllowed)
+		})
+	}
+	r, decision := Request{IsRetrySafe: true, MaxAttempts: 2, Deadline: start.Add(time.Second)}.AfterAttempts(start, Failed, 2)
+	qt.Assert(t, decision, qt.Equals, PassOn)
+	qt.Assert(t, r.PossibleRuns(), qt.Equals, 2)
+}
