The slack for retries is shared among all instances that were listed lately, and not anew after a start

Cause: each instance took the fleet's slack by the number of instances in its view at the moment: the whole of it with an empty or lapsed view. And each start began with a whole share again, beside what its predecessor had used in the same window. Class: a bound of the whole fleet that each instance derives from what it happens to see. Change: hitchadmit.FleetSlack divides by the most instances that were listed within a minute, and gives nothing in the first window after a start; the ratio to an instance's own requests holds from the first one on. TestRetrySlackIsShared now uses one instance for each size, as a fleet that shrinks keeps its share for a minute.

--- a/hitchadmit/budget.go
+++ b/hitchadmit/budget.go
@@ -38,19 +38,18 @@
 	mu      sync.Mutex
 	clock   monotonicClock
 	buckets [budgetBuckets]retryBucket
-	// slack is the number of retries allowed in each window in addition to the ratio,
-	// if hasSlack is set.
-	slack    float64
+	// slack has the retries that are allowed in each window in addition to the ratio, if
+	// hasSlack is set.
+	slack    FleetSlack
 	hasSlack bool
 }
 
-// SetSlack sets how many retries are allowed in each window in addition to the ratio,
-// which may be a fraction: the share of this instance in a slack that holds for the
-// whole fleet.
-func (b *RetryBudget) SetSlack(retries float64) {
+// SetSlack sets how many retries are allowed in each window in addition to the ratio:
+// this instance's part of a slack that holds for the whole fleet, which may be a fraction.
+func (b *RetryBudget) SetSlack(s FleetSlack) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.slack, b.hasSlack = retries, true
+	b.slack, b.hasSlack = s, true
 }
 
 type retryBucket struct {
@@ -81,7 +80,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	monotonic := b.advance(now)
-	if !b.allowsRetryAt(monotonic, share) {
+	if !b.allowsRetryAt(now, monotonic, share) {
 		return false
 	}
 	b.currentBucket(monotonic).retries++
@@ -117,10 +116,12 @@
 func (b *RetryBudget) allowsRetry(now time.Time, share float64) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.allowsRetryAt(b.advance(now), share)
+	return b.allowsRetryAt(now, b.advance(now), share)
 }
 
-func (b *RetryBudget) allowsRetryAt(monotonic time.Time, share float64) bool {
+// allowsRetryAt reports whether a share of the budget allows one more retry, at a time by the
+// caller's clock and by the budget's.
+func (b *RetryBudget) allowsRetryAt(now, monotonic time.Time, share float64) bool {
 	firstAttempts, retries := 0, 0
 	for i := range b.buckets {
 		if monotonic.Before(b.buckets[i].deadline) {
@@ -136,7 +137,7 @@
 	}
 	limit := ratio * float64(firstAttempts)
 	if b.hasSlack {
-		limit += b.slack
+		limit += b.slack.Share(now)
 	} else {
 		limit = max(minRetries, limit)
 	}
--- a/hitchadmit/budgetwindow_test.go
+++ b/hitchadmit/budgetwindow_test.go
@@ -32,7 +32,7 @@
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				b := RetryBudget{Ratio: ratio}
-				b.SetSlack(slack)
+				b.SetSlack(FleetSlack{Retries: slack})
 				var attempts, retries []int // by step
 				for at := time.Duration(0); at < length; at += step {
 					now := time.Now()
--- a/hitchadmit/clock_test.go
+++ b/hitchadmit/clock_test.go
@@ -55,7 +55,7 @@
 	)
 	var b RetryBudget
 	b.Ratio = fleetRatio
-	b.SetSlack(slack)
+	b.SetSlack(FleetSlack{Retries: slack})
 	now := time.Date(2026, 12, 5, 9, 0, 0, 0, time.UTC)
 	var first, retries []time.Time
 	for end := now.Add(40 * time.Second); now.Before(end); now = now.Add(interval) {
--- a/hitchadmit/fleet_budget_test.go
+++ b/hitchadmit/fleet_budget_test.go
@@ -26,7 +26,7 @@
 	f := &fleetBudget{budgets: make([]RetryBudget, instances), slack: slack}
 	for i := range f.budgets {
 		f.budgets[i].Ratio = fleetRatio
-		f.budgets[i].SetSlack(slackShare * slack / float64(instances))
+		f.budgets[i].SetSlack(FleetSlack{Retries: slackShare * slack / float64(instances)})
 	}
 	return f
 }
@@ -93,7 +93,7 @@
 func TestErrorsLeaveRetriesToLostRequests(t *testing.T) {
 	var b RetryBudget
 	b.Ratio = fleetRatio
-	b.SetSlack(1.8)
+	b.SetSlack(FleetSlack{Retries: 1.8})
 	now := time.Date(2026, 12, 4, 9, 0, 0, 0, time.UTC)
 	refused, retried := 0, 0
 	for n := range 90 {
--- a/hitchedge/edge.go
+++ b/hitchedge/edge.go
@@ -325,7 +325,7 @@
 	w.Header().Set("Content-Type", "text/plain; version=0.0.4")
 	view := e.gateway.View()
 	_, eraErr := fmt.Fprintf(w, "citronhitch_store_era %d\ncitronhitch_store_revision %d\ncitronhitch_quarantined_traits %d\ncitronhitch_limited_endpoints %d\ncitronhitch_retry_slack %g\n",
-		view.Revision.Era(), view.Revision.Number(), e.gateway.Quarantine.Quarantined(time.Now()), e.gateway.Quotas.Limited(time.Now()), e.gateway.RetrySlackShare())
+		view.Revision.Era(), view.Revision.Number(), e.gateway.Quarantine.Quarantined(time.Now()), e.gateway.Quotas.Limited(time.Now()), e.gateway.RetrySlackShare(time.Now()))
 	_, err := e.metrics.WriteTo(w)
 	eraErr = errors.Join(eraErr, e.slotOwner.writeMetrics(w))
 	if err = errors.Join(eraErr, err); err != nil {
--- a/hitchingress/endless_fleet_test.go
+++ b/hitchingress/endless_fleet_test.go
@@ -89,7 +89,7 @@
 				backends = append(backends, test.newSound())
 			}
 			server := startGateway(t, hitchroute.Route{Kind: test.kind, IsResumable: true, MaxAttempts: len(backends), GapMilliseconds: 400}, backends...)
-			server.Config.Handler.(*Gateway).updateRetrySlack(1)
+			server.Config.Handler.(*Gateway).updateRetrySlack(time.Now(), 1)
 			stop, startedAt := startHeapWatch(), time.Now()
 			var all sync.WaitGroup
 			for range callers {
--- a/hitchingress/gateway.go
+++ b/hitchingress/gateway.go
@@ -87,8 +87,10 @@
 
 	mu            sync.Mutex
 	serviceStates map[hitchfleet.ServiceID]*serviceState
-	// retrySlack is this instance's share of RetrySlack, and loggedSlack the one logged last.
-	retrySlack, loggedSlack float64
+	// retrySlack has this instance's share of the part of RetrySlack that is used.
+	retrySlack hitchadmit.FleetSlack
+	// loggedSharers is the number of instances that share it as logged last.
+	loggedSharers int
 	// configuredCh is closed with the first configuration. It is nil until Configured is
 	// called.
 	configuredCh chan struct{}
@@ -120,7 +122,7 @@
 	isFirst := g.view.Swap(&view) == nil
 	g.crashWatch().ObserveEndpoints(view.AllEndpoints)
 	g.updateOrigins(now, view, isFirst)
-	g.updateRetrySlack(len(view.Instances()))
+	g.updateRetrySlack(now, len(view.Instances()))
 	if view.Table != nil {
 		g.setConfigured()
 	}
--- a/hitchingress/gateway_test.go
+++ b/hitchingress/gateway_test.go
@@ -264,7 +264,7 @@
 			server := startGateway(t, hitchroute.Route{Kind: hitchroute.NonIdempotent, MaxAttempts: 1}, test.first, startBackend(t, okResponse))
 			g := server.Config.Handler.(*Gateway)
 			g.RetryRatio, g.RetrySlack = 0.001, 0
-			g.updateRetrySlack(1)
+			g.updateRetrySlack(time.Now(), 1)
 			status, _, _, err := send(t, server, "k")
 			qt.Assert(t, err, qt.IsNil)
 			qt.Assert(t, status, qt.Equals, test.status)
@@ -274,10 +274,10 @@
 
 // TestRetrySlackIsShared checks that each instance uses its share of the slack only.
 func TestRetrySlackIsShared(t *testing.T) {
-	g := &Gateway{Balancer: &hitchbalance.Balancer{}, RetrySlack: 430}
 	for n, want := range map[int]float64{1: 344, 8: 43, 172: 2} {
-		g.updateRetrySlack(n)
-		qt.Assert(t, g.retrySlack, qt.Equals, want)
+		g := &Gateway{Balancer: &hitchbalance.Balancer{}, RetrySlack: 430}
+		g.updateRetrySlack(time.Now(), n)
+		qt.Assert(t, g.RetrySlackShare(time.Now()), qt.Equals, want)
 	}
 }
 
--- a/hitchingress/retries.go
+++ b/hitchingress/retries.go
@@ -1,9 +1,9 @@
 package hitchingress
 
 import (
-	"math"
 	"time"
 
+	"citronhitch.example/citronhitch/hitchadmit"
 	"citronhitch.example/citronhitch/hitchretry"
 )
 
@@ -15,29 +15,28 @@
 // against windows half a window apart, and one in between may have a third more requests.
 const retryRatioShare = 0.75
 
-// loggedSlackFactor is by how much this instance's share of the slack has to change to be logged.
-const loggedSlackFactor = 1.5
-
-// updateRetrySlack sets this instance's share of the slack in a fleet of a size.
-func (g *Gateway) updateRetrySlack(instances int) {
+// updateRetrySlack sets this instance's share of the slack in a fleet in which a number of instances is
+// listed.
+func (g *Gateway) updateRetrySlack(now time.Time, instances int) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.retrySlack = retrySlackShare * g.RetrySlack / float64(max(instances, 1))
+	g.retrySlack = g.retrySlack.WithInstances(now, instances)
+	g.retrySlack.Retries, g.retrySlack.SharedFrom = retrySlackShare*g.RetrySlack, g.StartedAt.Add(hitchadmit.RetryWindow)
 	for _, state := range g.serviceStates {
 		state.retryBudget.SetSlack(g.retrySlack)
 	}
-	if math.Abs(math.Log(g.retrySlack/g.loggedSlack)) > math.Log(loggedSlackFactor) && g.Log != nil {
-		g.Log.Info("share of the retry slack changed", "Retries", g.retrySlack, "Before", g.loggedSlack, "Instances", instances)
-		g.loggedSlack = g.retrySlack
+	if sharers := g.retrySlack.Instances(now); g.Log != nil && (2*sharers > 3*g.loggedSharers || 3*sharers < 2*g.loggedSharers) {
+		g.loggedSharers = sharers
+		g.Log.Info("share of the retry slack changed", "Retries", g.retrySlack.Retries/float64(sharers), "From", max(g.retrySlack.SharedFrom.Sub(now), 0), "Sharers", sharers, "Listed", instances)
 	}
 }
 
 // RetrySlackShare returns how many retries to a service this instance may make in a window in
 // addition to those that the ratio allows.
-func (g *Gateway) RetrySlackShare() float64 {
+func (g *Gateway) RetrySlackShare(now time.Time) float64 {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.retrySlack
+	return g.retrySlack.Share(now)
 }
 
 // retryKind is what a retry follows, as its metric is labelled.
--- a/hitchingress/retrybound_test.go
+++ b/hitchingress/retrybound_test.go
@@ -24,7 +24,7 @@
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				g := &Gateway{Balancer: &hitchbalance.Balancer{}, RetryRatio: ratio, RetrySlack: slack}
-				g.updateRetrySlack(1)
+				g.updateRetrySlack(time.Now(), 1)
 				budget := &g.serviceState("s").retryBudget
 				var requests, retries []int // by step
 				for at := time.Duration(0); at < 60*time.Second; at += step {
--- a/hitchingress/silence_test.go
+++ b/hitchingress/silence_test.go
@@ -233,7 +233,7 @@
 			g := server.Config.Handler.(*Gateway)
 			if test.withoutRetry {
 				g.RetryRatio, g.RetrySlack = 0.001, 0
-				g.updateRetrySlack(1)
+				g.updateRetrySlack(time.Now(), 1)
 			}
 			_, body, _, err := send(t, server, "k")
 			qt.Assert(t, err, qt.IsNil)
@@ -258,7 +258,7 @@
 	server := startGateway(t, resumableRoute, &first.backend, &second.backend)
 	g := server.Config.Handler.(*Gateway)
 	g.RetryRatio, g.RetrySlack = 0.001, 20/retrySlackShare
-	g.updateRetrySlack(1)
+	g.updateRetrySlack(time.Now(), 1)
 	var callers sync.WaitGroup
 	ctx, cancel := context.WithTimeout(t.Context(), 1500*time.Millisecond)
 	defer cancel()
