Own API: the transport doesn't send a call again by itself

Cause: net/http repeats a read, or a call with an idempotency key, if a connection that was used before breaks after the request was written. The retry budget sees one attempt. Change: an attempt whose request was written to a connection that broke ends as cut when the transport turns to another connection, and the caller decides about the retry. A connection that broke before anything was written is still replaced.

--- a/hitchforward/attempt.go
+++ b/hitchforward/attempt.go
@@ -21,6 +21,7 @@
 	errWrongAttempt = errors.New("the response has the ID of another attempt")
 	errTooLarge     = errors.New("the response exceeds the size limit")
 	errCallerGone   = errors.New("the caller disconnected")
+	errCut          = errors.New("the connection broke after the request was written")
 )
 
 // attempt is one attempt of a call at an endpoint.
@@ -28,11 +29,13 @@
 	client   *Client
 	id       string
 	endpoint hitchfleet.Endpoint
-	gotConn  atomic.Bool
-	ctx      context.Context
-	cancel   context.CancelCauseFunc
-	watchdog *time.Timer
-	response *http.Response
+	// gotConn is set once the transport has a connection, and isWritten once it has written the
+	// header of the request.
+	gotConn, isWritten atomic.Bool
+	ctx                context.Context
+	cancel             context.CancelCauseFunc
+	watchdog           *time.Timer
+	response           *http.Response
 }
 
 // startAttempt sends a call and reads the header of its response.
@@ -92,7 +95,10 @@
 // newRequest builds the HTTP request. Its trace records when the transport gets a
 // connection: before that, no byte can have been written.
 func (a *attempt) newRequest(call Call) (*http.Request, error) {
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { a.gotConn.Store(true) }}
+	trace := &httptrace.ClientTrace{
+		GotConn:      a.handleConn,
+		WroteHeaders: func() { a.isWritten.Store(true) },
+	}
 	url := strings.TrimSuffix(a.endpoint.URL, "/") + call.Path
 	var body io.Reader
 	if len(call.Body) > 0 {
@@ -110,6 +116,17 @@
 	return r, nil
 }
 
+// handleConn records that the transport has a connection. If the request was written to another one
+// before, which broke, the transport is about to send it again by itself: the attempt ends instead,
+// as the caller decides about retries.
+func (a *attempt) handleConn(info httptrace.GotConnInfo) {
+	a.gotConn.Store(true)
+	if a.isWritten.Load() {
+		a.cancel(errCut)
+		_ = info.Conn.Close()
+	}
+}
+
 // resetWatchdog restarts the inactivity timeout after data has arrived.
 func (a *attempt) resetWatchdog() { a.watchdog.Reset(a.client.inactivityTimeout()) }
 
@@ -166,6 +183,8 @@
 		return FailureSilent
 	case errors.Is(cause, context.DeadlineExceeded):
 		return FailureTimeout
+	case errors.Is(cause, errCut):
+		return FailureCut
 	case cause != nil:
 		return FailureCallerGone
 	default:
