Requests that were given up are reset, so that they don't arrive after a cut

Cause: an abandoned connection was closed, so that the kernel went on to send what wasn't acknowledged. With a reset on close it was no better: the kernel's own time limit (TCP_USER_TIMEOUT and keep-alive, 3 s) ended the connection first, and then there is nothing to reset. Change: connections to endpoints are reset when they are closed, also by the end of the process (SO_LINGER 0). A watch over the unacknowledged bytes (SIOCOUTQ) resets one after 3 s without progress, before the kernel does after 4. TestAbandonedRequestsAreReset and TestUnacknowledgedRequestIsReset; the former failed before (end of file in place of a reset), also for the own API.

--- a/hitchforward/conn.go
+++ b/hitchforward/conn.go
@@ -7,6 +7,7 @@
 	"net"
 	"os"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -15,10 +16,6 @@
 const (
 	// connectTimeout is how long establishing a connection may take.
 	connectTimeout = 400 * time.Millisecond
-	// unackedTimeoutMilliseconds is how long written bytes or keep-alive probes may
-	// remain unacknowledged before the connection is closed, as its network path is
-	// then assumed to be unreachable. A sound endpoint may be silent for two seconds.
-	unackedTimeoutMilliseconds = 3_000
 	// tcpUserTimeout is Linux's TCP_USER_TIMEOUT, which package syscall lacks.
 	tcpUserTimeout = 18
 	// defaultIdleTimeout is how long an idle connection is kept if its endpoint
@@ -49,6 +46,17 @@
 	idleDeadline time.Time
 	// wasUsed is set once the connection has carried an exchange.
 	wasUsed bool
+	// written is the number of bytes written, and isUnacked is set once the connection was closed as
+	// the endpoint acknowledges nothing.
+	written   atomic.Int64
+	isUnacked atomic.Bool
+}
+
+// Write writes bytes of a request.
+func (c *conn) Write(b []byte) (n int, err error) {
+	n, err = c.Conn.Write(b)
+	c.written.Add(int64(n))
+	return n, err
 }
 
 // dial opens a connection.
@@ -69,16 +77,20 @@
 	d := net.Dialer{
 		Timeout: connectTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{
-			Enable: true, Idle: time.Second, Interval: time.Second, Count: 2,
+			Enable: true, Idle: time.Second, Interval: time.Second, Count: 3,
 		},
 		Control: func(_, _ string, raw syscall.RawConn) (err error) {
 			ctlErr := raw.Control(func(fd uintptr) {
-				err = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, unackedTimeoutMilliseconds)
+				err = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, kernelUnackedTimeoutMilliseconds)
 			})
 			return errors.Join(ctlErr, err)
 		},
 	}
-	return d.DialContext(ctx, "tcp", addr)
+	nc, err := d.DialContext(ctx, "tcp", addr)
+	if tcp, ok := nc.(*net.TCPConn); ok {
+		resetOnClose(tcp)
+	}
+	return nc, err
 }
 
 func newConn(nc net.Conn) *conn {
--- a/hitchforward/exchange.go
+++ b/hitchforward/exchange.go
@@ -69,6 +69,8 @@
 	x.OpenedAt = c.openedAt
 	x.stopCancelWatch = context.AfterFunc(ctx, func() { _ = c.Close() })
 	_ = x.conn.SetDeadline(deadline)
+	stopWatch := watchUnacked(c)
+	defer stopWatch()
 	x.write(r)
 	if x.Response, err = x.readHead(r.Method); err != nil {
 		return nil, x.newFailure(ctx, err)
@@ -221,6 +223,9 @@
 
 // newFailure returns the failure of an exchange whose request was written.
 func (x *Exchange) newFailure(ctx context.Context, err error) *Failure {
+	if x.conn != nil && x.conn.isUnacked.Load() {
+		err = errUnacked
+	}
 	kind := FailureCut
 	switch {
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
--- a/hitchforward/forward.go
+++ b/hitchforward/forward.go
@@ -75,11 +75,20 @@
 func (c *Client) newTransport() *http.Transport {
 	dial := c.Dial
 	if dial == nil {
-		dial = (&net.Dialer{Timeout: dialTimeout}).DialContext
+		dial = dialReset
 	}
 	return &http.Transport{DialContext: dial, DisableCompression: true, MaxResponseHeaderBytes: maxHeadBytes}
 }
 
+// dialReset opens a connection that discards what wasn't acknowledged when it is closed.
+func dialReset(ctx context.Context, network, addr string) (net.Conn, error) {
+	nc, err := (&net.Dialer{Timeout: dialTimeout}).DialContext(ctx, network, addr)
+	if tcp, ok := nc.(*net.TCPConn); ok {
+		resetOnClose(tcp)
+	}
+	return nc, err
+}
+
 // transportFor returns the transport for a call. Calls that aren't idempotent get a
 // new connection: on a pooled one, net/http resends a request with an
 // Idempotency-Key header by itself if the server closes the connection.
