An instance that has just started has a quarter of its share of the slack for retries

Change: a quarter. With four fifths of the slack in use, an instance's start beside a predecessor that has used all its share stays within the whole at any traffic; further starts in the same window are covered by the part of the ratio that isn't used.

--- a/hitchadmit/fleetslack.go
+++ b/hitchadmit/fleetslack.go
@@ -12,18 +12,21 @@
 // few others while leases have lapsed, or while it has only begun to read the store.
 const fleetSizeTTL = time.Minute
 
+// startShare is the share of its part that an instance has in the first window after its start.
+const startShare = 0.25
+
 // FleetSlack is a number of retries that the instances of a fleet may make in each window in addition to the
 // ratio, and this instance's part of it. It is an immutable value. The zero value allows none.
 //
-//	slack := hitchadmit.FleetSlack{Retries: 200, SharedFrom: startedAt.Add(hitchadmit.RetryWindow)}
+//	slack := hitchadmit.FleetSlack{Retries: 200, FullFrom: startedAt.Add(hitchadmit.RetryWindow)}
 //	slack = slack.WithInstances(now, 80)
 //	budget.SetSlack(slack)
 type FleetSlack struct {
 	// Retries is the number for the whole fleet.
 	Retries float64
-	// SharedFrom is from when on this instance has a part. One that has just started may take the
-	// place of one that has used the same part within the window.
-	SharedFrom time.Time
+	// FullFrom is from when on this instance has its whole part. One that has just started may take the
+	// place of one that has used the same part within the window, and has startShare of it.
+	FullFrom time.Time
 
 	// sizes are the numbers of instances that count, in descending order. The last one is that of now.
 	sizes []fleetSize
@@ -60,8 +63,9 @@
 
 // Share returns this instance's part, in retries for each window.
 func (s FleetSlack) Share(now time.Time) float64 {
-	if now.Before(s.SharedFrom) {
-		return 0
+	part := s.Retries / float64(s.Instances(now))
+	if now.Before(s.FullFrom) {
+		return startShare * part
 	}
-	return s.Retries / float64(s.Instances(now))
+	return part
 }
--- a/hitchingress/retries.go
+++ b/hitchingress/retries.go
@@ -8,7 +8,8 @@
 )
 
 // retrySlackShare is the part of RetrySlack that is used. The window of a retry budget
-// moves in steps of a tenth, so that a window in between may have a few more retries.
+// moves in steps of a tenth, so that a window in between may have a few more retries, and
+// instances that have just started have a part of their share beside that of their predecessors.
 const retrySlackShare = 0.8
 
 // retryRatioShare is the part of RetryRatio that is used. The fleet's bound is checked
@@ -21,13 +22,13 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.retrySlack = g.retrySlack.WithInstances(now, instances)
-	g.retrySlack.Retries, g.retrySlack.SharedFrom = retrySlackShare*g.RetrySlack, g.StartedAt.Add(hitchadmit.RetryWindow)
+	g.retrySlack.Retries, g.retrySlack.FullFrom = retrySlackShare*g.RetrySlack, g.StartedAt.Add(hitchadmit.RetryWindow)
 	for _, state := range g.serviceStates {
 		state.retryBudget.SetSlack(g.retrySlack)
 	}
 	if sharers := g.retrySlack.Instances(now); g.Log != nil && (2*sharers > 3*g.loggedSharers || 3*sharers < 2*g.loggedSharers) {
 		g.loggedSharers = sharers
-		g.Log.Info("share of the retry slack changed", "Retries", g.retrySlack.Retries/float64(sharers), "From", max(g.retrySlack.SharedFrom.Sub(now), 0), "Sharers", sharers, "Listed", instances)
+		g.Log.Info("share of the retry slack changed", "Retries", g.retrySlack.Retries/float64(sharers), "FullIn", max(g.retrySlack.FullFrom.Sub(now), 0), "Sharers", sharers, "Listed", instances)
 	}
 }
 
