An entry names an endpoint only if each field is there, of its type and in its range

Cause: only service, address and state were checked. A port out of range, a name, slots of 0, a cold time of 1e300 ms (whose conversion differs between processors) and missing fields were taken as they came. Change: endpointEntry validates all fields of PROTOCOL.md; what isn't whole counts as removed, is counted (citronhitch_invalid_entries_total) and logged once for each reason. Entries that are nested deeply, or have numbers too large, were turned away before too, without an end of the process: TestEntryOfAnotherWriterNamesNoEndpoint has them, and fails on the code before for 20 of its cases of fields. born may be missing, as the sample of one deployment has none. Tests replaced: an entry without a version was taken for the empty version, against the page; the cases of TestDecodeEntries moved to the new test, and the stand-in writes all fields (TestEntryHasAllFields in place of TestEntryOmitsEmptyVersion).

--- a/hitchedge/edge.go
+++ b/hitchedge/edge.go
@@ -21,6 +21,7 @@
 
 	"github.com/hashicorp/go-hclog"
 	"golang.org/x/sync/errgroup"
+	"golang.org/x/sync/singleflight"
 
 	"citronhitch.example/citronhitch/hitchbalance"
 	"citronhitch.example/citronhitch/hitchdigest"
@@ -46,13 +47,16 @@
 	// losesDatagram reports whether a datagram to another instance is lost; nil means that none is.
 	losesDatagram atomic.Pointer[func(hitchdigest.Packet) bool]
 	// listen opens the listener for callers; nil means net.Listen.
-	listen   func(network, addr string) (net.Listener, error)
-	store    hitchplatform.Store
-	balancer hitchbalance.Balancer
-	conns    hitchforward.ConnPool
-	metrics  hitchingress.Metrics
-	gateway  *hitchingress.Gateway
-	follower hitchview.Follower
+	listen func(network, addr string) (net.Listener, error)
+	store  hitchplatform.Store
+	feed   *hitchplatform.StoreFeed
+	// versionsReads are the reads of the store's record of versions.
+	versionsReads singleflight.Group
+	balancer      hitchbalance.Balancer
+	conns         hitchforward.ConnPool
+	metrics       hitchingress.Metrics
+	gateway       *hitchingress.Gateway
+	follower      hitchview.Follower
 	// registration keeps this instance's entry in the store.
 	registration hitchview.Registration
 	peerClient   http.Client
@@ -248,9 +252,9 @@
 	e.permits.reserve.StartsEmpty = true
 	e.initSlots()
 	e.initPath()
-	feed := &hitchplatform.StoreFeed{Store: &e.store, Log: e.Log, Self: settings.Self.ID}
+	e.feed = &hitchplatform.StoreFeed{Store: &e.store, Log: e.Log, Self: settings.Self.ID}
 	e.peerClient = newPeerClient()
-	e.follower.Snapshot, e.follower.Watch, e.follower.Probe = feed.Snapshot, feed.Watch, feed.Probe
+	e.follower.Snapshot, e.follower.Watch, e.follower.Probe = e.feed.Snapshot, e.feed.Watch, e.feed.Probe
 	e.follower.Pull, e.follower.Peers, e.follower.StartPeers = e.fetchView, e.peerAddrs, e.startPeers
 	e.follower.WatchesStore = e.watchesStore
 	e.follower.Log = e.Log
@@ -324,8 +328,8 @@
 	}
 	w.Header().Set("Content-Type", "text/plain; version=0.0.4")
 	view := e.gateway.View()
-	_, eraErr := fmt.Fprintf(w, "citronhitch_store_era %d\ncitronhitch_store_revision %d\ncitronhitch_quarantined_traits %d\ncitronhitch_limited_endpoints %d\ncitronhitch_retry_slack %g\n",
-		view.Revision.Era(), view.Revision.Number(), e.gateway.Quarantine.Quarantined(time.Now()), e.gateway.Quotas.Limited(time.Now()), e.gateway.RetrySlackShare(time.Now()))
+	_, eraErr := fmt.Fprintf(w, "citronhitch_store_era %d\ncitronhitch_store_revision %d\ncitronhitch_quarantined_traits %d\ncitronhitch_limited_endpoints %d\ncitronhitch_retry_slack %g\ncitronhitch_invalid_entries_total %d\n",
+		view.Revision.Era(), view.Revision.Number(), e.gateway.Quarantine.Quarantined(time.Now()), e.gateway.Quotas.Limited(time.Now()), e.gateway.RetrySlackShare(time.Now()), e.feed.InvalidEntries())
 	_, err := e.metrics.WriteTo(w)
 	eraErr = errors.Join(eraErr, e.slotOwner.writeMetrics(w))
 	if err = errors.Join(eraErr, err); err != nil {
