A stream's version isn't inferred from few homes unless the store says so

Seen here: not with one instance that is behind, whether it stood still or is cut off: it infers nothing without a home, and one that knows better overrules it. With two or three that are cut off together and reach each other, before their views count as old (1.2 to 3 s), each says that there has been one version, and the stream went on there. Cause: one home's word was enough, however many didn't answer. Class: a local observation taken for one of the whole fleet. Change: if half of the homes or more don't answer, the store's record of versions has to name this version only; if it can't be read, the return is refused as not run, with a time to return. The test of rolling restarts removed entries with a revision that was too low, so that its fleet listed stopped instances; it removes them now, as a planned stop does.

--- a/hitchedge/origin.go
+++ b/hitchedge/origin.go
@@ -25,7 +25,7 @@
 // originExchange returns the gateway's way to the other instances.
 func (e *Edge) originExchange() hitchingress.OriginExchange {
 	return hitchingress.OriginExchange{
-		Share: e.shareOrigins, Ask: e.askOrigin, Recorded: e.recordedOrigin, IsViewCurrent: e.isViewCurrent,
+		Share: e.shareOrigins, Ask: e.askOrigin, Recorded: e.recordedOrigin, RecordedVersions: e.recordedVersions, IsViewCurrent: e.isViewCurrent,
 		IsAlone: func() bool { return len(e.otherInstances()) == 0 },
 	}
 }
@@ -65,35 +65,42 @@
 	}
 }
 
-// askOrigin asks the homes of a stream at once, and returns their answers until ctx ends.
-// The first record ends it.
-func (e *Edge) askOrigin(ctx context.Context, stream hitchfleet.Key, route string) []hitchorigin.Answer {
+// homeAnswer is the answer of a home, and why there is none.
+type homeAnswer struct {
+	hitchorigin.Answer
+	err error
+}
+
+// askOrigin asks the homes of a stream at once, and returns their answers until ctx ends, and how many
+// have given none. The first record ends it.
+func (e *Edge) askOrigin(ctx context.Context, stream hitchfleet.Key, route string) (answers []hitchorigin.Answer, silent int) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	homes := hitchorigin.AskedHomes(stream, e.otherInstances(), e.Settings.Self.ID)
-	received := make(chan hitchorigin.Answer, len(homes))
+	received := make(chan homeAnswer, len(homes))
 	for _, home := range homes {
 		go func() {
 			answer, err := e.fetchOrigin(ctx, home.PeerAddr, stream, route)
 			if err != nil && ctx.Err() == nil {
 				e.Log.Info("no answer about the origin of a stream", "From", home.ID, "Error", err)
 			}
-			received <- answer // the zero value says nothing
+			received <- homeAnswer{answer, err}
 		}()
 	}
-	var answers []hitchorigin.Answer
 	for range homes {
 		select {
 		case answer := <-received:
-			answers = append(answers, answer)
+			if answer.err == nil {
+				answers = append(answers, answer.Answer)
+			}
 			if answer.Knowledge == hitchorigin.KnowsRecord {
-				return answers
+				return answers, 0
 			}
 		case <-ctx.Done():
-			return answers
+			return answers, len(homes) - len(answers)
 		}
 	}
-	return answers
+	return answers, len(homes) - len(answers)
 }
 
 // fetchOrigin asks the instance at addr for the origin of a stream.
--- a/hitchedge/origin_test.go
+++ b/hitchedge/origin_test.go
@@ -225,8 +225,9 @@
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			home.gateway.OriginExchange.IsViewCurrent = func() bool { return test.isCurrent }
-			answers := asking.askOrigin(t.Context(), test.stream, "r")
+			answers, silent := asking.askOrigin(t.Context(), test.stream, "r")
 			qt.Assert(t, answers, qt.HasLen, 1)
+			qt.Assert(t, silent, qt.Equals, 0)
 			qt.Assert(t, answers[0].Knowledge, qt.Equals, test.want)
 		})
 	}
--- a/hitchedge/versions.go
+++ b/hitchedge/versions.go
@@ -111,6 +111,25 @@
 	e.hasView = true
 }
 
+// recordedVersions returns the store's record of which versions there were. Questions at the same time read it
+// once.
+func (e *Edge) recordedVersions(ctx context.Context) (recent hitchorigin.Recent, err error) {
+	select {
+	case result := <-e.versionsReads.DoChan("", func() (any, error) {
+		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), recordReadTimeout)
+		defer cancel()
+		return e.store.Record(ctx, hitchplatform.VersionsRecord)
+	}):
+		if result.Err != nil {
+			return recent, result.Err
+		}
+		err = json.Unmarshal(result.Val.([]byte), &recent)
+		return recent, err
+	case <-ctx.Done():
+		return recent, ctx.Err()
+	}
+}
+
 // learnVersions asks other instances which versions there were, until one knows. If none
 // does, it reads the store.
 func (e *Edge) learnVersions(ctx context.Context) {
--- a/hitchedge/versions_test.go
+++ b/hitchedge/versions_test.go
@@ -20,7 +20,7 @@
 // that starts. It returns once the new one has asked the others which versions there were.
 func (f *originFleet) restart(t *testing.T, n int) {
 	f.stops[n]()
-	f.view = f.view.Update(hitchview.InstanceRemovedMsg{Revision: f.view.Revision + 1, ID: f.edges[n].Settings.Self.ID})
+	f.view = f.view.Update(hitchview.InstanceRemovedMsg{Revision: 9, ID: f.edges[n].Settings.Self.ID})
 	f.addInstance(t, len(f.edges))
 	f.setRunningView()
 	e := f.edges[len(f.edges)-1]
--- a/hitchingress/origin.go
+++ b/hitchingress/origin.go
@@ -36,11 +36,15 @@
 type OriginExchange struct {
 	// Share sends origins to their homes.
 	Share func(origins []hitchorigin.Origin)
-	// Ask returns what the homes of a stream know about it. It ends at the first record.
-	Ask func(ctx context.Context, stream hitchfleet.Key, route string) []hitchorigin.Answer
+	// Ask returns what the homes of a stream know about it, and how many haven't answered. It ends at the
+	// first record.
+	Ask func(ctx context.Context, stream hitchfleet.Key, route string) (answers []hitchorigin.Answer, silent int)
 	// Recorded returns the origin of a stream that the store has a record of, for the case
 	// that the instances that knew it are lost, and an error if the record can't be read.
 	Recorded func(ctx context.Context, stream hitchfleet.Key) (o hitchorigin.Origin, ok bool, err error)
+	// RecordedVersions returns which versions there were by the store's record, and an error if it has none or
+	// can't be read.
+	RecordedVersions func(ctx context.Context) (hitchorigin.Recent, error)
 	// IsAlone reports whether there are no other instances.
 	IsAlone func() bool
 	// IsViewCurrent reports whether the view shows the endpoints as they are, but for
@@ -55,12 +59,14 @@
 	}
 }
 
-// ask returns what the homes of a stream know, and whether there are no other instances.
-func (x OriginExchange) ask(ctx context.Context, stream hitchfleet.Key, route string) (answers []hitchorigin.Answer, isAlone bool) {
+// ask returns what the homes of a stream know, how many haven't answered, and whether there are no other
+// instances.
+func (x OriginExchange) ask(ctx context.Context, stream hitchfleet.Key, route string) (answers []hitchorigin.Answer, silent int, isAlone bool) {
 	if x.Ask == nil {
-		return nil, true
+		return nil, 0, true
 	}
-	return x.Ask(ctx, stream, route), x.IsAlone != nil && x.IsAlone()
+	answers, silent = x.Ask(ctx, stream, route)
+	return answers, silent, x.IsAlone != nil && x.IsAlone()
 }
 
 // recorded returns the origin of a stream that the store has a record of.
@@ -71,6 +77,17 @@
 	return x.Recorded(ctx, stream)
 }
 
+// errNoRecord is returned if the store has no record.
+var errNoRecord = errors.New("there is no record in the store")
+
+// recordedVersions returns which versions there were by the store's record.
+func (x OriginExchange) recordedVersions(ctx context.Context) (hitchorigin.Recent, error) {
+	if x.RecordedVersions == nil {
+		return hitchorigin.Recent{}, errNoRecord
+	}
+	return x.RecordedVersions(ctx)
+}
+
 // isViewCurrent reports whether the view is kept up to date.
 func (x OriginExchange) isViewCurrent() bool { return x.IsViewCurrent == nil || x.IsViewCurrent() }
 
@@ -202,12 +219,15 @@
 // route's endpoints have several versions, or may have had as nobody says which ones, it looks
 // into the store's record.
 func (g *Gateway) askOriginOnce(ctx context.Context, req *proxyRequest, stream hitchfleet.Key, try int) (hitchorigin.Origin, hitchorigin.Source) {
-	answers, isAlone := g.OriginExchange.ask(ctx, stream, req.route.Name)
+	answers, silent, isAlone := g.OriginExchange.ask(ctx, stream, req.route.Name)
 	own := g.AnswerOrigin(time.Now(), stream, req.route.Name)
 	if own.Knowledge == hitchorigin.KnowsRecord { // it was shared meanwhile
 		return g.Origins.Find(stream)
 	}
 	o, source := hitchorigin.Combine(own, answers, isAlone)
+	if source == hitchorigin.SourceInferred && silent >= len(answers) && !isAlone {
+		return g.confirmInferred(ctx, req, o)
+	}
 	if source != hitchorigin.SourceUnknown || !knowsSeveral(own, answers) && try < firstRecordTry {
 		return o, source
 	}
@@ -219,6 +239,22 @@
 	return hitchorigin.Origin{}, hitchorigin.SourceUnknown
 }
 
+// confirmInferred confirms by the store's record an origin that was inferred while half of the homes or more
+// didn't answer. Those that did may all be behind, as instances that are cut off together are.
+func (g *Gateway) confirmInferred(ctx context.Context, req *proxyRequest, o hitchorigin.Origin) (hitchorigin.Origin, hitchorigin.Source) {
+	recent, err := g.OriginExchange.recordedVersions(ctx)
+	req.isOriginUnread = err != nil
+	for _, split := range req.route.Splits {
+		if err == nil && !recent.HasOnly(split.Service, o.Version) {
+			err = errOtherVersion
+		}
+	}
+	if err != nil {
+		return hitchorigin.Origin{}, hitchorigin.SourceUnknown
+	}
+	return o, hitchorigin.SourceInferred
+}
+
 // knowsSeveral reports whether any of the answers about a stream is that the route's
 // endpoints have had several versions.
 func knowsSeveral(own hitchorigin.Answer, homes []hitchorigin.Answer) bool {
--- a/hitchingress/origin_test.go
+++ b/hitchingress/origin_test.go
@@ -96,11 +96,11 @@
 				other.ReceiveOrigins(time.Now(), origins)
 			}
 		},
-		Ask: func(_ context.Context, stream hitchfleet.Key, route string) (answers []hitchorigin.Answer) {
+		Ask: func(_ context.Context, stream hitchfleet.Key, route string) (answers []hitchorigin.Answer, silent int) {
 			for _, other := range others {
 				answers = append(answers, other.AnswerOrigin(time.Now(), stream, route))
 			}
-			return answers
+			return answers, 0
 		},
 		IsAlone: func() bool { return false },
 	}
--- a/hitchorigin/recent.go
+++ b/hitchorigin/recent.go
@@ -15,6 +15,12 @@
 	Services map[string][]hitchfleet.ServiceID
 }
 
+// HasOnly reports whether a service's endpoints have had a version, and no other one.
+func (r Recent) HasOnly(service hitchfleet.ServiceID, version string) bool {
+	versions := r.Versions[service]
+	return len(versions) == 1 && versions[0] == version
+}
+
 // Recent returns what the instance has seen within the horizon, and false if it has missed
 // some of it.
 func (t *Tracker) Recent(now time.Time) (r Recent, ok bool) {
