Own API: a relayed call counts once, and has the attempts that are left

Cause: the router that sends a call on made all attempts anew, whatever the first one had made, and counted it as a first attempt too. Change: the number of attempts that are left goes with the relayed call, in a header that older routers don't read; only the router that the caller is connected to counts the call. A relay's response was final before, so that nothing else follows it.

--- a/hitchrouter/relay.go
+++ b/hitchrouter/relay.go
@@ -6,6 +6,7 @@
 	"errors"
 	"math/rand/v2"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 
@@ -54,6 +55,31 @@
 	RemainingMilliseconds int64
 }
 
+// headerAttempts is the header of a relayed call with the number of attempts that the other router may make.
+// Routers of older versions don't read it.
+const headerAttempts = "Citronhitch-Attempts"
+
+// withAttempts returns the request with the number of attempts that the other router may make.
+func (r relayRequest) withAttempts(n int) relayRequest {
+	r.Call.Header = r.Call.Header.Clone()
+	if r.Call.Header == nil {
+		r.Call.Header = make(http.Header)
+	}
+	r.Call.Header.Set(headerAttempts, strconv.Itoa(n))
+	return r
+}
+
+// takeAttempts returns the number of attempts that this router may make, and removes it from the call. A
+// number that isn't valid counts as all.
+func (r relayRequest) takeAttempts() int {
+	n, err := strconv.Atoi(r.Call.Header.Get(headerAttempts))
+	r.Call.Header.Del(headerAttempts)
+	if err != nil || n < 1 || n > maxAttempts {
+		return maxAttempts
+	}
+	return n
+}
+
 // relayResponse is the response to a relayRequest: one of its fields is set.
 type relayResponse struct {
 	_        struct{} `cbor:",toarray"`
@@ -179,9 +205,9 @@
 }
 
 // relayThrough has another router send a request, if this one reaches no endpoint and the caller
-// has got nothing yet. It returns false if this router sends the request itself. deliver handles
-// the response.
-func (rt *Router) relayThrough(ctx context.Context, req *proxyRequest, tracker *hitchoutcome.DispatchTracker, deliver func(relayResponse) error) (isRelayed bool, err error) {
+// has got nothing yet. It returns false if this router sends the request itself. The other one makes
+// the attempts that are left. deliver handles the response.
+func (rt *Router) relayThrough(ctx context.Context, req *proxyRequest, left int, tracker *hitchoutcome.DispatchTracker, deliver func(relayResponse) error) (isRelayed bool, err error) {
 	if req.relay == nil || req.isVersionFixed || !rt.ownPath().SendsElsewhere(time.Now()) {
 		return false, nil
 	}
@@ -192,7 +218,7 @@
 			return false, nil
 		}
 		tried = append(tried, to.ID)
-		response, err := rt.relayTo(ctx, to.ID, req, tracker)
+		response, err := rt.relayTo(ctx, to.ID, req, left, tracker)
 		var callErr *hitchpeer.CallError
 		switch {
 		case err == nil && response.Refusal != nil:
@@ -209,8 +235,8 @@
 }
 
 // relayTo has one router send a request.
-func (rt *Router) relayTo(ctx context.Context, to hitchfleet.InstanceID, req *proxyRequest, tracker *hitchoutcome.DispatchTracker) (response relayResponse, err error) {
-	message := *req.relay
+func (rt *Router) relayTo(ctx context.Context, to hitchfleet.InstanceID, req *proxyRequest, left int, tracker *hitchoutcome.DispatchTracker) (response relayResponse, err error) {
+	message := req.relay.withAttempts(left)
 	if !req.deadline.IsZero() {
 		message.RemainingMilliseconds = max(req.deadline.Sub(rt.now()).Milliseconds(), 1)
 	}
@@ -240,6 +266,7 @@
 	if !ok || !isKnown {
 		return cbor.Marshal(relayResponse{Refusal: refusalOf(noRouteRefusal())})
 	}
+	attempts := message.takeAttempts()
 	call := message.Call
 	if message.RemainingMilliseconds > 0 {
 		call.Deadline = rt.now().Add(time.Duration(message.RemainingMilliseconds) * time.Millisecond)
@@ -251,7 +278,7 @@
 			PromptBytes: message.PromptBytes, MaxTokens: message.MaxTokens, Call: call, Parts: message.Parts,
 		}.proxyRequest()
 	}
-	req.relay = nil
+	req.relay, req.maxAttempts = nil, attempts
 	var response relayResponse
 	var err error
 	if message.IsStream {
--- a/hitchrouter/request.go
+++ b/hitchrouter/request.go
@@ -83,6 +83,8 @@
 	traitList []hitchquarantine.Trait
 	// relay is the request as another router sends it; nil if that one relays it already.
 	relay *relayRequest
+	// maxAttempts is how many attempts this router may make; 0 means maxAttempts.
+	maxAttempts int
 	// hasTurn is set while the request may be sent although it may have crashed an endpoint,
 	// and hasAnswer once the endpoint of the current attempt has begun its answer.
 	hasTurn, hasAnswer bool
--- a/hitchrouter/serve.go
+++ b/hitchrouter/serve.go
@@ -83,12 +83,15 @@
 // passed to deliver. Errors are of type *hitchoutcome.Refusal.
 func (rt *Router) serve(ctx context.Context, req *proxyRequest, tracker *hitchoutcome.DispatchTracker, send func(context.Context, *slot) error, deliver func(relayResponse) error) error {
 	budget := rt.retryBudgets.forRoute(req.route.ID)
-	budget.RecordFirstAttempt(rt.now())
+	if req.relay != nil { // otherwise the router that relays the request has counted it
+		budget.RecordFirstAttempt(rt.now())
+	}
 	wait := backoff.NewExponentialBackOff()
 	wait.InitialInterval = initialBackoff
 	for attempt := 1; ; attempt++ {
 		req.hasAnswer = false
-		if isRelayed, err := rt.relayThrough(ctx, req, tracker, deliver); isRelayed {
+		left := req.attempts() - attempt + 1
+		if isRelayed, err := rt.relayThrough(ctx, req, left, tracker, deliver); isRelayed {
 			return err
 		}
 		if refusal := rt.admit(ctx, req, tracker); refusal != nil {
@@ -110,13 +113,21 @@
 			return nil
 		}
 		rt.log().Info("attempt failed", "Route", req.route.ID, "Chat", req.key, "Error", err)
-		if !rt.mayRetry(req, tracker, err) || attempt == maxAttempts || !budget.TryRetry(rt.now()) || !rt.waitBackoff(ctx, req, wait.NextBackOff()) {
+		if !rt.mayRetry(req, tracker, err) || left == 1 || !budget.TryRetry(rt.now()) || !rt.waitBackoff(ctx, req, wait.NextBackOff()) {
 			return rt.finalRefusal(tracker, err)
 		}
 		req.failedEndpoints = append(req.failedEndpoints, s.endpoint.ID)
 	}
 }
 
+// attempts returns how many attempts this router may make for a request.
+func (req *proxyRequest) attempts() int {
+	if req.maxAttempts == 0 {
+		return maxAttempts
+	}
+	return req.maxAttempts
+}
+
 // recordEndpointAttempt counts an attempt in the failure ratio of its endpoint.
 // Attempts that failed for a reason outside the endpoint, such as a caller that
 // disconnected or the request's deadline, aren't counted.
