--- a/hitchingress/relaybudget_test.go
+++ b/hitchingress/relaybudget_test.go
@@ -1,7 +1,6 @@
 package hitchingress
 
 import (
-	"context"
 	"fmt"
 	"net/http"
 	"net/http/httptest"
@@ -14,7 +13,6 @@
 	"citronhitch.example/citronhitch/hitchbalance"
 	"citronhitch.example/citronhitch/hitchfleet"
 	"citronhitch.example/citronhitch/hitchforward"
-	"citronhitch.example/citronhitch/hitchpath"
 	"citronhitch.example/citronhitch/hitchroute"
 	"citronhitch.example/citronhitch/hitchview"
 )
@@ -43,23 +41,16 @@
 		f.relays = append(f.relays, hitchfleet.Instance{ID: g.Self.ID, PeerAddr: server.Listener.Addr().String()})
 	}
 	sender := newRelayGateway("sender", slack)
-	sender.Path.Ask = func(context.Context, hitchfleet.Endpoint) hitchpath.Evidence { return hitchpath.Unreached }
-	sender.Path.Endpoints = func() []hitchfleet.Endpoint { return view.Endpoints() }
-	sender.Path.Confirm = func(context.Context, bool) []hitchfleet.Instance { return f.relays }
 	sender.SetView(time.Now(), view)
-	cutOff := sender.Path.AwaitCutOff()
-	sender.Path.RecordFailure(time.Now())
-	<-cutOff
+	cutOff(t, sender, f.relays...)
 	f.sender = httptest.NewServer(sender)
 	t.Cleanup(f.sender.Close)
 	return f
 }
 
 func newRelayGateway(id string, slack float64) *Gateway {
-	p := protocol
-	p.EncodeRelay = func(h http.Header, info RelayInfo) { h.Set("Key", info.Key) }
 	return &Gateway{
-		Self: hitchfleet.Instance{ID: hitchfleet.InstanceID(id), Zone: "0"}, Protocol: p, Balancer: &hitchbalance.Balancer{},
+		Self: hitchfleet.Instance{ID: hitchfleet.InstanceID(id), Zone: "0"}, Protocol: protocol, Balancer: &hitchbalance.Balancer{},
 		Conns: &hitchforward.ConnPool{}, Log: hclog.NewNullLogger(), Metrics: &Metrics{}, RetryRatio: 1, RetrySlack: slack,
 	}
 }
--- a/hitchingress/secondcopy_test.go
+++ b/hitchingress/secondcopy_test.go
@@ -71,12 +71,12 @@
 	return s
 }
 
-// cutOff makes a gateway find that it is cut off from endpoints, which another instance reaches.
-func cutOff(t *testing.T, g *Gateway, relay hitchfleet.Instance) {
-	g.Protocol.EncodeRelay = func(http.Header, RelayInfo) {}
+// cutOff makes a gateway find that it is cut off from endpoints, which other instances reach.
+func cutOff(t *testing.T, g *Gateway, relays ...hitchfleet.Instance) {
+	g.Protocol.EncodeRelay = func(h http.Header, info RelayInfo) { h.Set("Key", info.Key) }
 	g.Path.Ask = func(context.Context, hitchfleet.Endpoint) hitchpath.Evidence { return hitchpath.Unreached }
 	g.Path.Endpoints = func() []hitchfleet.Endpoint { return []hitchfleet.Endpoint{{}} }
-	g.Path.Confirm = func(context.Context, bool) []hitchfleet.Instance { return []hitchfleet.Instance{relay} }
+	g.Path.Confirm = func(context.Context, bool) []hitchfleet.Instance { return relays }
 	g.Path.RecordFailure(time.Now())
 	for begun := time.Now(); g.Path.State(time.Now()) != hitchpath.CutOff; time.Sleep(time.Millisecond) {
 		qt.Assert(t, time.Since(begun) < 5*time.Second, qt.IsTrue)
