An empty list of organisations closes routes, where none opens them

Cause: a key was needed if the table had any organisation. A list that is empty, null or missing was the same in the decoder, in the table and between instances. Change: the configuration says whether it has the list (hitchroute.Config.HasOrganisations, also in what instances send each other; one of an older version sends none, and then a list with entries still needs keys). An organisation without keys, or without the field, closed its routes before too.

--- a/hitchroute/table.go
+++ b/hitchroute/table.go
@@ -22,6 +22,9 @@
 	Routes        []Route
 	Services      []Service
 	Organisations []Organisation
+	// HasOrganisations is set if the configuration lists its organisations, even if there are none: then a
+	// request needs the key of one of them.
+	HasOrganisations bool
 }
 
 // Table is an index of one version of the configuration. The zero value has no
@@ -81,7 +84,8 @@
 
 // RequiresAPIKey reports whether requests on the route need an API key.
 func (t *Table) RequiresAPIKey(r *Route) bool {
-	return !r.IsPublic && len(t.cfg.Organisations) > 0
+	// An instance of an older version sends no HasOrganisations.
+	return !r.IsPublic && (t.cfg.HasOrganisations || len(t.cfg.Organisations) > 0)
 }
 
 // Service returns the configuration of a service. An unknown service has no
