A view never goes back: batches that are older than it have no effect

Cause: the answer to a watch that the cut had held up was applied after a newer pull. A removal leaves no trace, so that the older message added the endpoint again, for good. The change log for other instances gets the same part. The configuration keeps its own check.

--- a/hitchview/follower.go
+++ b/hitchview/follower.go
@@ -270,8 +270,8 @@
 // apply applies a batch to the current view.
 func (f *Follower) apply(b Batch) {
 	f.updateView(func(v View) View {
-		if b.Revision.Era() >= v.Revision.Era() {
-			f.changeLog.add(b)
+		if unseen, ok := v.unseen(b); ok {
+			f.changeLog.add(unseen)
 		}
 		return v.Apply(b)
 	})
--- a/hitchview/view.go
+++ b/hitchview/view.go
@@ -13,6 +13,8 @@
 	"maps"
 	"time"
 
+	"github.com/samber/lo"
+
 	"citronhitch.example/citronhitch/hitchfleet"
 	"citronhitch.example/citronhitch/hitchroute"
 )
@@ -109,10 +111,11 @@
 	Messages         []Msg
 }
 
-// Apply returns the view after a batch. A batch of an older era has no effect: it was
-// still on its way when the store came back from an older copy.
+// Apply returns the view after a batch. A view never goes back: what a batch tells of a time before the
+// view's revision has no effect.
 func (v View) Apply(b Batch) View {
-	if b.Revision.Era() < v.Revision.Era() {
+	b, ok := v.unseen(b)
+	if !ok {
 		return v
 	}
 	v = v.clone()
@@ -126,6 +129,25 @@
 	return v
 }
 
+// unseen returns the part of a batch that the view may lack, and false if there is none. A batch may be older than
+// the view, if it was held up on its way while the view went on by another one: it would bring back
+// what was removed meanwhile.
+func (v View) unseen(b Batch) (part Batch, ok bool) {
+	switch {
+	case b.Revision.Era() < v.Revision.Era(): // the store has come back from an older copy since
+		return Batch{}, false
+	case b.Revision.Era() > v.Revision.Era():
+		return b, true
+	case b.IsSnapshot:
+		return b, b.Revision >= v.Revision
+	}
+	b.Messages = lo.Filter(b.Messages, func(msg Msg, _ int) bool {
+		_, isTable := msg.(TableMsg) // an instance may follow others without the newest configuration
+		return isTable || revisionOf(msg) > v.Revision
+	})
+	return b, true
+}
+
 // Update returns the view after one message. A message that is older than the
 // entry's state in the view has no effect.
 func (v View) Update(msg Msg) View { return v.clone().update(msg, time.Time{}) }
