--- a/hitchforward/conn.go
+++ b/hitchforward/conn.go
@@ -87,9 +87,7 @@
 		},
 	}
 	nc, err := d.DialContext(ctx, "tcp", addr)
-	if tcp, ok := nc.(*net.TCPConn); ok {
-		resetOnClose(tcp)
-	}
+	resetOnClose(nc)
 	return nc, err
 }
 
--- a/hitchforward/forward.go
+++ b/hitchforward/forward.go
@@ -83,9 +83,7 @@
 // dialReset opens a connection that discards what wasn't acknowledged when it is closed.
 func dialReset(ctx context.Context, network, addr string) (net.Conn, error) {
 	nc, err := (&net.Dialer{Timeout: dialTimeout}).DialContext(ctx, network, addr)
-	if tcp, ok := nc.(*net.TCPConn); ok {
-		resetOnClose(tcp)
-	}
+	resetOnClose(nc)
 	return nc, err
 }
 
--- a/hitchforward/unacked.go
+++ b/hitchforward/unacked.go
@@ -36,7 +36,11 @@
 // resetOnClose makes the end of a connection, also that of the process, discard what the endpoint hasn't
 // acknowledged. Otherwise a request that was given up may reach the endpoint seconds later, when a
 // path that was cut works again. A connection is closed after its response, or is given up.
-func resetOnClose(nc *net.TCPConn) { _ = nc.SetLinger(0) }
+func resetOnClose(nc net.Conn) {
+	if tcp, ok := nc.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+}
 
 // unackedWatch resets the connection of an exchange if the endpoint acknowledges nothing of the request for
 // unackedTimeout. The kernel would only time out: what it has sent may then still arrive.
