Log whose response ended an attempt, on which connection, and how long a standby worked beside

An attempt that was refused couldn't be told from one whose connection brought another request's refusal: the lines had neither the ID of the response nor whether the connection had carried other requests. The line 'standby takes over' has how long before the standby was sent and its response began. Counter citronhitch_not_run_responses_total by whose ID the response has, and whether the connection was kept.

--- a/hitchforward/conn.go
+++ b/hitchforward/conn.go
@@ -44,7 +44,7 @@
 	openedAt time.Time
 	// idleDeadline is until when the idle connection may be reused.
 	idleDeadline time.Time
-	// wasUsed is set once the connection has carried an exchange.
+	// wasUsed is set once a request is sent on the connection.
 	wasUsed bool
 	// written is the number of bytes written, and isUnacked is set once the connection was closed as
 	// the endpoint acknowledges nothing.
@@ -171,7 +171,7 @@
 
 // putIdle adds a connection to the pool until idleDeadline.
 func (p *ConnPool) putIdle(addr string, c *conn, idleDeadline time.Time) {
-	c.idleDeadline, c.wasUsed = idleDeadline, true
+	c.idleDeadline = idleDeadline
 	_ = c.SetDeadline(time.Time{})
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/hitchforward/exchange.go
+++ b/hitchforward/exchange.go
@@ -34,8 +34,10 @@
 	// Response holds the status line and header of the response. Read reads its
 	// body.
 	Response *http.Response
-	// OpenedAt is when the connection was opened, which may have carried exchanges before.
+	// OpenedAt is when the connection was opened, and IsKept is set if it has carried exchanges
+	// before.
 	OpenedAt time.Time
+	IsKept   bool
 
 	pool            *ConnPool
 	addr            string
@@ -66,7 +68,8 @@
 		return nil, &Failure{Kind: FailureCallerGone, Err: err}
 	}
 	c := x.conn
-	x.OpenedAt = c.openedAt
+	x.OpenedAt, x.IsKept = c.openedAt, c.wasUsed
+	c.wasUsed = true
 	x.stopCancelWatch = context.AfterFunc(ctx, func() { _ = c.Close() })
 	_ = x.conn.SetDeadline(deadline)
 	stopWatch := watchUnacked(c)
--- a/hitchingress/attempt.go
+++ b/hitchingress/attempt.go
@@ -34,9 +34,12 @@
 	slot     Slot
 	sentAt   time.Time
 	exchange *endpointExchange
-	// response and head are set once the header of the response has arrived.
+	// response and head are set once the header of the response has arrived, at headAt on a
+	// connection that is kept if it has carried other requests before.
 	response *http.Response
 	head     ResponseHead
+	headAt   time.Time
+	isKept   bool
 	// begun is what a standby has received of a stream, or its whole other response, and
 	// isWhole is set once that is all of it.
 	begun   []byte
@@ -128,9 +131,12 @@
 
 // observeHead stores the header of an attempt's response, and records what it says of
 // the endpoint.
-func (g *Gateway) observeHead(a *attempt, msg exchangeMsg) {
+func (g *Gateway) observeHead(req *proxyRequest, a *attempt, msg exchangeMsg) {
 	now := time.Now()
-	a.response, a.head = msg.response, msg.head
+	a.response, a.head, a.headAt, a.isKept = msg.response, msg.head, now, msg.isKept
+	if a.head.DidNotRun {
+		g.Metrics.countNotRunResponse(notRunKey{id: identify(a.head.RequestID, req.ID), isKept: a.isKept})
+	}
 	if a.pick.Relay != "" {
 		return // the other instance has observed it
 	}
--- a/hitchingress/exchange.go
+++ b/hitchingress/exchange.go
@@ -19,8 +19,10 @@
 	// all messages but the first one.
 	response *http.Response
 	head     ResponseHead
-	// openedAt is when the connection of that response was opened.
+	// openedAt is when the connection of that response was opened, and isKept is set if it has
+	// carried other requests before.
 	openedAt time.Time
+	isKept   bool
 	// data is a whole body, or bytes of a stream that are valid until the next message is
 	// received. The body of a refusal isn't delivered.
 	data []byte
@@ -93,7 +95,7 @@
 		// to the next request on the connection.
 		exchange.DiscardConnection()
 	}
-	if !x.deliver(exchangeMsg{response: response, head: head, openedAt: exchange.OpenedAt}) {
+	if !x.deliver(exchangeMsg{response: response, head: head, openedAt: exchange.OpenedAt, isKept: exchange.IsKept}) {
 		return
 	}
 	if x.isStream(response.StatusCode, head) {
--- a/hitchingress/follower.go
+++ b/hitchingress/follower.go
@@ -107,7 +107,7 @@
 	a := f.current
 	switch {
 	case msg.response != nil:
-		f.gateway.observeHead(a, msg)
+		f.gateway.observeHead(f.req, a, msg)
 		return f.gateway.handleHead(f.req, a)
 	case a.response == nil:
 		return f.gateway.failedAttempt(f.req, a, msg.err), true
--- a/hitchingress/log.go
+++ b/hitchingress/log.go
@@ -40,7 +40,7 @@
 	g.Log.Info("attempt failed", "ID", req.ID, "Route", req.route.Name, "Attempt", req.logEntry.attempts,
 		"Endpoint", pick.Endpoint.ID, "Relay", pick.Relay, "Addr", pick.Endpoint.Addr, "Why", pick.Reason, "Tier", pick.Tier, "Load", pick.Load, "Mean", pick.MeanLoad,
 		"Unread", pick.UncachedTokens, "Usual", req.serviceState.firstByteLatency.Mean(), "Result", result.balancerResult, "Outcome", result.outcome, "Events", req.stream.eventCount, "Answered", a.hasAnswered,
-		"Parts", partList(req.Prompt.Shared()), "Digest", req.identityText(), "Origin", req.origin.source, "Version", req.origin.Version, "LastVersion", pick.Endpoint.Version, "Error", result.err, "Decision", decision)
+		"Parts", partList(req.Prompt.Shared()), "Digest", req.identityText(), "Origin", req.origin.source, "Version", req.origin.Version, "LastVersion", pick.Endpoint.Version, "ResponseID", a.head.RequestID, "NotRun", a.head.DidNotRun, "Kept", a.isKept, "Error", result.err, "Decision", decision)
 }
 
 // partList returns the IDs of parts as they are logged.
--- a/hitchingress/metrics.go
+++ b/hitchingress/metrics.go
@@ -53,6 +53,8 @@
 	slotWaits counts[slotWaitBucket]
 	// slotResults counts the attempts with a slot.
 	slotResults counts[slotResultKey]
+	// notRunResponses counts the responses that say that a request wasn't run.
+	notRunResponses counts[notRunKey]
 	// rolloutAttempts counts the attempts that have ended while their service's rollout was
 	// active.
 	rolloutAttempts counts[rolloutAttemptKey]
@@ -219,6 +221,42 @@
 	}
 }
 
+// responseID is whose ID a response has, as its metric is labelled.
+type responseID string
+
+// Whose ID a response has.
+const (
+	ownID   responseID = "Own"
+	noID    responseID = "None"
+	otherID responseID = "Other"
+)
+
+// identify returns whose ID a response to a request has.
+func identify(got, requestID string) responseID {
+	switch got {
+	case requestID:
+		return ownID
+	case "":
+		return noID
+	default:
+		return otherID
+	}
+}
+
+// notRunKey holds the labels of the counter of responses that say that a request wasn't run.
+type notRunKey struct {
+	id responseID
+	// isKept is set if the connection has carried other requests before.
+	isKept bool
+}
+
+// countNotRunResponse counts a response that says that a request wasn't run.
+func (m *Metrics) countNotRunResponse(key notRunKey) {
+	if m != nil {
+		m.notRunResponses.add(key)
+	}
+}
+
 // slotWaitBucket is the upper bound of a wait for a slot, in milliseconds; 0 stands for no bound.
 type slotWaitBucket int
 
@@ -311,6 +349,9 @@
 	for key, count := range m.rolloutAttempts.all() {
 		out.printf("citronhitch_rollout_attempts_total{service=%q,version=%q,result=%q} %d\n", key.service, key.version, key.result, count)
 	}
+	for key, count := range m.notRunResponses.all() {
+		out.printf("citronhitch_not_run_responses_total{id=%q,kept=\"%t\"} %d\n", key.id, key.isKept, count)
+	}
 	out.printf("citronhitch_quarantine_refusals_total %d\n", m.quarantineRefusals.Load())
 	for kind, histogram := range m.latencies {
 		for _, quantile := range quantiles {
--- a/hitchingress/standby.go
+++ b/hitchingress/standby.go
@@ -92,7 +92,7 @@
 // while the silent endpoint may go on.
 func (f *follower) handleStandbyMsg(a *attempt, msg exchangeMsg) (attemptResult, bool) {
 	if msg.response != nil {
-		f.gateway.observeHead(a, msg)
+		f.gateway.observeHead(f.req, a, msg)
 	}
 	if a.response == nil {
 		f.standbyFailed(a, f.gateway.failedAttempt(f.req, a, msg.err))
@@ -154,6 +154,9 @@
 
 // leaveSilent ends the current attempt, which a standby replaces.
 func (f *follower) leaveSilent(next *attempt) attemptResult {
+	now := time.Now()
+	f.gateway.Log.Info("standby takes over", "ID", f.req.ID, "Route", f.req.route.Name, "Endpoint", f.current.pick.Endpoint.ID, "Standby", next.pick.Endpoint.ID,
+		"SilentFor", now.Sub(f.progressAt), "SentBefore", now.Sub(next.sentAt), "BegunBefore", age(now, next.headAt))
 	f.req.observeWait(f.current)
 	f.req.unreachableZones = append(f.req.unreachableZones, f.current.pick.Endpoint.Zone)
 	f.gateway.Conns.CloseIdle(f.current.pick.Endpoint.Addr)
