--- a/hitchingress/relaybudget_test.go
+++ b/hitchingress/relaybudget_test.go
@@ -27,10 +27,21 @@
 // startRelayingFleet starts two relays in front of backends. slack is that for retries, and serve
 // serves a relayed request.
 func startRelayingFleet(t *testing.T, route hitchroute.Route, slack float64, serve func(g *Gateway, w http.ResponseWriter, r *http.Request), responses ...string) *relayingFleet {
-	f := &relayingFleet{}
+	var backends []*backend
 	for range 4 {
-		f.backends = append(f.backends, startBackend(t, responses...))
+		backends = append(backends, startBackend(t, responses...))
 	}
+	return startRelays(t, route, slack, serve, backends...)
+}
+
+// startRelayingFleetTo starts two relays in front of the given backends.
+func startRelayingFleetTo(t *testing.T, route hitchroute.Route, backends ...*backend) *relayingFleet {
+	return startRelays(t, route, 20, (*Gateway).ServeRelayed, backends...)
+}
+
+// startRelays starts two relays in front of backends, and the instance that is cut off.
+func startRelays(t *testing.T, route hitchroute.Route, slack float64, serve func(g *Gateway, w http.ResponseWriter, r *http.Request), backends ...*backend) *relayingFleet {
+	f := &relayingFleet{backends: backends}
 	view := viewOf(route, f.backends...)
 	view = view.Update(hitchview.InstanceMsg{Revision: 90, Instance: hitchfleet.Instance{ID: "sender"}})
 	for n := range 2 {
--- a/hitchingress/response.go
+++ b/hitchingress/response.go
@@ -42,3 +42,13 @@
 		dst[name] = slices.Clone(values)
 	}
 }
+
+// promisesNotRun reports whether a status tells callers that a request hasn't run and never will.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	default:
+		return false
+	}
+}
