A refusal counts only if it has the request's ID

Callers saw: a payment that ran at two endpoints, or that was answered 'not run' (503) though it ran. Cause: a refusal without an ID was taken for that to the request in flight on its connection. Endpoints may send additional bytes after a whole response, which belong to no request; an endpoint refuses without an ID only what has none. The same was believed of standbys, and of instances that relay: their refusals had no ID at all, and an endpoint's headers of the same names were passed on. Change: a response without the request's ID is no response to it, whatever it says; instances name the request that they refuse, and pass on no such headers of endpoints; a request without an ID, whose refusal has none, gets a new connection. The refusal of an instance of an older build counts as lost. Tried and undone: to ignore also the notices of such responses (that an endpoint leaves), as TestNoticesOfEndpoints asks for these.

--- a/hitchforward/exchange.go
+++ b/hitchforward/exchange.go
@@ -27,6 +27,9 @@
 	Host   string
 	Header http.Header
 	Body   []byte
+	// NeedsNewConn is set if the response can't be told from one to another request, so that the
+	// request is sent on a connection that has carried none.
+	NeedsNewConn bool
 }
 
 // Exchange is one request to one endpoint, and its response.
@@ -61,7 +64,7 @@
 			x.Close()
 		}
 	}()
-	if err := x.connect(ctx, deadline); err != nil {
+	if err := x.connect(ctx, r.NeedsNewConn, deadline); err != nil {
 		return nil, &Failure{Kind: FailureUnsent, Err: err}
 	}
 	if err := tracker.BeginDispatch(); err != nil {
@@ -85,12 +88,15 @@
 	return x, nil
 }
 
-// connect takes an idle connection from the pool or opens a new one.
-func (x *Exchange) connect(ctx context.Context, deadline time.Time) error {
+// connect takes an idle connection from the pool, unless a new one is needed, or opens one.
+func (x *Exchange) connect(ctx context.Context, needsNew bool, deadline time.Time) error {
 	if err := ctx.Err(); err != nil {
 		return err
 	}
-	if x.conn = x.pool.getIdle(time.Now(), x.addr); x.conn != nil {
+	if !needsNew {
+		x.conn = x.pool.getIdle(time.Now(), x.addr)
+	}
+	if x.conn != nil {
 		return nil
 	}
 	ctx, cancel := context.WithDeadline(ctx, deadline)
--- a/hitchingress/refuse.go
+++ b/hitchingress/refuse.go
@@ -42,7 +42,7 @@
 		req.writer.Header().Set("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', 3, 64))
 	}
 	if req.relayedBy != "" {
-		writeRelayRefusal(req.writer.Header(), refusal)
+		writeRelayRefusal(req.writer.Header(), req.ID, refusal)
 	}
 	req.writer.Header().Set("Content-Type", "text/plain; charset=utf-8")
 	req.writer.WriteHeader(status)
--- a/hitchingress/relay.go
+++ b/hitchingress/relay.go
@@ -22,8 +22,14 @@
 	headerRuns      = "Citronhitch-Runs"
 	headerRefusal   = "Citronhitch-Refusal"
 	headerOutcome   = "Citronhitch-Outcome"
+	// headerRefused has the ID of the request that an instance refuses.
+	headerRefused = "Citronhitch-Refused-Request"
 )
 
+// relayHeaders are what an instance says of a request that it was to send on. Nothing that an endpoint
+// sends may pass for it.
+var relayHeaders = []string{headerRuns, headerRefusal, headerOutcome, headerRefused}
+
 // relayPick returns an instance that sends the request on in place of this one, which is cut off
 // from endpoints. It returns false if this instance sends the request itself.
 func (g *Gateway) relayPick(req *proxyRequest) (hitchbalance.Pick, bool) {
@@ -45,7 +51,7 @@
 	g.Protocol.EncodeRelay(h, RelayInfo{Key: req.Key, Deadline: req.Deadline, LastEventID: req.stream.lastEventID})
 	h.Set(headerRelayedBy, string(g.Self.ID))
 	h.Set(headerAttempts, strconv.Itoa(attempts))
-	return hitchforward.Request{Method: req.original.Method, Target: req.original.RequestURI, Host: req.original.Host, Header: h, Body: req.body}
+	return hitchforward.Request{Method: req.original.Method, Target: req.original.RequestURI, Host: req.original.Host, Header: h, Body: req.body, NeedsNewConn: req.ID == ""}
 }
 
 // IsRelayed reports whether another instance relays a request through this one.
@@ -89,7 +95,8 @@
 
 // writeRelayRefusal tells the instance that relays a request why it is refused, and whether it
 // has run.
-func writeRelayRefusal(h http.Header, refusal *hitchoutcome.Refusal) {
+func writeRelayRefusal(h http.Header, id string, refusal *hitchoutcome.Refusal) {
+	h.Set(headerRefused, id)
 	h.Set(headerRefusal, string(refusal.Reason))
 	h.Set(headerOutcome, refusal.Outcome.String())
 }
@@ -100,6 +107,7 @@
 	head.Runs, _ = strconv.Atoi(h.Get(headerRuns))
 	h.Del(headerRuns)
 	if reason := h.Get(headerRefusal); reason != "" {
+		head.RequestID = h.Get(headerRefused)
 		head.Refusal = &hitchoutcome.Refusal{Reason: hitchoutcome.Reason(reason), Outcome: hitchoutcome.Unknown, RetryAt: head.PausedUntil}
 		if h.Get(headerOutcome) == hitchoutcome.NotRun.String() {
 			head.Refusal.Outcome = hitchoutcome.NotRun
--- a/hitchingress/response.go
+++ b/hitchingress/response.go
@@ -36,10 +36,12 @@
 }
 
 // copyHeader copies the end-to-end header fields of a response, leaving out
-// hop-by-hop fields.
+// hop-by-hop fields and those between instances.
 func copyHeader(dst, src http.Header) {
 	for name, values := range hitchforward.EndToEndHeader(src) {
-		dst[name] = slices.Clone(values)
+		if !slices.Contains(relayHeaders, name) {
+			dst[name] = slices.Clone(values)
+		}
 	}
 }
 
--- a/hitchingress/standby.go
+++ b/hitchingress/standby.go
@@ -100,10 +100,10 @@
 	}
 	err := f.req.checkHead(a)
 	switch {
-	case a.head.Refusal != nil:
-		f.standbyFailed(a, f.req.standbyRefusal(a))
 	case err != nil:
 		f.standbyFailed(a, attemptResult{outcome: hitchretry.Lost, balancerResult: hitchbalance.ResultFailed, err: err})
+	case a.head.Refusal != nil:
+		f.standbyFailed(a, f.req.standbyRefusal(a))
 	case a.head.DidNotRun && msg.err != nil:
 		f.standbyFailed(a, f.req.refusedResult(a, msg.err))
 	case a.head.DidNotRun: // the rest of the refusal follows
