A status that promises 'not run' is passed on only with the endpoint's word

Callers saw: 503 (or 408, 421, 429) for a request that isn't idempotent and that an endpoint had run, so that they sent it again. Cause: an endpoint's response with such a status and without the mark 'not run' was passed on as any other. Change: for requests that may run once at most it is no usable response: 502, without the endpoint's digest. Idempotent ones are answered as before.

--- a/hitchingress/attempt.go
+++ b/hitchingress/attempt.go
@@ -20,7 +20,10 @@
 	errWrongRequest   = errors.New("response belongs to another request")
 	errMissingDigest  = errors.New("successful response has no digest from the endpoint")
 	errContentEncoded = errors.New("response body has a content encoding, which endpoints never apply")
-	errNoStream       = errors.New("response to a resumption isn't a stream")
+	// errUnprovenPromise is returned for a status that tells callers that a request hasn't run, from an
+	// endpoint that doesn't say so.
+	errUnprovenPromise = errors.New("the status promises that the request hasn't run, but the endpoint doesn't")
+	errNoStream        = errors.New("response to a resumption isn't a stream")
 )
 
 // attempt is one dispatch of a request to an endpoint. Its state changes only in the
@@ -174,6 +177,8 @@
 	switch didRun := !a.head.DidNotRun && a.head.Refusal == nil; {
 	case didRun && req.stream.headerSent && !req.isStreaming(a):
 		return fmt.Errorf("%w: status %d", errNoStream, status)
+	case didRun && promisesNotRun(status) && !req.retryState.IsRetrySafe:
+		return fmt.Errorf("%w: status %d", errUnprovenPromise, status)
 	default:
 		return nil
 	}
