Own API: an error without the attempt's ID doesn't leave a stream running at its engine

Callers saw nothing, but two engines worked on one stream: an error without an ID, as of bytes that belong to no call, counted as the engine's word that it is busy, so that the stream went on at another engine and wasn't canceled at the first one. The same where an engine broke off and had no room when the stream was to be resumed there. Change: a response without the attempt's ID is that of no attempt (FailureCrossed); a stream whose call may have run is canceled whatever the engine says at its resumption. The stand-in's refusal names its attempt now, as the test 'busy' asks for a refusal of the engine itself.

--- a/hitchfake/engine_chat.go
+++ b/hitchfake/engine_chat.go
@@ -56,6 +56,7 @@
 	}
 	if _, ok := e.Faults.trigger(FaultRefuse, r.URL.Path); ok {
 		retryAfter(w, time.Second)
+		w.Header().Set(AttemptHeader, r.Header.Get(AttemptHeader))
 		writeChatError(w, http.StatusServiceUnavailable, errors.New("refused"))
 		return
 	}
--- a/hitchforward/attempt.go
+++ b/hitchforward/attempt.go
@@ -78,18 +78,14 @@
 }
 
 // checkAttemptID returns a failure if the response doesn't belong to the attempt.
-// An error status without an attempt ID, such as from a proxy in front of the
-// endpoint, isn't a response of the endpoint.
+// A response without an attempt ID, such as the error of a proxy in front of the endpoint, or bytes
+// that belong to no call, doesn't show whether the endpoint runs the call.
 func (a *attempt) checkAttemptID() error {
-	got, status := a.response.Header.Get(AttemptHeader), a.response.StatusCode
-	switch {
-	case got == a.id:
+	got := a.response.Header.Get(AttemptHeader)
+	if got == a.id {
 		return nil
-	case got == "" && status >= http.StatusBadRequest:
-		return a.newFailure(FailureBusy, fmt.Errorf("response with status %d has no attempt ID", status))
-	default:
-		return a.newFailure(FailureCrossed, fmt.Errorf("%w: %q", errWrongAttempt, got))
 	}
+	return a.newFailure(FailureCrossed, fmt.Errorf("%w: %q, status %d", errWrongAttempt, got, a.response.StatusCode))
 }
 
 // newRequest builds the HTTP request. Its trace records when the transport gets a
--- a/hitchforward/failure.go
+++ b/hitchforward/failure.go
@@ -20,7 +20,7 @@
 	FailureSilent
 	// FailureCut means that the connection broke before the response was complete.
 	FailureCut
-	// FailureCrossed means that the response belonged to another attempt.
+	// FailureCrossed means that the response belonged to another attempt, or to none.
 	FailureCrossed
 	// FailureBusy means that the endpoint responded that it can't serve the call
 	// now.
--- a/hitchforward/stream.go
+++ b/hitchforward/stream.go
@@ -49,6 +49,7 @@
 	id := c.newAttemptID()
 	s.Progress.startReplay()
 	err := c.streamAttempt(ctx, s, s.Call, endpoint, id, tracker)
+	hasBegun := mayStillRun(err)
 	for n := 0; n < maxResumes && canResume(err); n++ {
 		resumeErr := c.streamAttempt(ctx, s, newResumeCall(s, id), endpoint, id, tracker)
 		if isUnsent(resumeErr) {
@@ -57,7 +58,7 @@
 		}
 		err = resumeErr
 	}
-	if mayStillRun(err) {
+	if err != nil && hasBegun {
 		go c.cancelStream(context.WithoutCancel(ctx), endpoint, id)
 	}
 	return err
@@ -68,7 +69,8 @@
 	return errors.As(err, &f) && f.Kind == FailureUnsent
 }
 
-// mayStillRun reports whether the engine may still be generating a failed stream.
+// mayStillRun reports whether the engine may still be generating a stream after the call for it has
+// failed. What it says when the stream is resumed doesn't show that it isn't.
 func mayStillRun(err error) bool {
 	var f *Failure
 	return errors.As(err, &f) && f.Kind != FailureUnsent && f.Kind != FailureBusy
