Orders to engines have connections of their own

Cause: responses to orders name no order, and were read from connections that net/http keeps: bytes that belong to an earlier call counted as the response to an order, which then was held for carried out, refused or deferred, and was sent again while the engine carried it out.

--- a/hitchnode/orderengine.go
+++ b/hitchnode/orderengine.go
@@ -27,11 +27,24 @@
 // DeadlineHeader is the header of an order with the time when its sender gives up.
 const DeadlineHeader = "X-Deadline"
 
-// engineClient calls engines by the platform's protocol.
+// engineClient calls engines by the platform's protocol. The zero value opens a connection for each
+// call: responses don't name their call, and bytes that belong to none may arrive on a kept one.
 type engineClient struct {
 	http http.Client
 }
 
+// unkeptConns opens a connection for each call.
+var unkeptConns = &http.Transport{DisableKeepAlives: true}
+
+// do makes a call.
+func (c *engineClient) do(r *http.Request) (*http.Response, error) {
+	client := c.http
+	if client.Transport == nil {
+		client.Transport = unkeptConns
+	}
+	return client.Do(r)
+}
+
 // engineReport is the part of an engine's load report that lists the versions,
 // adapters and role that it has.
 type engineReport struct {
@@ -88,7 +101,7 @@
 	if err != nil {
 		return o, false, err
 	}
-	response, err := c.http.Do(r)
+	response, err := c.do(r)
 	if err != nil {
 		return o, false, err
 	}
@@ -146,7 +159,7 @@
 	}
 	r.Header.Set("Content-Type", "application/json")
 	r.Header.Set(DeadlineHeader, o.Deadline.UTC().Format(time.RFC3339Nano))
-	response, err := c.http.Do(r)
+	response, err := c.do(r)
 	if err != nil {
 		result.err = err
 		return result
