Soak of endpoints that are processes, are paused and killed, and misbehave on kept connections

Endpoints write their runs to files; the checker counts runs for each attempt, and finds runs of a stream that overlap for more than 0.4 s.

--- a/cmd/citronhitch/fake.go
+++ b/cmd/citronhitch/fake.go
@@ -9,6 +9,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"citronhitch.example/citronhitch/hitchfake"
+	hitchstandin "citronhitch.example/citronhitch/platform/standin"
 )
 
 // fakeSettings holds the flags of the fake command.
@@ -39,6 +40,14 @@
 	}}
 }
 
+// fakeEndpointCommand returns the fake-endpoint command, by which a soak runs an endpoint as a separate
+// process.
+func (p *program) fakeEndpointCommand() command {
+	clause := p.app.Command("fake-endpoint", "Run an endpoint of a soak on the listener that the soak passes.").Hidden()
+	settings := clause.Arg("settings", "Settings, as JSON.").Required().String()
+	return command{clause, func(ctx context.Context) error { return hitchstandin.RunProcess(ctx, *settings) }}
+}
+
 // handlers returns the handlers for the fake's address and its admin address.
 func (s fakeSettings) handlers(kind string) (handler, admin http.Handler) {
 	switch kind {
--- a/cmd/citronhitch/main.go
+++ b/cmd/citronhitch/main.go
@@ -83,6 +83,7 @@
 		p.resolveCommand(),
 		p.reportCommand(),
 		p.fakeCommand(),
+		p.fakeEndpointCommand(),
 	}
 }
 
--- a/cmd/citronhitch/soak.go
+++ b/cmd/citronhitch/soak.go
@@ -23,7 +23,7 @@
 	processes := clause.Flag("processes", "Number of instances, from 2 to 100.").Default("4").Int()
 	faults := clause.Flag("faults", "Set of faults: the basic ones, those of answers, or all.").Default(string(hitchsoak.BasicFaults)).Enum(hitchsoak.FaultSets()...)
 	logs := clause.Flag("log-dir", "Directory for the logs of processes when a service guarantee is violated.").Default("").String()
-	variant := clause.Flag("variant", "Variant of the soak: faults, versions of the endpoints' software side by side, parts of prompts at which endpoints crash, quotas of endpoints, whole requests at which endpoints crash, endpoints that don't bear to refuse many requests, or orders to roll out good and bad versions.").Default(hitchsoak.VariantFaults).Enum(hitchsoak.Variants()...)
+	variant := clause.Flag("variant", "Variant of the soak: faults, versions of the endpoints' software side by side, parts of prompts at which endpoints crash, quotas of endpoints, whole requests at which endpoints crash, endpoints that don't bear to refuse many requests, orders to roll out good and bad versions, or endpoints that are processes, are paused and killed, and misbehave on kept connections.").Default(hitchsoak.VariantFaults).Enum(hitchsoak.Variants()...)
 	return command{clause, func(ctx context.Context) error {
 		if *processes < 2 || *processes > 100 {
 			return &SettingError{Flag: "processes", Value: strconv.Itoa(*processes), Allowed: "2 to 100"}
--- a/hitchsoak/check.go
+++ b/hitchsoak/check.go
@@ -59,7 +59,7 @@
 		out = append(out, Violation{Guarantee: guarantee, Call: x.Attempt, Detail: fmt.Sprintf(format, args...)})
 	}
 	runs := c.runLog.Runs(x.Attempt)
-	isBooking := strings.HasPrefix(x.Path, "/booking/")
+	isBooking := strings.HasPrefix(x.Path, "/booking/") || strings.HasPrefix(x.Path, hitchstandin.OncePrefix)
 	if isBooking && len(runs) > 1 {
 		add("AtMostOnce", "%d runs: %v", len(runs), runs)
 	}
--- a/hitchsoak/fleet.go
+++ b/hitchsoak/fleet.go
@@ -35,6 +35,8 @@
 
 	// engines are the endpoints if the soak has any. Otherwise it is nil.
 	engines *engineSet
+	// processes are the endpoints if they are processes. Otherwise it is nil.
+	processes *endpointProcesses
 
 	mu              sync.Mutex
 	version         int
@@ -106,6 +108,11 @@
 			return err
 		}
 	}
+	if s.Variant == VariantRepeats {
+		if err := f.startEndpointProcesses(ctx, s, time.Now().Add(s.length()-faultFreeEnd)); err != nil {
+			return err
+		}
+	}
 	for n := range s.endpoints() {
 		if err := f.addEndpoint(ctx, n); err != nil {
 			return err
--- a/hitchsoak/killall_test.go
+++ b/hitchsoak/killall_test.go
@@ -26,6 +26,10 @@
 	if os.Getenv("RUN_PROGRAM") != "" {
 		ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM)
 		defer stop()
+		if os.Args[1] == "fake-endpoint" {
+			_ = hitchstandin.RunProcess(ctx, os.Args[2])
+			return
+		}
 		if err := hitchedge.Run(ctx, os.Args[3], hitchedge.Options{}, os.Stderr); err != nil {
 			os.Exit(1)
 		}
--- a/hitchsoak/soak.go
+++ b/hitchsoak/soak.go
@@ -76,7 +76,7 @@
 
 // endpoints returns the number of endpoints besides the engines.
 func (s *Soak) endpoints() int {
-	if s.hasEngines() {
+	if s.hasEngines() || s.Variant == VariantRepeats {
 		return 0
 	}
 	return endpointCount
@@ -119,6 +119,11 @@
 		plan:  s.plan(), variant: s.Variant,
 	}
 	calls, streams, rollouts := s.runCallsAndFaults(ctx, f, c)
+	if f.processes != nil {
+		if err := f.processes.end(); err != nil {
+			return Report{}, err
+		}
+	}
 	c.rollouts = rollouts
 	report := newReport(c, calls)
 	if s.hasEngines() {
@@ -133,6 +138,10 @@
 		violations, note := c.checkFalls(calls, f.engines.falls())
 		report.Violations, report.Notes = append(report.Violations, violations...), append(report.Notes, note)
 	}
+	if s.Variant == VariantRepeats {
+		violations, note := c.checkRepeats(calls)
+		report.Violations, report.Notes = append(report.Violations, violations...), append(report.Notes, note)
+	}
 	if s.Variant == VariantQuotas {
 		violations, note := c.checkQuotas(calls, &f.engines.quotas)
 		report.Violations, report.Notes = append(report.Violations, violations...), append(report.Notes, note)
@@ -170,6 +179,9 @@
 	if s.Variant == VariantQuotas {
 		wg.Go(func() { s.runBusyCallers(callCtx, f, record) })
 	}
+	if s.Variant == VariantRepeats {
+		wg.Go(func() { s.runRepeatCallers(callCtx, f, record) })
+	}
 	if s.Variant == VariantRollouts {
 		wg.Go(func() { rollouts = s.runRollouts(callCtx, f, c.end.Add(-faultFreeEnd), record) })
 	}
--- a/hitchsoak/teardown.go
+++ b/hitchsoak/teardown.go
@@ -51,6 +51,9 @@
 
 // killInstances kills the processes that the soak started.
 func (f *fleet) killInstances() {
+	if f.processes != nil {
+		_ = f.processes.end()
+	}
 	for _, i := range f.instances {
 		i.signal(syscall.SIGCONT)
 		i.signal(syscall.SIGKILL)
--- a/hitchsoak/versionplan.go
+++ b/hitchsoak/versionplan.go
@@ -37,7 +37,7 @@
 	ReplaceEndpoints: "ReplaceEndpoints", RestartAtAddress: "RestartAtAddress",
 	RestartSameID: "RestartSameID", KillAllInstances: "KillAllInstances",
 	CrashingRequests: "CrashingRequests", CrashEndpoint: "CrashEndpoint", NameQuota: "NameQuota",
-	BrittleEndpoints: "BrittleEndpoints",
+	BrittleEndpoints: "BrittleEndpoints", PauseProcess: "PauseProcess", KillProcess: "KillProcess",
 }
 
 // versionPlanKinds are the kinds of such a plan. A kind that is listed twice is twice as
--- a/hitchsoak/versions.go
+++ b/hitchsoak/versions.go
@@ -24,11 +24,14 @@
 	VariantBrittle = "brittle"
 	// VariantRollouts has orders to roll out good and bad versions, beside faults.
 	VariantRollouts = "rollouts"
+	// VariantRepeats has endpoints that are processes, which are paused and killed and misbehave on
+	// kept connections, and counts the runs of each attempt.
+	VariantRepeats = "repeats"
 )
 
 // Variants returns the names of the variants.
 func Variants() []string {
-	return []string{VariantFaults, VariantVersions, VariantCrashes, VariantQuotas, VariantRequests, VariantBrittle, VariantRollouts}
+	return []string{VariantFaults, VariantVersions, VariantCrashes, VariantQuotas, VariantRequests, VariantBrittle, VariantRollouts, VariantRepeats}
 }
 
 // engineIPNumber is the number of the loopback address of the engines, which no instance
@@ -37,7 +40,9 @@
 
 // hasEngines reports whether the soak has engines that may end, in place of endpoints that
 // don't.
-func (s *Soak) hasEngines() bool { return s.Variant != "" && s.Variant != VariantFaults }
+func (s *Soak) hasEngines() bool {
+	return s.Variant != "" && s.Variant != VariantFaults && s.Variant != VariantRepeats
+}
 
 // hasCrashes reports whether requests crash engines.
 func (s *Soak) hasCrashes() bool { return s.Variant == VariantCrashes || s.Variant == VariantRequests }
@@ -67,6 +72,8 @@
 		return newBrittlePlan(s.Seed, s.length(), s.instances())
 	case VariantRollouts:
 		return newRolloutPlan(s.Seed, s.length(), s.instances())
+	case VariantRepeats:
+		return newRepeatPlan(s.Seed, s.length(), s.instances())
 	case VariantQuotas:
 		return newQuotaPlan(s.Seed, s.length(), s.instances())
 	}
@@ -134,6 +141,9 @@
 // startEngineFault starts a fault of the engines. It returns false for a fault of another
 // kind, and if the soak has no engines.
 func (f *fleet) startEngineFault(ctx context.Context, fault Fault) (undo func(), ok bool) {
+	if f.processes != nil {
+		return f.processes.startFault(fault)
+	}
 	if f.engines == nil {
 		return nil, false
 	}
