A request that may run once gets its own response although others arrive before it

Callers saw 502 for a payment that had run and whose response followed, as another response, which belongs to no request or to an earlier one, arrived first on the kept connection. Change: up to three responses of known, short length with another ID or none are skipped, and the connection isn't used again. Requests that may be repeated go to another endpoint at once, as before. A line and a figure in the log say so.

--- a/hitchforward/exchange.go
+++ b/hitchforward/exchange.go
@@ -30,6 +30,9 @@
 	// NeedsNewConn is set if the response can't be told from one to another request, so that the
 	// request is sent on a connection that has carried none.
 	NeedsNewConn bool
+	// IsOwn reports whether a response is that to the request. Others that arrive before it on a
+	// connection that has carried requests before are skipped. Nil means that any response counts.
+	IsOwn func(r *http.Response) bool
 }
 
 // Exchange is one request to one endpoint, and its response.
@@ -41,6 +44,8 @@
 	// before.
 	OpenedAt time.Time
 	IsKept   bool
+	// Skipped is how many responses to other requests arrived before Response.
+	Skipped int
 
 	pool            *ConnPool
 	addr            string
@@ -78,7 +83,7 @@
 	stopWatch := watchUnacked(c)
 	defer stopWatch()
 	x.write(r)
-	if x.Response, err = x.readHead(r.Method); err != nil {
+	if x.Response, err = x.readOwnHead(r); err != nil {
 		return nil, x.newFailure(ctx, err)
 	}
 	x.content = x.Response.Body
@@ -147,6 +152,32 @@
 	return b.Bytes()
 }
 
+// maxForeignResponses is how many responses to other requests are skipped.
+const maxForeignResponses = 3
+
+// readOwnHead reads the header of the response to the request, or that of another one which can't be
+// skipped.
+func (x *Exchange) readOwnHead(r Request) (*http.Response, error) {
+	for range maxForeignResponses {
+		res, err := x.readHead(r.Method)
+		if err != nil || r.IsOwn == nil || !x.IsKept || r.IsOwn(res) {
+			return res, err
+		}
+		x.DiscardConnection()
+		if !canSkip(res) {
+			return res, nil
+		}
+		if _, err := io.Copy(io.Discard, res.Body); err != nil {
+			return nil, err
+		}
+		x.Skipped++
+	}
+	return x.readHead(r.Method)
+}
+
+// canSkip reports whether the end of a response is known and near.
+func canSkip(r *http.Response) bool { return r.ContentLength >= 0 && r.ContentLength <= maxDrainBytes }
+
 // readHead reads the header of the final response, skipping interim ones. All of them
 // together may have maxHeadBytes.
 func (x *Exchange) readHead(method string) (*http.Response, error) {
--- a/hitchingress/attempt.go
+++ b/hitchingress/attempt.go
@@ -91,6 +91,7 @@
 	a.exchange = startExchange(ctx, exchangeParams{
 		id: req.ID, pool: g.Conns, addr: pick.Endpoint.Addr, request: g.endpointMessage(req, pick), deadline: req.effectiveDeadline,
 		tracker: &req.dispatchTracker, decode: g.Protocol.DecodeResponse, isStream: req.isStream,
+		awaitsOwn: !req.retryState.IsRetrySafe, // another attempt may follow at once otherwise
 	}, req.messages)
 	return a
 }
@@ -137,6 +138,9 @@
 func (g *Gateway) observeHead(req *proxyRequest, a *attempt, msg exchangeMsg) {
 	now := time.Now()
 	a.response, a.head, a.headAt, a.isKept = msg.response, msg.head, now, msg.isKept
+	if msg.skipped > 0 {
+		g.Log.Info("responses to other requests skipped", "ID", req.ID, "Endpoint", a.pick.Endpoint.ID, "Relay", a.pick.Relay, "Responses", msg.skipped)
+	}
 	if a.head.DidNotRun {
 		g.Metrics.countNotRunResponse(notRunKey{id: identify(a.head.RequestID, req.ID), isKept: a.isKept})
 	}
--- a/hitchingress/exchange.go
+++ b/hitchingress/exchange.go
@@ -23,6 +23,8 @@
 	// carried other requests before.
 	openedAt time.Time
 	isKept   bool
+	// skipped is how many responses to other requests came before.
+	skipped int
 	// data is a whole body, or bytes of a stream that are valid until the next message is
 	// received. The body of a refusal isn't delivered.
 	data []byte
@@ -57,11 +59,18 @@
 	// is delivered piece by piece.
 	decode   func(status int, h http.Header, now time.Time) ResponseHead
 	isStream func(status int, head ResponseHead) bool
+	// awaitsOwn is set if the response is still awaited once those to other requests have arrived.
+	awaitsOwn bool
 }
 
 // startExchange sends a request and delivers what arrives to messages.
 func startExchange(ctx context.Context, params exchangeParams, messages chan<- exchangeMsg) *endpointExchange {
 	ctx, cancel := context.WithCancel(ctx)
+	if params.awaitsOwn {
+		params.request.IsOwn = func(r *http.Response) bool {
+			return params.decode(r.StatusCode, r.Header, time.Now()).RequestID == params.id
+		}
+	}
 	x := &endpointExchange{exchangeParams: params, messages: messages, cancel: cancel, abandoned: make(chan struct{}), closed: make(chan struct{})}
 	go func() {
 		defer close(x.closed)
@@ -95,7 +104,7 @@
 		// to the next request on the connection.
 		exchange.DiscardConnection()
 	}
-	if !x.deliver(exchangeMsg{response: response, head: head, openedAt: exchange.OpenedAt, isKept: exchange.IsKept}) {
+	if !x.deliver(exchangeMsg{response: response, head: head, openedAt: exchange.OpenedAt, isKept: exchange.IsKept, skipped: exchange.Skipped}) {
 		return
 	}
 	if x.isStream(response.StatusCode, head) {
--- a/hitchingress/foreignrefusal_test.go
+++ b/hitchingress/foreignrefusal_test.go
@@ -239,3 +239,49 @@
 		}
 	})
 }
+
+// TestOwnResponseAfterForeignOne covers requests that may run once, whose own response follows responses that
+// aren't theirs: their callers get it.
+func TestOwnResponseAfterForeignOne(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nId: other\r\nDigest: s\r\n"
+	whole := http.StatusOK
+	tests := map[string]struct {
+		stray string
+		want  int
+	}{
+		"refusal":           {strayRefusals["503"], whole},
+		"two":               {strayRefusals["400"] + strayRefusals["421"], whole},
+		"answer to another": {head + "Content-Length: 5\r\n\r\nother", whole},
+		"interim":           {"HTTP/1.1 103 Early Hints\r\nId: other\r\n\r\n" + strayRefusals["503"], whole},
+		"four":              {strings.Repeat(strayRefusals["503"], 4), http.StatusBadGateway},
+		"chunked":           {head + "Transfer-Encoding: chunked\r\n\r\n5\r\nother\r\n0\r\n\r\n", http.StatusBadGateway},
+		"without a frame":   {head + "\r\nother", http.StatusBadGateway},
+		"too long":          {head + "Content-Length: 1000000\r\n\r\nother", http.StatusBadGateway},
+		"no response":       {"\r\nno response\r\n\r\n", http.StatusBadGateway},
+	}
+	for name, test := range tests {
+		for _, isRelayed := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, relayed %t", name, isRelayed), func(t *testing.T) {
+				s := strayServer{runCounter: &runCounter{}, stray: test.stray, response: "HTTP/1.1 200 OK\r\nId: {id}\r\nDigest: s\r\nContent-Length: 4\r\n\r\n{id}"}
+				addr := listen(t, s.handle)
+				server := startGateway(t, hitchroute.Route{Kind: hitchroute.NonIdempotent, MaxAttempts: 1}, &backend{addr: addr})
+				if isRelayed {
+					cutOff(t, server.Config.Handler.(*Gateway), hitchfleet.Instance{ID: "other", PeerAddr: addr})
+				}
+				for n := range 6 { // each second one on a kept connection, which isn't kept after it
+					id, want := fmt.Sprintf("id-%d", n), http.StatusOK
+					if n%2 == 1 {
+						want = test.want
+					}
+					status, body, _, err := sendWith(t, server, map[string]string{"Id": id, "Key": "k"})
+					qt.Assert(t, err, qt.IsNil)
+					qt.Check(t, status, qt.Equals, want)
+					if status == http.StatusOK {
+						qt.Check(t, body, qt.Equals, id)
+					}
+					qt.Check(t, s.of(id), qt.Equals, 1)
+				}
+			})
+		}
+	}
+}
--- a/hitchingress/relay.go
+++ b/hitchingress/relay.go
@@ -105,7 +105,6 @@
 func (g *Gateway) decodeRelayed(status int, h http.Header, now time.Time) ResponseHead {
 	head := g.Protocol.DecodeResponse(status, h, now)
 	head.Runs, _ = strconv.Atoi(h.Get(headerRuns))
-	h.Del(headerRuns)
 	if reason := h.Get(headerRefusal); reason != "" {
 		head.RequestID = h.Get(headerRefused)
 		head.Refusal = &hitchoutcome.Refusal{Reason: hitchoutcome.Reason(reason), Outcome: hitchoutcome.Unknown, RetryAt: head.PausedUntil}
@@ -156,6 +155,7 @@
 	a.exchange = startExchange(ctx, exchangeParams{
 		id: req.ID, pool: g.Conns, addr: pick.Endpoint.Addr, request: g.relayMessage(req, a.maxRuns), deadline: req.effectiveDeadline,
 		tracker: &req.dispatchTracker, decode: g.decodeRelayed, isStream: req.isStream,
+		awaitsOwn: !req.retryState.IsRetrySafe, // another attempt may follow at once otherwise
 	}, req.messages)
 	return a
 }
