--- a/hitchsoak/repeats.go
+++ b/hitchsoak/repeats.go
@@ -78,7 +78,7 @@
 // checkRepeats checks that a stream doesn't go on at an endpoint while the one before still works on it
 // for longer than maxRunOverlap.
 func (c *checker) checkRepeats(calls []call) (out []Violation, note string) {
-	repeated, excused, longest := 0, 0, time.Duration(0)
+	repeated, excused, unheard, longest := 0, 0, 0, time.Duration(0)
 	for _, x := range calls {
 		runs := c.runLog.Runs(x.Attempt)
 		slices.SortFunc(runs, func(a, b hitchstandin.Run) int { return cmp.Compare(a.At.UnixNano(), b.At.UnixNano()) })
@@ -92,12 +92,16 @@
 				excused++
 				continue
 			}
+			if after.IsLost { // the instance can't know that it has begun
+				unheard++
+				continue
+			}
 			longest = max(longest, before.EndedAt.Sub(after.FirstEventAt))
 			out = append(out, Violation{Guarantee: "RunsOverlap", Call: x.Attempt, Detail: fmt.Sprintf("%s worked on until %s after the first event at %s; first event after %s, events %d and %d",
 				before.Endpoint, before.EndedAt.Sub(after.FirstEventAt), after.Endpoint, after.FirstEventAt.Sub(before.At), before.Events, after.Events)})
 		}
 	}
-	return out, fmt.Sprintf("Repeated=%d OverlapsOfDisturbed=%d Overlaps=%d LongestOverlap=%s", repeated, excused, len(out), longest)
+	return out, fmt.Sprintf("Repeated=%d OverlapsOfDisturbed=%d OverlapsUnheard=%d Overlaps=%d LongestOverlap=%s", repeated, excused, unheard, len(out), longest)
 }
 
 // isDisturbed reports whether a process that took part in two runs stood still or was killed meanwhile,
