A relay that doesn't list its sender says that the request hasn't run

Callers saw 502 for requests that no endpoint had got: an instance that has just started answered relayed requests with 403, without an ID, which counts as lost. Change: it refuses them as any request that it can't serve, with the request's ID, and another instance sends them on. Evidence: TestRelayThatDoesntKnowItsSenderIsPassedOver failed before (502).

--- a/hitchingress/relay.go
+++ b/hitchingress/relay.go
@@ -64,7 +64,10 @@
 	attempts, err := strconv.Atoi(r.Header.Get(headerAttempts))
 	isMember := slices.ContainsFunc(g.View().Instances(), func(i hitchfleet.Instance) bool { return i.ID == from })
 	if !isMember || err != nil {
-		http.Error(w, "no instance relays this request", http.StatusForbidden)
+		now := time.Now()
+		refusal := hitchoutcome.RefuseNotRun(hitchoutcome.ReasonStale, now, "no instance relays this request")
+		writeRelayRefusal(w.Header(), g.Protocol.DecodeRequest(r, now).ID, refusal)
+		http.Error(w, refusal.Error(), http.StatusForbidden)
 		return
 	}
 	for _, name := range []string{headerRelayedBy, headerAttempts} {
--- a/hitchingress/relaybudget_test.go
+++ b/hitchingress/relaybudget_test.go
@@ -116,3 +116,20 @@
 	}
 	qt.Assert(t, f.arrivals(), qt.Equals, int64(requests)) // the relays have no requests of their own
 }
+
+// TestRelayThatDoesntKnowItsSenderIsPassedOver covers a relay that has just started, so that it doesn't list the
+// instance that sends it a request: another one sends it on.
+func TestRelayThatDoesntKnowItsSenderIsPassedOver(t *testing.T) {
+	f := startRelayingFleet(t, hitchroute.Route{Kind: hitchroute.NonIdempotent, MaxAttempts: 1}, 20, func(g *Gateway, w http.ResponseWriter, r *http.Request) {
+		if g.Self.ID == "relay-0" {
+			r.Header.Set(headerRelayedBy, "unlisted")
+		}
+		g.ServeRelayed(w, r)
+	}, okResponse)
+	for n := range 8 {
+		status, _, _, err := sendWith(t, f.sender, map[string]string{"Id": fmt.Sprint("id-", n), "Key": "k"})
+		qt.Assert(t, err, qt.IsNil)
+		qt.Check(t, status, qt.Equals, http.StatusOK)
+	}
+	qt.Check(t, f.arrivals(), qt.Equals, int64(8))
+}
