--- a/hitchforward/foreignerror_test.go
+++ b/hitchforward/foreignerror_test.go
@@ -181,3 +181,41 @@
 		})
 	}
 }
+
+// TestBookingWithForeignResponseMayHaveRun guards against bookings of the own API that are held for not run, or
+// get the response to another one, as what arrives isn't their endpoint's response to them.
+func TestBookingWithForeignResponseMayHaveRun(t *testing.T) {
+	tests := map[string]string{
+		"error without an ID":      "HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n",
+		"421 without an ID":        "HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n",
+		"502 of a proxy":           "HTTP/1.1 502 Bad Gateway\r\nContent-Length: 3\r\n\r\nbad",
+		"error of another booking": "HTTP/1.1 503 Full\r\n" + AttemptHeader + ": other\r\nContent-Length: 0\r\n\r\n",
+		"answer to another one":    "HTTP/1.1 200 OK\r\n" + AttemptHeader + ": other\r\nContent-Length: 5\r\n\r\nother",
+		"answer without an ID":     "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nother",
+		"nothing":                  "",
+	}
+	for name, foreign := range tests {
+		t.Run(name, func(t *testing.T) {
+			// On a connection that is kept, the foreign response comes to the second booking.
+			e := serveRaw(t, func(n int, r *http.Request) (string, bool) {
+				if strings.HasPrefix(r.URL.Path, "/sound") {
+					return ownHead + "Content-Length: 3\r\n\r\nown", true
+				}
+				return foreign, foreign != ""
+			})
+			var client Client
+			for _, path := range []string{"/sound/1", "/foreign/2", "/sound/3"} {
+				var tracker hitchoutcome.DispatchTracker
+				res, err := client.Do(t.Context(), Call{Method: http.MethodPost, Path: path, Body: []byte("b"), Deadline: time.Now().Add(2 * time.Second)}, e, &tracker)
+				if strings.HasPrefix(path, "/sound") {
+					qt.Assert(t, err, qt.IsNil)
+					qt.Check(t, string(res.Body), qt.Equals, "own")
+					qt.Check(t, tracker.Outcome(), qt.Equals, hitchoutcome.Ran)
+					continue
+				}
+				qt.Check(t, err, qt.IsNotNil)
+				qt.Check(t, tracker.Outcome(), qt.Equals, hitchoutcome.Unknown)
+			}
+		})
+	}
+}
