--- a/hitchsoak/endpointprocess.go
+++ b/hitchsoak/endpointprocess.go
@@ -66,7 +66,7 @@
 		f.processes.all = append(f.processes.all, p)
 	}
 	f.processes.writeEntries()
-	go f.processes.writeHeartbeats(ctx)
+	go everyHeartbeat(ctx, f.processes.writeEntries)
 	return nil
 }
 
@@ -152,27 +152,13 @@
 	}
 }
 
+// writeEntries writes the entries of the processes.
 func (s *endpointProcesses) writeEntries() {
 	for _, p := range s.all {
 		p.writeEntry(&s.fleet.store)
 	}
 }
 
-// writeHeartbeats writes the entries periodically until ctx ends.
-func (s *endpointProcesses) writeHeartbeats(ctx context.Context) {
-	ticker := time.NewTicker(heartbeatInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-		s.fleet.keepCopy()
-		s.writeEntries()
-	}
-}
-
 // end ends the processes, and adds their runs to the fleet's.
 func (s *endpointProcesses) end() error {
 	for _, p := range s.all {
--- a/hitchsoak/engine.go
+++ b/hitchsoak/engine.go
@@ -88,7 +88,7 @@
 		}
 		s.register(n, e)
 	}
-	go s.writeHeartbeats(ctx)
+	go everyHeartbeat(ctx, s.writeHeartbeats)
 	return nil
 }
 
@@ -176,27 +176,18 @@
 	}
 }
 
-// writeHeartbeats writes the entries of the engines that serve periodically until ctx ends,
-// and deletes those that a restored copy of the store has again.
-func (s *engineSet) writeHeartbeats(ctx context.Context) {
-	ticker := time.NewTicker(heartbeatInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-		s.mu.Lock()
-		for _, e := range slices.Concat(s.slots, s.added) {
-			if e.until.IsZero() {
-				s.fleet.store.Put(e.Key(), e.Entry("ready"))
-			}
-		}
-		for key := range s.removed {
-			s.fleet.store.Delete(key)
+// writeHeartbeats writes the entries of the engines that serve, and deletes those that a restored copy of
+// the store has again.
+func (s *engineSet) writeHeartbeats() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, e := range slices.Concat(s.slots, s.added) {
+		if e.until.IsZero() {
+			s.fleet.store.Put(e.Key(), e.Entry("ready"))
 		}
-		s.mu.Unlock()
+	}
+	for key := range s.removed {
+		s.fleet.store.Delete(key)
 	}
 }
 
--- a/hitchsoak/fleet.go
+++ b/hitchsoak/fleet.go
@@ -118,7 +118,7 @@
 			return err
 		}
 	}
-	go f.writeHeartbeats(ctx)
+	go everyHeartbeat(ctx, f.writeHeartbeats)
 	for n := range s.instances() {
 		if err := f.addInstance(ctx, s, n, storeAddr); err != nil {
 			return err
@@ -175,8 +175,8 @@
 	return i.start()
 }
 
-// writeHeartbeats writes the entries of all endpoints periodically until ctx ends.
-func (f *fleet) writeHeartbeats(ctx context.Context) {
+// everyHeartbeat calls a function each heartbeatInterval until ctx ends.
+func everyHeartbeat(ctx context.Context, do func()) {
 	ticker := time.NewTicker(heartbeatInterval)
 	defer ticker.Stop()
 	for {
@@ -184,15 +184,20 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
+			do()
 		}
-		f.keepCopy()
-		for _, e := range f.endpoints {
-			e.mu.Lock()
-			if e.removals == 0 {
-				f.store.Put(e.Key(), e.Entry("ready"))
-			}
-			e.mu.Unlock()
+	}
+}
+
+// writeHeartbeats writes the entries of all endpoints, and keeps a copy of the store.
+func (f *fleet) writeHeartbeats() {
+	f.keepCopy()
+	for _, e := range f.endpoints {
+		e.mu.Lock()
+		if e.removals == 0 {
+			f.store.Put(e.Key(), e.Entry("ready"))
 		}
+		e.mu.Unlock()
 	}
 }
 
