--- a/hitchsoak/latecaller_test.go
+++ b/hitchsoak/latecaller_test.go
@@ -26,15 +26,15 @@
 	longStream = "/stream/160x40/x"
 )
 
-// lateCall is a request to an instance that stops.
+// lateCall is a request, and how long after a time it was sent.
 type lateCall struct {
 	call
 	sentAfter time.Duration
 }
 
-// sendLate sends a request on a kept connection, or on a new one.
-func (f *killedFleet) sendLate(client *http.Client, path, attempt string, start time.Time) (out lateCall) {
-	out = lateCall{call: call{Attempt: attempt, Path: path, Instance: f.addrs()[0]}, sentAfter: time.Since(start)}
+// sendTo sends a request to an instance, and returns it with the response.
+func (f *killedFleet) sendTo(client *http.Client, instance int, path, attempt string, start time.Time) (out lateCall) {
+	out = lateCall{call: call{Attempt: attempt, Path: path, Instance: f.addrs()[instance]}, sentAfter: time.Since(start)}
 	ctx, cancel := context.WithTimeout(context.Background(), 2*callTimeout)
 	defer cancel()
 	c := caller{fleet: f.fleet}
@@ -62,7 +62,7 @@
 				client = unkept
 			}
 			group.Go(func() {
-				x := f.sendLate(client, path, fmt.Sprintf("late-%d-%s", n, path[1:5]), start)
+				x := f.sendTo(client, 0, path, fmt.Sprintf("late-%d-%s", n, path[1:5]), start)
 				mu.Lock()
 				defer mu.Unlock()
 				out = append(out, x)
