--- a/hitchsoak/standstill_test.go
+++ b/hitchsoak/standstill_test.go
@@ -71,7 +71,9 @@
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 40}}
 	for n := range 40 {
 		path := standstillPaths[n%len(standstillPaths)]
-		group.Go(func() { f.sendTo(client, target, path, fmt.Sprintf("%s-before-%d", strings.ReplaceAll(name, " ", "-"), n), time.Now()) })
+		group.Go(func() {
+			f.sendTo(client, target, path, fmt.Sprintf("%s-before-%d", strings.ReplaceAll(name, " ", "-"), n), time.Now())
+		})
 	}
 	group.Wait()
 }
