--- a/hitchsoak/repeats.go
+++ b/hitchsoak/repeats.go
@@ -29,14 +29,19 @@
 	PauseInstance, PauseInstance, KillInstance, StopInstance, ThrottleInstance, PauseStore,
 }
 
-// Callers of a soak of VariantRepeats, by instance, and bounds.
+// Callers and faults of a soak of VariantRepeats, and the bounds of its checks.
 const (
+	// bookersPerInstance callers make bookings, and onceCallersPerFleet request streams that may run
+	// once. repeatCallerSeed separates their seeds from those of other callers.
 	bookersPerInstance  = 3
 	onceCallersPerFleet = 8
 	repeatCallerSeed    = 1 << 13
-	maxRunOverlap       = 400 * time.Millisecond
+	// repeatFaultInterval is the mean time between two faults.
 	repeatFaultInterval = 500 * time.Millisecond
-	pauseSettleTime     = time.Second
+	// maxRunOverlap is how long two endpoints may work on one stream.
+	maxRunOverlap = 400 * time.Millisecond
+	// pauseSettleTime is how long a process that goes on may be late.
+	pauseSettleTime = time.Second
 )
 
 // newRepeatPlan returns random faults for a soak of VariantRepeats. At most half of the instances are
