--- a/hitchedge/path_test.go
+++ b/hitchedge/path_test.go
@@ -159,8 +159,8 @@
 		refusal        string
 	}{
 		"from an instance":             {"edge-0", "2", 1, http.StatusOK, ""},
-		"from nobody that is known":    {"edge-9", "2", 1, http.StatusForbidden, ""},
-		"without a number of attempts": {"edge-0", "", 1, http.StatusForbidden, ""},
+		"from nobody that is known":    {"edge-9", "2", 1, http.StatusForbidden, "Stale"},
+		"without a number of attempts": {"edge-0", "", 1, http.StatusForbidden, "Stale"},
 		"to one that is cut off":       {"edge-0", "2", 2, http.StatusServiceUnavailable, "Leaving"},
 	}
 	for name, test := range tests {
--- a/hitchsoak/fleet.go
+++ b/hitchsoak/fleet.go
@@ -102,6 +102,7 @@
 	for n := range s.organisations() {
 		f.keys = append(f.keys, fmt.Sprintf("key-%d", n))
 	}
+	f.variation.AddsOnceRoute = f.variation.AddsOnceRoute || s.Variant == VariantRepeats
 	f.writeConfig()
 	if s.hasEngines() {
 		if err := f.startEngines(ctx, s); err != nil {
--- a/hitchsoak/latecaller_test.go
+++ b/hitchsoak/latecaller_test.go
@@ -56,13 +56,13 @@
 	var group sync.WaitGroup
 	kept, unkept := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}, &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
 	for n := 0; time.Since(start) < hitchstandin.GracePeriod; n++ {
-		for _, path := range []string{longStream, "/stream/100x25/x", "/booking/x", "/lookup/x"} {
+		for i, path := range []string{longStream, "/stream/100x25/x", "/booking/x", "/lookup/x"} {
 			client := kept
 			if n%2 == 1 {
 				client = unkept
 			}
 			group.Go(func() {
-				x := f.sendTo(client, 0, path, fmt.Sprintf("late-%d-%s", n, path[1:5]), start)
+				x := f.sendTo(client, 0, path, fmt.Sprintf("late-%d-%d", n, i), start)
 				mu.Lock()
 				defer mu.Unlock()
 				out = append(out, x)
--- a/hitchsoak/standstill_test.go
+++ b/hitchsoak/standstill_test.go
@@ -22,7 +22,7 @@
 // a step of them and goes on, before or after their time is over (rule TWICE). No caller is told that a request
 // that ran hasn't run.
 func TestInstanceThatStandsStillRunsRequestsOnce(t *testing.T) {
-	f := &killedFleet{fleet: &fleet{dir: t.TempDir()}, t: t}
+	f := &killedFleet{fleet: &fleet{dir: t.TempDir(), variation: hitchstandin.Variation{AddsOnceRoute: true}}, t: t}
 	t.Cleanup(f.killInstances)
 	qt.Assert(t, f.start(t.Context(), &Soak{Seed: 340, Program: os.Args[0]}), qt.IsNil)
 	for n, addr := range f.addrs() {
