Change log: the newest change of each entry, no configurations; complete or it says so

What instances would see: one that follows a hub got an older configuration than its revision and stayed with it until the next one (CONFIG), or never heard that an endpoint had left (DRAIN). The log dropped its first messages and took the revision of the last dropped as its bound, but batches of other instances are grouped by kind, not ordered, so that a newer change was dropped without notice. Change: the log has the newest change of each entry by revision, drops the oldest, and has no configurations: the view has the current one, which is sent to whoever has an older one. So the log no longer keeps up to 512 configurations either.

--- a/hitchview/changelog.go
+++ b/hitchview/changelog.go
@@ -1,50 +1,75 @@
 package hitchview
 
-import "citronhitch.example/citronhitch/hitchfleet"
+import (
+	"cmp"
+	"maps"
+	"slices"
 
-// maxChanges bounds the number of messages in a change log.
+	"citronhitch.example/citronhitch/hitchfleet"
+)
+
+// maxChanges bounds the number of entries in a change log.
 const maxChanges = 512
 
-// changeLog holds the most recent messages that an instance applied, so that it
-// can send them to other instances. The zero value is empty.
+// changeLog holds the newest change of each entry that an instance applied recently, so that it
+// can send them to other instances. It doesn't hold configurations: the view has the current one,
+// and older ones would only take memory. The zero value is empty.
 type changeLog struct {
 	// completeAfter is the revision after which the log has every change.
 	completeAfter hitchfleet.Revision
-	messages      []Msg
+	newest        map[any]Msg // by entryKey
 }
 
-// add appends the messages of a batch. A snapshot clears the log.
+// add adds the messages of a batch, in any order. A snapshot clears the log.
 func (l *changeLog) add(b Batch) {
+	if b.IsSnapshot || l.newest == nil {
+		l.newest = make(map[any]Msg)
+	}
 	if b.IsSnapshot {
-		l.completeAfter, l.messages = b.Revision, nil
+		l.completeAfter = b.Revision
+		return
+	}
+	for _, msg := range b.Messages {
+		if _, isTable := msg.(TableMsg); isTable {
+			continue
+		}
+		if known, ok := l.newest[entryKey(msg)]; !ok || revisionOf(msg) >= revisionOf(known) {
+			l.newest[entryKey(msg)] = msg
+		}
+	}
+	l.dropOldest()
+}
+
+// dropOldest removes the oldest changes beyond maxChanges.
+func (l *changeLog) dropOldest() {
+	drop := len(l.newest) - maxChanges
+	if drop <= 0 {
 		return
 	}
-	l.messages = append(l.messages, b.Messages...)
-	if drop := len(l.messages) - maxChanges; drop > 0 {
-		l.completeAfter = max(l.completeAfter, revisionOf(l.messages[drop-1]))
-		l.messages = append([]Msg(nil), l.messages[drop:]...)
+	messages := l.sorted()
+	for _, msg := range messages[:drop] {
+		delete(l.newest, entryKey(msg))
 	}
+	l.completeAfter = max(l.completeAfter, revisionOf(messages[drop-1]))
+}
+
+// sorted returns the changes in the order of their revisions.
+func (l *changeLog) sorted() []Msg {
+	return slices.SortedFunc(maps.Values(l.newest), func(a, b Msg) int { return cmp.Compare(revisionOf(a), revisionOf(b)) })
 }
 
-// messagesAfter returns the last message about each entry among those after a
-// revision. It returns false if the log no longer has all of them.
+// messagesAfter returns the newest change of each entry among those after a revision, but for the
+// configuration. It returns false if the log no longer has all of them.
 func (l *changeLog) messagesAfter(revision hitchfleet.Revision) ([]Msg, bool) {
 	if revision < l.completeAfter || l.completeAfter == 0 {
 		return nil, false
 	}
-	lastIndex := make(map[any]int)
-	for i, msg := range l.messages {
-		if revisionOf(msg) > revision {
-			lastIndex[entryKey(msg)] = i
-		}
-	}
-	var out []Msg
-	for i, msg := range l.messages {
-		if index, ok := lastIndex[entryKey(msg)]; ok && index == i {
-			out = append(out, msg)
-		}
+	messages := l.sorted()
+	first := slices.IndexFunc(messages, func(msg Msg) bool { return revisionOf(msg) > revision })
+	if first < 0 {
+		return nil, true
 	}
-	return out, true
+	return messages[first:], true
 }
 
 // revisionOf returns the store revision of a change.
--- a/hitchview/follower.go
+++ b/hitchview/follower.go
@@ -104,6 +104,7 @@
 	messages, ok := f.changeLog.messagesAfter(revision)
 	if ok && revision > 0 {
 		out.IsSnapshot = false
+		messages = append(v.tableMessages(tableRevision), messages...)
 	} else {
 		messages = v.messages(tableRevision)
 	}
--- a/hitchview/view.go
+++ b/hitchview/view.go
@@ -281,10 +281,7 @@
 // first and is left out if it isn't newer than knownTableRevision. An entry in its
 // grace period is followed by its removal.
 func (v View) messages(knownTableRevision hitchfleet.Revision) []Msg {
-	var out []Msg
-	if v.Table != nil && v.TableRevision > knownTableRevision {
-		out = append(out, TableMsg{Revision: v.TableRevision, Table: v.Table})
-	}
+	out := v.tableMessages(knownTableRevision)
 	for _, e := range v.endpoints {
 		out = append(out, EndpointMsg{Revision: e.revision, Endpoint: e.value})
 		if !e.expiresAt.IsZero() {
@@ -306,6 +303,15 @@
 	return append(out, v.rolloutMessages()...)
 }
 
+// tableMessages returns the message that sets the view's configuration, if it is newer than
+// knownTableRevision.
+func (v View) tableMessages(knownTableRevision hitchfleet.Revision) []Msg {
+	if v.Table == nil || v.TableRevision <= knownTableRevision {
+		return nil
+	}
+	return []Msg{TableMsg{Revision: v.TableRevision, Table: v.Table}}
+}
+
 // Expire returns the view without the entries whose grace period has ended.
 func (v View) Expire(now time.Time) View {
 	v = v.clone()
--- a/hitchview/view_test.go
+++ b/hitchview/view_test.go
@@ -155,7 +155,7 @@
 	for i := range hitchfleet.Revision(maxChanges + 5) {
 		l.add(Batch{Revision: 14 + i, Messages: []Msg{EndpointMsg{14 + i, newEndpoint(fmt.Sprint(i), 1)}}})
 	}
-	qt.Assert(t, l.messages, qt.HasLen, maxChanges)
+	qt.Assert(t, l.newest, qt.HasLen, maxChanges)
 	_, ok = l.messagesAfter(13)
 	qt.Assert(t, ok, qt.IsFalse)
 }
