A hub that can't read the store's changes says so and pulls from others

Shown by tests with a store in memory, not by real processes. Causes: a failed read counted as a failure of the store and a probe as its success, so that pulls from others (only after a failed probe) never came, and the hub's status went on saying that it reaches the store. A follower kept asking the hub that had announced the newest revision, also when the hub didn't have it, while another hub had. Change: storeLag notes what probes see and no read brings.

A revision that couldn't be pulled is forgotten.

--- a/hitchdigest/message.go
+++ b/hitchdigest/message.go
@@ -88,7 +88,7 @@
 	Zone hitchfleet.AvailabilityZone
 	// Revision is the newest store revision that the hub knows.
 	Revision hitchfleet.Revision
-	// IsStoreReachable reports whether the hub can reach the store.
+	// IsStoreReachable reports whether the hub can reach the store and keeps up with it.
 	IsStoreReachable bool
 	// ViewAddr is the address from which to read the changes up to Revision.
 	ViewAddr string
--- a/hitchedge/digest.go
+++ b/hitchedge/digest.go
@@ -132,7 +132,7 @@
 		e.aggregator.AddReport(now, report)
 		e.sendDigests(socket, r.instances, now)
 	}
-	if !r.isHub(self) && r.roles.WatchesStore(self) && e.follower.IsStoreReachable() {
+	if !r.isHub(self) && r.roles.WatchesStore(self) && e.follower.KeepsUpWithStore() {
 		status := e.hubStatus()
 		e.send(socket, hitchdigest.Packet{Digest: &hitchdigest.Digest{From: self, HubStatus: &status}}, r.instances...)
 	}
@@ -144,7 +144,7 @@
 		From:             e.Settings.Self.ID,
 		Zone:             e.Settings.Self.Zone,
 		Revision:         e.gateway.View().Revision,
-		IsStoreReachable: e.follower.IsStoreReachable(),
+		IsStoreReachable: e.follower.KeepsUpWithStore(),
 		ViewAddr:         e.Settings.Self.PeerAddr,
 	}
 }
--- a/hitchedge/registration.go
+++ b/hitchedge/registration.go
@@ -32,7 +32,7 @@
 // this instance is the primary hub. Calls of the store don't delay the caller.
 func (e *Edge) removeSilent(ctx context.Context, r *region) {
 	entries := e.dueEntries(time.Now(), r)
-	if len(entries) == 0 || !r.isPrimaryHub(e.Settings.Self.ID) || !e.follower.IsStoreReachable() || !e.isRemoving.CompareAndSwap(false, true) {
+	if len(entries) == 0 || !r.isPrimaryHub(e.Settings.Self.ID) || !e.follower.KeepsUpWithStore() || !e.isRemoving.CompareAndSwap(false, true) {
 		return
 	}
 	e.Log.Info("removing silent instances", "Entries", entries)
--- a/hitchedge/rollout.go
+++ b/hitchedge/rollout.go
@@ -254,7 +254,7 @@
 			return
 		}
 		now := time.Now()
-		if len(e.gateway.Rollouts()) > 0 && e.watchesStore() && e.follower.IsStoreReachable() {
+		if len(e.gateway.Rollouts()) > 0 && e.watchesStore() && e.follower.KeepsUpWithStore() {
 			e.gateway.ContactRollouts(now)
 		}
 		since, ok := e.decidesRollouts(now)
--- a/hitchview/follower.go
+++ b/hitchview/follower.go
@@ -72,6 +72,7 @@
 	view        atomic.Pointer[View]
 	changeLog   changeLog // guarded by mu
 	storeHealth storeHealth
+	lag         storeLag
 	hubs        hubState
 	// watchCancel cancels the current watch call.
 	watchCancel atomic.Pointer[context.CancelCauseFunc]
@@ -88,6 +89,9 @@
 // IsStoreReachable reports whether the store is reachable.
 func (f *Follower) IsStoreReachable() bool { return !f.storeHealth.isUnreachable(f.now()) }
 
+// KeepsUpWithStore reports whether the store is reachable and its changes can be read.
+func (f *Follower) KeepsUpWithStore() bool { return f.IsStoreReachable() && !f.lag.isBehind(f.now()) }
+
 // timeSinceStoreSuccess returns the time since the last successful call to the
 // store.
 func (f *Follower) timeSinceStoreSuccess() time.Duration {
@@ -130,6 +134,7 @@
 	retryDelay := minRetryDelay
 	for ctx.Err() == nil {
 		if !needsSnapshot && f.followsHub() {
+			f.lag.reset()
 			f.followHub(ctx)
 			continue
 		}
@@ -138,7 +143,7 @@
 		case ctx.Err() != nil:
 			return
 		case isSwitchToHub(err):
-		case isCompacted(err):
+		case isCompacted(err) && !needsSnapshot:
 			f.log().Info("reading a new snapshot", "Revision", f.View().Revision, "Cause", err)
 			needsSnapshot = true
 		case err != nil:
@@ -146,16 +151,29 @@
 			sleep(ctx, retryDelay)
 			retryDelay = min(2*retryDelay, f.retryDelayLimit())
 		default:
-			f.recordSuccess()
-			f.logNewEra(batch)
-			batch.KeepExpiredUntil = f.keepExpiredUntil(batch)
-			f.apply(batch)
-			needsSnapshot, retryDelay = false, minRetryDelay
-			sleep(ctx, batchDelay)
+			retryDelay = f.applyRead(ctx, batch, retryDelay)
+			needsSnapshot = false
 		}
 	}
 }
 
+// applyRead applies a batch that was read from the store, and waits before the next call. It returns the delay
+// after the next failure. A snapshot that brings nothing new may have to be repeated like a call that failed.
+func (f *Follower) applyRead(ctx context.Context, batch Batch, retryDelay time.Duration) time.Duration {
+	f.recordSuccess()
+	f.logNewEra(batch)
+	batch.KeepExpiredUntil = f.keepExpiredUntil(batch)
+	isNew := batch.Revision > f.View().Revision
+	f.lag.recordRead(f.now(), batch.Revision, isNew)
+	f.apply(batch)
+	if batch.IsSnapshot && !isNew {
+		sleep(ctx, retryDelay)
+		return min(2*retryDelay, f.retryDelayLimit())
+	}
+	sleep(ctx, batchDelay)
+	return minRetryDelay
+}
+
 // retryDelayLimit returns the longest delay after a failed call.
 func (f *Follower) retryDelayLimit() time.Duration {
 	if f.View().Table == nil {
@@ -194,7 +212,7 @@
 func (f *Follower) probeStore(ctx context.Context) {
 	for ctx.Err() == nil {
 		sleep(ctx, probeInterval)
-		if f.followsHub() || f.timeSinceStoreSuccess() < probeInterval/2 {
+		if f.followsHub() || f.lag.timeSinceNews(f.now()) < probeInterval/2 {
 			continue
 		}
 		before := f.View().Revision
@@ -204,12 +222,14 @@
 			return
 		case err != nil:
 			f.recordFailure(err)
-			f.pullFromPeers(ctx)
+			f.pullIfUnreachable(ctx)
 		default:
 			f.recordSuccess()
 			if revision > before {
+				f.lag.recordProbe(f.now(), revision)
 				f.checkWatchLag(ctx, revision)
 			}
+			f.pullIfBehind(ctx)
 		}
 	}
 }
@@ -224,10 +244,27 @@
 	}
 }
 
-// pullFromPeers pulls from other instances until one of them has newer changes,
-// if the store has been unreachable for at least outageThreshold.
+// pullIfUnreachable pulls from other instances if the store has been unreachable for at least
+// outageThreshold.
+func (f *Follower) pullIfUnreachable(ctx context.Context) {
+	if f.timeSinceStoreSuccess() >= outageThreshold {
+		f.pullFromPeers(ctx)
+	}
+}
+
+// pullIfBehind pulls from other instances if the store's changes can't be read, and has a snapshot read in place of
+// a watch that brings none.
+func (f *Follower) pullIfBehind(ctx context.Context) {
+	if f.lag.isBehind(f.now()) {
+		f.log().Warn("cannot keep up with the store; pulling from other instances", "Revision", f.View().Revision)
+		f.cancelWatch(ErrCompacted)
+		f.pullFromPeers(ctx)
+	}
+}
+
+// pullFromPeers pulls from other instances until one of them has newer changes.
 func (f *Follower) pullFromPeers(ctx context.Context) {
-	if f.Peers == nil || f.timeSinceStoreSuccess() < outageThreshold {
+	if f.Peers == nil {
 		return
 	}
 	for _, addr := range f.Peers(f.View()) {
--- a/hitchview/follower_test.go
+++ b/hitchview/follower_test.go
@@ -24,13 +24,16 @@
 	isDown    atomic.Bool
 	watches   atomic.Int64
 	changed   chan struct{}
+	// watchInstead and snapshotInstead take the place of a watch and of a snapshot if they are set.
+	watchInstead, snapshotInstead atomic.Pointer[func() (Batch, error)]
 }
 
 // current returns the store's revision.
 func (s *fakeStore) current() hitchfleet.Revision { return hitchfleet.Revision(s.revision.Load()) }
 
-func (s *fakeStore) table() Msg {
-	revision := s.current()
+func (s *fakeStore) table() Msg { return s.tableOf(s.current()) }
+
+func (s *fakeStore) tableOf(revision hitchfleet.Revision) Msg {
 	return TableMsg{revision, hitchroute.NewTable(hitchroute.Config{Version: revision.Number()})}
 }
 
@@ -38,11 +41,17 @@
 	if s.isDown.Load() {
 		return Batch{}, errStoreDown
 	}
+	if instead := s.snapshotInstead.Load(); instead != nil {
+		return (*instead)()
+	}
 	return Batch{Revision: s.current(), IsSnapshot: true, Messages: []Msg{s.table()}}, nil
 }
 
 func (s *fakeStore) watch(ctx context.Context, after hitchfleet.Revision) (Batch, error) {
 	s.watches.Add(1)
+	if instead := s.watchInstead.Load(); instead != nil {
+		return (*instead)()
+	}
 	for s.isStalled.Load() || s.current() <= after {
 		if s.isDown.Load() {
 			return Batch{}, errStoreDown
@@ -221,3 +230,87 @@
 	qt.Assert(t, hubTimeout(view(195)), qt.Equals, 3*time.Second)
 	qt.Assert(t, hubTimeout(view(400)), qt.Equals, 3*time.Second)
 }
+
+// TestHubThatCannotReadFollowsOthers guards against a hub that goes on with an old configuration, as it repeats a read
+// that can't succeed while its probes do (rule CONFIG). It says that it doesn't keep up, and pulls from others.
+func TestHubThatCannotReadFollowsOthers(t *testing.T) {
+	const configApplyTime = 2 * time.Second
+	type read = func(*fakeStore) (Batch, error)
+	fails := func(*fakeStore) (Batch, error) {
+		return Batch{}, errors.New("the store's entries exceed the size limit")
+	}
+	isCompacted := func(*fakeStore) (Batch, error) { return Batch{}, ErrCompacted }
+	isOld := func(s *fakeStore) (Batch, error) { return Batch{Revision: 10, Messages: []Msg{s.tableOf(10)}}, nil }
+	isOldSnapshot := func(s *fakeStore) (Batch, error) {
+		return Batch{Revision: 10, IsSnapshot: true, Messages: []Msg{s.tableOf(10)}}, nil
+	}
+	tests := map[string]struct{ watch, snapshot read }{
+		"watch and snapshot fail":      {fails, fails},
+		"only snapshots fail":          {isCompacted, fails},
+		"watch brings nothing new":     {isOld, fails},
+		"watch and snapshot stay old":  {isCompacted, isOldSnapshot},
+		"snapshot is always compacted": {isCompacted, isCompacted},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newFakeStore()
+				f := s.follower()
+				f.Peers = func(View) []string { return []string{"peer"} }
+				f.Pull = func(context.Context, string, View) (Batch, error) {
+					return Batch{Revision: s.current(), Messages: []Msg{s.table()}}, nil
+				}
+				ctx, cancel := context.WithCancel(t.Context())
+				done := make(chan struct{})
+				go func() { defer close(done); f.Run(ctx) }()
+				defer func() { cancel(); <-done }()
+				time.Sleep(time.Second)
+				qt.Assert(t, f.KeepsUpWithStore(), qt.IsTrue)
+
+				var reads atomic.Int64
+				insteadOf := func(r read) *func() (Batch, error) {
+					instead := func() (Batch, error) { reads.Add(1); return r(s) }
+					return &instead
+				}
+				s.watchInstead.Store(insteadOf(test.watch))
+				s.snapshotInstead.Store(insteadOf(test.snapshot))
+				s.addRevision() // ends the watch that is in flight
+				time.Sleep(configApplyTime)
+				for n := range 5 {
+					s.addRevision()
+					time.Sleep(configApplyTime)
+					qt.Check(t, tableVersion(f), qt.Equals, s.current().Number(), qt.Commentf("change %d", n))
+					qt.Check(t, f.KeepsUpWithStore(), qt.IsFalse)
+				}
+				qt.Check(t, reads.Load() < 100, qt.IsTrue, qt.Commentf("%d reads in 10 s", reads.Load()))
+				s.watchInstead.Store(nil)
+				s.snapshotInstead.Store(nil)
+				time.Sleep(2 * time.Second)
+				qt.Check(t, f.KeepsUpWithStore(), qt.IsTrue)
+			})
+		})
+	}
+}
+
+// TestHubThatIsBehindIsNotAskedAgain guards against an instance that asks a hub again and again for a revision that this
+// one doesn't have (any more), while another hub has it.
+func TestHubThatIsBehindIsNotAskedAgain(t *testing.T) {
+	runHubFollower(t, func(t *testing.T, _ *fakeStore, f *Follower, _ *atomic.Bool) {
+		asked := make(map[string]int)
+		f.Pull = func(_ context.Context, addr string, _ View) (Batch, error) {
+			asked[addr]++
+			if addr == "behind" {
+				return Batch{}, nil
+			}
+			return Batch{Revision: 12, Messages: []Msg{TableMsg{12, hitchroute.NewTable(hitchroute.Config{Version: 12})}}}, nil
+		}
+		for range 5 {
+			for _, addr := range []string{"behind", "hub"} {
+				f.RecordHubStatus(HubStatus{Addr: addr, Revision: 12, IsStoreReachable: true})
+				time.Sleep(100 * time.Millisecond)
+			}
+		}
+		qt.Check(t, tableVersion(f), qt.Equals, int64(12))
+		qt.Check(t, asked, qt.DeepEquals, map[string]int{"behind": 1, "hub": 1})
+	})
+}
--- a/hitchview/hub.go
+++ b/hitchview/hub.go
@@ -88,7 +88,7 @@
 	// Addr is where to read the changes up to Revision.
 	Addr     string
 	Revision hitchfleet.Revision
-	// IsStoreReachable reports whether the hub can reach the store.
+	// IsStoreReachable reports whether the hub can reach the store and keeps up with it.
 	IsStoreReachable bool
 }
 
@@ -122,7 +122,7 @@
 // IsCurrent reports whether the view is kept up to date by the store or by a hub.
 func (f *Follower) IsCurrent() bool {
 	v := f.View()
-	return v.Table != nil && (f.IsStoreReachable() || f.hubs.hasLiveHub(f.now(), hubTimeout(v)))
+	return v.Table != nil && (f.KeepsUpWithStore() || f.hubs.hasLiveHub(f.now(), hubTimeout(v)))
 }
 
 // followHub waits for the next hub status and pulls the changes that the view
@@ -142,13 +142,13 @@
 	if revision <= f.View().Revision {
 		return
 	}
-	if !f.pullFrom(ctx, addr) {
+	if !f.pullFrom(ctx, addr) || f.View().Revision < revision {
 		f.hubs.forgetNewest(addr)
 	}
 }
 
 // forgetNewest discards the newest revision if it was reported by the hub at
-// addr, from which the pull failed. The next status replaces it.
+// addr, from which it couldn't be pulled. The next status replaces it.
 func (h *hubState) forgetNewest(addr string) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
