--- a/hitchedge/origin.go
+++ b/hitchedge/origin.go
@@ -19,6 +19,9 @@
 // stream.
 const originPath = "/v1/origin"
 
+// maxOriginAnswerBytes limits an answer about the origin of a stream, which names a service and a version.
+const maxOriginAnswerBytes = 16 << 10
+
 // maxOriginsPerDatagram limits a datagram with origins to about a kilobyte.
 const maxOriginsPerDatagram = 24
 
@@ -118,7 +121,7 @@
 	if res.StatusCode != http.StatusOK {
 		return answer, fmt.Errorf("unexpected status %d", res.StatusCode)
 	}
-	if err := json.NewDecoder(res.Body).Decode(&answer); err != nil {
+	if err := json.NewDecoder(http.MaxBytesReader(nil, res.Body, maxOriginAnswerBytes)).Decode(&answer); err != nil {
 		return hitchorigin.Answer{}, err
 	}
 	return answer, nil
--- a/hitchedge/peerlimit_test.go
+++ b/hitchedge/peerlimit_test.go
@@ -71,3 +71,34 @@
 	runtime.ReadMemStats(&m)
 	return m.TotalAlloc
 }
+
+// TestEndlessAnswersOfPeer guards against an instance that keeps all bytes of another one, or of a process that has its
+// address now, that sends no answer but bytes without end.
+func TestEndlessAnswersOfPeer(t *testing.T) {
+	const size, maxAllocBytes = 64 << 20, 16 << 20
+	var e *Edge
+	fetches := map[string]func(addr string) error{
+		"origin":   func(addr string) error { _, err := e.fetchOrigin(t.Context(), addr, 1, "r"); return err },
+		"versions": func(addr string) error { _, err := e.fetchVersions(t.Context(), addr); return err },
+	}
+	for name, fetch := range fetches {
+		t.Run(name, func(t *testing.T) {
+			block := bytes.Repeat([]byte("a"), 64<<10)
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				_, _ = io.WriteString(w, `{"Version":"`)
+				for sent := 0; sent < size; sent += len(block) {
+					if _, err := w.Write(block); err != nil {
+						return
+					}
+				}
+			}))
+			t.Cleanup(server.Close)
+			e = newEdge()
+			before := allocatedBytes()
+			err := fetch(strings.TrimPrefix(server.URL, "http://"))
+			allocated := allocatedBytes() - before
+			qt.Assert(t, err, qt.IsNotNil)
+			qt.Assert(t, allocated < maxAllocBytes, qt.IsTrue, qt.Commentf("%d bytes", allocated))
+		})
+	}
+}
