Own API: messages of the store are bounded, and a watch that is too long is read as a list

A call whose answer is longer isn't repeated; a watch is read as a list, which is as long as the state. Measured: TestEndlessResponsesOfStore: 537 MB allocated for get and watch on the code before; at most 144 MB are allowed now (a decoder's buffers double). TestWatchThatIsTooLongIsReadAsList: no change within 10 s before.

--- a/hitchstore/call.go
+++ b/hitchstore/call.go
@@ -26,9 +26,10 @@
 		return err
 	}
 	defer response.Body.Close()
-	if err := json.NewDecoder(response.Body).Decode(result); err != nil {
+	body := messageReader{body: response.Body, left: maxMessageBytes}
+	if err := json.NewDecoder(&body).Decode(result); err != nil {
 		c.recordFailure(endpoint)
-		return &callError{Ambiguous: true, Err: fmt.Errorf("%s: read response: %w", path, err)}
+		return &callError{Ambiguous: true, Final: errors.Is(err, errMessageTooLarge), Err: fmt.Errorf("%s: read response: %w", path, err)}
 	}
 	c.recordSuccess()
 	return nil
--- a/hitchstore/watch.go
+++ b/hitchstore/watch.go
@@ -87,13 +87,18 @@
 		return err
 	}
 	defer response.Body.Close()
-	decoder := json.NewDecoder(response.Body)
+	messages := messageReader{body: response.Body}
+	decoder := json.NewDecoder(&messages)
 	for created := false; ; created = true {
 		var message wireWatchResponse
+		messages.left = maxMessageBytes
 		if err := decoder.Decode(&message); err != nil {
 			if created && ctx.Err() != nil {
 				return nil
 			}
+			if errors.Is(err, errMessageTooLarge) { // it would only be longer the next time
+				return errors.Join(err, errCompacted)
+			}
 			w.client.recordFailure(endpoint)
 			return fmt.Errorf("read watch: %w", err)
 		}
