--- a/hitchroute/table.go
+++ b/hitchroute/table.go
@@ -60,7 +60,9 @@
 	}
 	for i := range cfg.Organisations {
 		for _, key := range cfg.Organisations[i].Keys {
-			t.byAPIKey[key] = &cfg.Organisations[i]
+			if key != "" { // a request without a key has the empty one
+				t.byAPIKey[key] = &cfg.Organisations[i]
+			}
 		}
 	}
 	return t
