--- a/hitchnode/list.go
+++ b/hitchnode/list.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -52,14 +53,38 @@
 	if response.StatusCode != http.StatusOK {
 		return fmt.Errorf("status %d", response.StatusCode)
 	}
-	var list hitchfleet.InstanceList
-	if err := json.NewDecoder(io.LimitReader(response.Body, maxListBytes)).Decode(&list); err != nil {
+	var answer listAnswer
+	if err := json.NewDecoder(io.LimitReader(response.Body, maxListBytes)).Decode(&answer); err != nil {
 		return err
 	}
-	l.replace(list)
+	if !answer.Endpoints.isPresent || !answer.Instances.isPresent {
+		return errIncompleteList
+	}
+	l.replace(hitchfleet.InstanceList{Endpoints: answer.Endpoints.entries, Instances: answer.Instances.entries, AsOf: answer.AsOf})
 	return nil
 }
 
+// listAnswer is the platform's answer.
+type listAnswer struct {
+	Endpoints optionalList[hitchfleet.Endpoint]
+	Instances optionalList[hitchfleet.Instance]
+	AsOf      time.Time
+}
+
+// optionalList is a list that an answer may lack. One that is there and empty, or null, says that nothing is left.
+type optionalList[T any] struct {
+	entries   []T
+	isPresent bool
+}
+
+// UnmarshalJSON decodes the list. It is called only if the answer has one.
+func (l *optionalList[T]) UnmarshalJSON(b []byte) error {
+	l.isPresent = true
+	return json.Unmarshal(b, &l.entries)
+}
+
+var errIncompleteList = errors.New("field Endpoints or Instances is missing")
+
 // replace stores a list without duplicate IDs, its endpoints sorted by ID, unless it
 // is older than the stored one.
 func (l *instanceList) replace(list hitchfleet.InstanceList) {
