An instance that no hub can serve reads the store itself

Change: lag, the same type as for the store, notes what hubs announce and no pull brings. After the time that is also waited for a hub's status (1.2 to 3 s by the fleet's size) the store is read, until a read succeeds.

--- a/hitchview/follower.go
+++ b/hitchview/follower.go
@@ -72,8 +72,10 @@
 	view        atomic.Pointer[View]
 	changeLog   changeLog // guarded by mu
 	storeHealth storeHealth
-	lag         storeLag
-	hubs        hubState
+	// storeLag and hubLag are those of the source that is read at present.
+	storeLag lag
+	hubLag   lag
+	hubs     hubState
 	// watchCancel cancels the current watch call.
 	watchCancel atomic.Pointer[context.CancelCauseFunc]
 }
@@ -90,7 +92,9 @@
 func (f *Follower) IsStoreReachable() bool { return !f.storeHealth.isUnreachable(f.now()) }
 
 // KeepsUpWithStore reports whether the store is reachable and its changes can be read.
-func (f *Follower) KeepsUpWithStore() bool { return f.IsStoreReachable() && !f.lag.isBehind(f.now()) }
+func (f *Follower) KeepsUpWithStore() bool {
+	return f.IsStoreReachable() && !f.storeLag.lastsFor(f.now(), maxStoreLag)
+}
 
 // timeSinceStoreSuccess returns the time since the last successful call to the
 // store.
@@ -134,7 +138,7 @@
 	retryDelay := minRetryDelay
 	for ctx.Err() == nil {
 		if !needsSnapshot && f.followsHub() {
-			f.lag.reset()
+			f.storeLag.reset()
 			f.followHub(ctx)
 			continue
 		}
@@ -161,10 +165,11 @@
 // after the next failure. A snapshot that brings nothing new may have to be repeated like a call that failed.
 func (f *Follower) applyRead(ctx context.Context, batch Batch, retryDelay time.Duration) time.Duration {
 	f.recordSuccess()
+	f.hubLag.reset()
 	f.logNewEra(batch)
 	batch.KeepExpiredUntil = f.keepExpiredUntil(batch)
 	isNew := batch.Revision > f.View().Revision
-	f.lag.recordRead(f.now(), batch.Revision, isNew)
+	f.storeLag.recordRead(f.now(), batch.Revision, isNew)
 	f.apply(batch)
 	if batch.IsSnapshot && !isNew {
 		sleep(ctx, retryDelay)
@@ -212,7 +217,7 @@
 func (f *Follower) probeStore(ctx context.Context) {
 	for ctx.Err() == nil {
 		sleep(ctx, probeInterval)
-		if f.followsHub() || f.lag.timeSinceNews(f.now()) < probeInterval/2 {
+		if f.followsHub() || f.storeLag.timeSinceNews(f.now()) < probeInterval/2 {
 			continue
 		}
 		before := f.View().Revision
@@ -226,7 +231,7 @@
 		default:
 			f.recordSuccess()
 			if revision > before {
-				f.lag.recordProbe(f.now(), revision)
+				f.storeLag.recordSeen(f.now(), revision)
 				f.checkWatchLag(ctx, revision)
 			}
 			f.pullIfBehind(ctx)
@@ -255,7 +260,7 @@
 // pullIfBehind pulls from other instances if the store's changes can't be read, and has a snapshot read in place of
 // a watch that brings none.
 func (f *Follower) pullIfBehind(ctx context.Context) {
-	if f.lag.isBehind(f.now()) {
+	if f.storeLag.lastsFor(f.now(), maxStoreLag) {
 		f.log().Warn("cannot keep up with the store; pulling from other instances", "Revision", f.View().Revision)
 		f.cancelWatch(ErrCompacted)
 		f.pullFromPeers(ctx)
--- a/hitchview/follower_test.go
+++ b/hitchview/follower_test.go
@@ -314,3 +314,29 @@
 		qt.Check(t, asked, qt.DeepEquals, map[string]int{"behind": 1, "hub": 1})
 	})
 }
+
+// TestFollowerThatCannotPullReadsStore guards against an instance that goes on with an old configuration, as it repeats pulls
+// from hubs that can't succeed (rule CONFIG).
+func TestFollowerThatCannotPullReadsStore(t *testing.T) {
+	tests := map[string]func() (Batch, error){
+		"pulls fail":          func() (Batch, error) { return Batch{}, errors.New("http: request body too large") },
+		"pulls bring nothing": func() (Batch, error) { return Batch{}, nil },
+		"pulls stay old":      func() (Batch, error) { return Batch{Revision: 11}, nil },
+	}
+	for name, pull := range tests {
+		t.Run(name, func(t *testing.T) {
+			runHubFollower(t, func(t *testing.T, s *fakeStore, f *Follower, _ *atomic.Bool) {
+				f.Pull = func(context.Context, string, View) (Batch, error) { return pull() }
+				watches := s.watches.Load()
+				for n := range int64(3) {
+					s.revision.Store(12 + n)
+					for begun := time.Now(); time.Since(begun) < 3*time.Second; time.Sleep(200 * time.Millisecond) {
+						f.RecordHubStatus(HubStatus{Addr: "hub", Revision: s.current(), IsStoreReachable: true})
+					}
+					qt.Check(t, tableVersion(f), qt.Equals, 12+n)
+				}
+				qt.Check(t, s.watches.Load()-watches <= 6, qt.IsTrue, qt.Commentf("%d watches", s.watches.Load()-watches))
+			})
+		})
+	}
+}
--- a/hitchview/hub.go
+++ b/hitchview/hub.go
@@ -109,11 +109,11 @@
 	if f.WatchesStore == nil || v.Table == nil || f.WatchesStore() {
 		return false
 	}
-	return f.hubs.hasLiveHub(f.now(), hubTimeout(v))
+	return f.hubs.hasLiveHub(f.now(), hubTimeout(v)) && !f.hubLag.lastsFor(f.now(), hubTimeout(v))
 }
 
-// hubTimeout returns how long to wait for a status of a hub before watching the store
-// instead. In a large fleet that allows for the time in which other instances take the
+// hubTimeout returns how long to wait for a status of a hub, or for the changes that it announces, before watching
+// the store instead. In a large fleet that allows for the time in which other instances take the
 // place of the hubs, so that the instances don't all turn to the store.
 func hubTimeout(v View) time.Duration {
 	return minHubTimeout + min(time.Duration(len(v.instances))*hubTimeoutPerInstance, maxExtraHubTimeout)
@@ -140,11 +140,18 @@
 	}
 	addr, revision := f.hubs.newestRevision()
 	if revision <= f.View().Revision {
+		f.hubLag.reset()
 		return
 	}
+	f.hubLag.recordSeen(f.now(), revision)
 	if !f.pullFrom(ctx, addr) || f.View().Revision < revision {
 		f.hubs.forgetNewest(addr)
+		if f.hubLag.lastsFor(f.now(), hubTimeout(f.View())) {
+			f.log().Warn("no hub has the changes that are announced; watching the store", "Revision", f.View().Revision, "Announced", revision, "Addr", addr)
+		}
+		return
 	}
+	f.hubLag.reset()
 }
 
 // forgetNewest discards the newest revision if it was reported by the hub at
--- a/hitchview/storelag.go
+++ b/hitchview/lag.go
@@ -11,11 +11,11 @@
 // from other instances and says that it doesn't keep up.
 const maxStoreLag = 900 * time.Millisecond
 
-// storeLag tracks since when the store has had changes that no read of it brought, although probes show
-// them. The zero value knows of none. Its methods are safe for concurrent use.
-type storeLag struct {
+// lag tracks since when a source, the store or the hubs, has had changes that no read of it brought, although
+// probes or statuses show them. The zero value knows of none. Its methods are safe for concurrent use.
+type lag struct {
 	mu sync.Mutex
-	// revision is one that a probe saw at the time since and that no read has brought yet; 0 if there
+	// revision is one that was seen at the time since and that no read has brought yet; 0 if there
 	// is none.
 	revision hitchfleet.Revision
 	since    time.Time
@@ -23,8 +23,8 @@
 	newsAt time.Time
 }
 
-// recordProbe records a revision that the store has and the view lacks.
-func (l *storeLag) recordProbe(now time.Time, revision hitchfleet.Revision) {
+// recordSeen records a revision that the source has and the view lacks.
+func (l *lag) recordSeen(now time.Time, revision hitchfleet.Revision) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.revision == 0 {
@@ -33,7 +33,7 @@
 }
 
 // recordRead records the revision that a read brought, and whether the view lacked it.
-func (l *storeLag) recordRead(now time.Time, revision hitchfleet.Revision, isNew bool) {
+func (l *lag) recordRead(now time.Time, revision hitchfleet.Revision, isNew bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if revision >= l.revision {
@@ -44,22 +44,22 @@
 	}
 }
 
-// isBehind reports whether reads have brought less than the store has for maxStoreLag.
-func (l *storeLag) isBehind(now time.Time) bool {
+// lastsFor reports whether reads have brought less than the source has for at least d.
+func (l *lag) lastsFor(now time.Time, d time.Duration) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.revision != 0 && now.Sub(l.since) >= maxStoreLag
+	return l.revision != 0 && now.Sub(l.since) >= d
 }
 
 // timeSinceNews returns the time since a read last brought a newer revision than the view's.
-func (l *storeLag) timeSinceNews(now time.Time) time.Duration {
+func (l *lag) timeSinceNews(now time.Time) time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return now.Sub(l.newsAt)
 }
 
-// reset forgets what probes saw, as the store isn't read any more.
-func (l *storeLag) reset() {
+// reset forgets what was seen, as the source isn't read any more.
+func (l *lag) reset() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.revision = 0
