An update for other instances isn't sent again later than 100 ms

While the store is away the revision stands still, so that the update from it was encoded once and sent again for seconds. TestPeerUpdateIsEncodedOnce runs on a clock of its own now, as strict as before.

--- a/hitchedge/edge_test.go
+++ b/hitchedge/edge_test.go
@@ -281,6 +281,10 @@
 }
 
 func TestPeerUpdateIsEncodedOnce(t *testing.T) {
+	synctest.Test(t, testPeerUpdateIsEncodedOnce)
+}
+
+func testPeerUpdateIsEncodedOnce(t *testing.T) {
 	var cache peerUpdateCache
 	calls := 0
 	newUpdate := func(hitchfleet.Revision, hitchfleet.Revision) hitchview.PeerUpdate {
--- a/hitchedge/peerupdatecache.go
+++ b/hitchedge/peerupdatecache.go
@@ -5,18 +5,24 @@
 	"compress/gzip"
 	"encoding/json"
 	"sync"
+	"time"
 
 	"citronhitch.example/citronhitch/hitchfleet"
 	"citronhitch.example/citronhitch/hitchview"
 )
 
+// maxUpdateAge is how long an update is sent again. The times in it are relative to when it was encoded, so that a
+// later receiver would keep entries for longer that the store has removed.
+const maxUpdateAge = 100 * time.Millisecond
+
 // peerUpdateCache caches the encoded updates to the current revision, as most
 // instances ask a hub for the same changes at the same time. The zero value is ready
 // to use.
 type peerUpdateCache struct {
-	mu       sync.Mutex
-	revision hitchfleet.Revision // revision that the cached updates lead to
-	bodies   map[peerRevisions][]byte
+	mu        sync.Mutex
+	revision  hitchfleet.Revision // revision that the cached updates lead to
+	expiresAt time.Time
+	bodies    map[peerRevisions][]byte
 }
 
 // peerRevisions holds the revisions that the requesting instance already has.
@@ -30,8 +36,8 @@
 func (c *peerUpdateCache) get(currentRevision, revision, tableRevision hitchfleet.Revision, newUpdate func(revision, tableRevision hitchfleet.Revision) hitchview.PeerUpdate) ([]byte, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.bodies == nil || c.revision != currentRevision {
-		c.revision, c.bodies = currentRevision, make(map[peerRevisions][]byte)
+	if now := time.Now(); c.revision != currentRevision || !now.Before(c.expiresAt) {
+		c.revision, c.expiresAt, c.bodies = currentRevision, now.Add(maxUpdateAge), make(map[peerRevisions][]byte)
 	}
 	key := peerRevisions{revision, tableRevision}
 	if body, ok := c.bodies[key]; ok {
