--- a/hitchview/order_test.go
+++ b/hitchview/order_test.go
@@ -143,8 +143,8 @@
 	})
 }
 
-// TestHeldUpBatchDoesNotUndoRemoval is the case of a watch that a cut holds up while another instance tells of the
-// removal.
+// TestHeldUpBatchDoesNotUndoRemoval guards against requests to an endpoint that has left (rule DRAIN): a cut holds up the
+// answer to a watch while another instance tells of the removal, and the answer brings the endpoint back.
 func TestHeldUpBatchDoesNotUndoRemoval(t *testing.T) {
 	cold := EndpointMsg{Revision: 11, Endpoint: hitchfleet.Endpoint{ID: "e", Sequence: 2}}
 	gone := EndpointRemovedMsg{Revision: 12, ID: "e"}
