Own API: bytes without end keep no memory at real processes

Causes: net/http's limit for heads is 10 MB, which is parsed into several times that; several calls at once had 32 MiB each. Change: heads of the store, the list and engines' reports have 16 and 8 KiB, answers and messages of a watch of the store 4 MiB, lists 16 MiB.

--- a/cmd/citronhitch/processes_test.go
+++ b/cmd/citronhitch/processes_test.go
@@ -51,8 +51,10 @@
 
 // startProcess runs the program in the background, waits until it is ready and parses
 // the line that it then prints.
-func startProcess(t *testing.T, args ...string) *process {
-	cmd := exec.Command(os.Args[0], args...)
+func startProcess(t *testing.T, args ...string) *process { return startProgram(t, os.Args[0], args...) }
+
+func startProgram(t *testing.T, program string, args ...string) *process {
+	cmd := exec.Command(program, args...)
 	cmd.Env = append(os.Environ(), runProgramVariable)
 	cmd.Env = withoutSettings(cmd.Env)
 	cmd.Stderr = io.Discard
@@ -87,6 +89,8 @@
 // fleet consists of routers and fakes, each a separate process. The transcript
 // records a session's commands and results for comparison with a golden file.
 type fleet struct {
+	// program is what the routers run.
+	program    string
 	deployment hitchdev.Deployment
 	store      *process
 	list       *process
@@ -99,19 +103,27 @@
 
 // startFleet starts a small deployment as separate processes.
 func startFleet(t *testing.T) *fleet {
+	return startFleetThrough(t, os.Args[0], func(_, addr string) string { return addr })
+}
+
+// startFleetThrough starts a small deployment whose routers are processes of a program, and reach the fakes at the
+// addresses that through returns for their names and addresses.
+func startFleetThrough(t *testing.T, program string, through func(name, addr string) string) *fleet {
 	d := hitchdev.Kustakvariet()
 	d.Routers, d.Engines, d.Services, d.Organisations = 3, 3, 1, 2
-	f := &fleet{deployment: d, store: startProcess(t, "fake", "store"), list: startProcess(t, "fake", "list")}
+	f := &fleet{program: program, deployment: d, store: startProcess(t, "fake", "store"), list: startProcess(t, "fake", "list")}
+	f.store.values["Address"] = through("store", f.store.values["Address"])
+	f.list.values["Address"] = through("list", f.list.values["Address"])
 	for n := range d.Engines {
 		f.engines = append(f.engines, startProcess(t, "fake", "engine", "--tokens-per-second=200"))
 		f.platform.Endpoints = append(f.platform.Endpoints, hitchfleet.Endpoint{
-			ID: hitchfleet.EndpointID(fmt.Sprintf("guide-llm-%d", n)), URL: "http://" + f.engines[n].values["Address"],
+			ID: hitchfleet.EndpointID(fmt.Sprintf("guide-llm-%d", n)), URL: "http://" + through("engine", f.engines[n].values["Address"]),
 			Region: d.Region, Zone: d.Zone(n), Route: d.EngineRoute,
 		})
 	}
 	f.services = append(f.services, startProcess(t, "fake", "service"))
 	f.platform.Endpoints = append(f.platform.Endpoints, hitchfleet.Endpoint{
-		ID: "boxoffice-api-0", Kind: hitchfleet.KindService, URL: "http://" + f.services[0].values["Address"],
+		ID: "boxoffice-api-0", Kind: hitchfleet.KindService, URL: "http://" + through("service", f.services[0].values["Address"]),
 		Region: d.Region, Zone: d.Zone(0), Route: d.ServiceRoute,
 	})
 	f.createConfiguration(t)
@@ -137,7 +149,7 @@
 		id := hitchfleet.InstanceID(fmt.Sprintf("router-%d", n))
 		keys, err := authority.Issue(id, time.Now())
 		qt.Assert(t, err, qt.IsNil)
-		router := startProcess(t, "serve", "--id="+string(id), "--region="+string(f.deployment.Region), "--zone="+string(f.deployment.Zone(n)),
+		router := startProgram(t, f.program, "serve", "--id="+string(id), "--region="+string(f.deployment.Region), "--zone="+string(f.deployment.Zone(n)),
 			"--address=127.0.0.1:0", "--peer-address=127.0.0.1:0", "--grace-ms=500",
 			"--store=http://"+f.store.values["Address"], "--list=http://"+f.list.values["Address"],
 			"--peer-certificate="+keys.Certificate, "--peer-key="+keys.PrivateKey, "--peer-authority="+keys.Authorities,
--- a/hitchforward/limit.go
+++ b/hitchforward/limit.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"math"
+	"net/http"
 )
 
 // maxHeadBytes is the maximum size of the status line and header of a response, with
@@ -36,3 +37,11 @@
 	r.remaining -= int64(n)
 	return n, err
 }
+
+// NewTransport returns a transport as http.DefaultTransport is, for calls that aren't requests of callers, which limits the
+// heads of responses to 8 KiB.
+func NewTransport() *http.Transport {
+	t := http.DefaultTransport.(*http.Transport).Clone()
+	t.MaxResponseHeaderBytes = maxHeadBytes
+	return t
+}
--- a/hitchnode/orderengine.go
+++ b/hitchnode/orderengine.go
@@ -14,6 +14,7 @@
 	"github.com/samber/lo"
 
 	"citronhitch.example/citronhitch/hitchfleet"
+	"citronhitch.example/citronhitch/hitchforward"
 	"citronhitch.example/citronhitch/hitchorder"
 )
 
@@ -34,7 +35,13 @@
 }
 
 // unkeptConns opens a connection for each call.
-var unkeptConns = &http.Transport{DisableKeepAlives: true}
+var unkeptConns = newUnkeptConns()
+
+func newUnkeptConns() *http.Transport {
+	t := hitchforward.NewTransport()
+	t.DisableKeepAlives = true
+	return t
+}
 
 // do makes a call.
 func (c *engineClient) do(r *http.Request) (*http.Response, error) {
--- a/hitchnode/wire.go
+++ b/hitchnode/wire.go
@@ -7,6 +7,7 @@
 
 	"citronhitch.example/citronhitch/hitchapi"
 	"citronhitch.example/citronhitch/hitchfleet"
+	"citronhitch.example/citronhitch/hitchforward"
 	"citronhitch.example/citronhitch/hitchpeer"
 	"citronhitch.example/citronhitch/hitchrouter"
 	"citronhitch.example/citronhitch/hitchstore"
@@ -45,7 +46,7 @@
 }
 
 func provideList(i do.Injector) (*instanceList, error) {
-	return &instanceList{url: do.MustInvoke[*Node](i).Settings.ListURL}, nil
+	return &instanceList{url: do.MustInvoke[*Node](i).Settings.ListURL, client: http.Client{Transport: hitchforward.NewTransport()}}, nil
 }
 
 func providePeers(i do.Injector) (*hitchpeer.Node, error) {
--- a/hitchrouter/fetch.go
+++ b/hitchrouter/fetch.go
@@ -7,6 +7,8 @@
 	"io"
 	"net/http"
 	"time"
+
+	"citronhitch.example/citronhitch/hitchforward"
 )
 
 // Limits of fetching an endpoint's own reports.
@@ -15,6 +17,9 @@
 	maxReportBytes = 1 << 20
 )
 
+// reportClient fetches the reports.
+var reportClient = http.Client{Transport: hitchforward.NewTransport()}
+
 // fetchJSON sends a GET request to an endpoint and decodes the JSON response.
 func (rt *Router) fetchJSON(ctx context.Context, url string, into any) (err error) {
 	defer func() {
@@ -28,7 +33,7 @@
 	if err != nil {
 		return err
 	}
-	response, err := rt.reportClient.Do(request)
+	response, err := reportClient.Do(request)
 	if err != nil {
 		return err
 	}
--- a/hitchrouter/router.go
+++ b/hitchrouter/router.go
@@ -13,7 +13,6 @@
 package hitchrouter
 
 import (
-	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -78,7 +77,6 @@
 	evictions        hitchplace.EvictionTracker
 	outliers         hitchplace.OutlierDetector
 	eventCursors     cacheEventCursors
-	reportClient     http.Client
 	retryBudgets     retryBudgets
 	homeIDs          homeTable
 	bindingLimiter   hitchclaim.BindingLimiter
--- a/hitchsoak/endless_test.go
+++ b/hitchsoak/endless_test.go
@@ -1,10 +1,8 @@
 package hitchsoak
 
 import (
-	"bufio"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"os"
@@ -22,6 +20,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"citronhitch.example/citronhitch/hitchdigest"
+	"citronhitch.example/citronhitch/hitchfake"
 	"citronhitch.example/citronhitch/hitchfleet"
 	"citronhitch.example/citronhitch/hitchpath"
 	hitchstandin "citronhitch.example/citronhitch/platform/standin"
@@ -39,116 +38,44 @@
 	impostorPort = 7355
 )
 
-// flood sends start and then unit again and again to whoever sends a request, until the connection is closed. It
-// pauses before each unit if it is slow.
-type flood struct {
-	start, unit string
-	isSlow      bool
-}
-
 const okHead = "HTTP/1.1 200 OK\r\nX-Attempt-Id: {id}\r\n"
 
 // floods are the kinds of bytes without end.
-var floods = map[string]flood{
-	"header lines":  {"HTTP/1.1 200 OK\r\n", "A: a\r\n", false},
-	"one line":      {"HTTP/1.1 200 OK\r\nA: ", "a", false},
-	"interim":       {"", "HTTP/1.1 103 Early Hints\r\nA: a\r\n\r\n", false},
-	"body":          {okHead + "\r\n" + `{"A":"`, "a", false},
-	"chunks":        {okHead + "Transfer-Encoding: chunked\r\n\r\n", "40\r\n" + strings.Repeat(" ", 64) + "\r\n", false},
-	"error":         {"HTTP/1.1 503 Busy\r\nX-Attempt-Id: {id}\r\n\r\n", "a", false},
-	"events":        {okHead + "Content-Type: text/event-stream\r\n\r\n", "data: a\n", false},
-	"slow header":   {"HTTP/1.1 200 OK\r\n", "A: a\r\n", true},
-	"slow body":     {okHead + "\r\n", "a", true},
-	"slow comments": {okHead + "Content-Type: text/event-stream\r\n\r\n", ": a\n\n", true},
-	"no HTTP":       {"", "\x00\xff", false},
-}
-
-// floodHits counts the requests that floods answered, by the first part of their paths.
-type floodHits struct {
-	mu     sync.Mutex
-	counts map[string]int
-}
-
-func (h *floodHits) add(path string) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if h.counts == nil {
-		h.counts = make(map[string]int)
-	}
-	h.counts[path]++
-}
-
-// take returns the counts and begins anew.
-func (h *floodHits) take() map[string]int {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	defer func() { h.counts = nil }()
-	return h.counts
-}
-
-// serve answers a connection.
-func (f flood) serve(c net.Conn, hits *floodHits) {
-	defer func() { _ = c.Close() }()
-	r, err := http.ReadRequest(bufio.NewReader(c))
-	if err != nil {
-		return
-	}
-	hits.add(r.URL.Path)
-	go func() { _, _ = io.Copy(io.Discard, r.Body) }()
-	f.send(c, strings.ReplaceAll(f.start, "{id}", r.Header.Get("X-Attempt-Id")))
-}
-
-// send sends start and then the unit without end.
-func (f flood) send(c net.Conn, start string) {
-	block := []byte(f.unit)
-	if !f.isSlow {
-		block = []byte(strings.Repeat(f.unit, 1+(64<<10)/len(f.unit)))
-	}
-	_, err := io.WriteString(c, start)
-	for err == nil {
-		if f.isSlow {
-			time.Sleep(20 * time.Millisecond)
-		}
-		_, err = c.Write(block)
-	}
+var floods = map[string]hitchfake.Flood{
+	"header lines":  {Start: "HTTP/1.1 200 OK\r\n", Unit: "A: a\r\n"},
+	"one line":      {Start: "HTTP/1.1 200 OK\r\nA: ", Unit: "a"},
+	"interim":       {Start: "", Unit: "HTTP/1.1 103 Early Hints\r\nA: a\r\n\r\n"},
+	"body":          {Start: okHead + "\r\n" + `{"A":"`, Unit: "a", IDHeader: "X-Attempt-Id"},
+	"chunks":        {Start: okHead + "Transfer-Encoding: chunked\r\n\r\n", Unit: "40\r\n" + strings.Repeat(" ", 64) + "\r\n", IDHeader: "X-Attempt-Id"},
+	"error":         {Start: "HTTP/1.1 503 Busy\r\nX-Attempt-Id: {id}\r\n\r\n", Unit: "a", IDHeader: "X-Attempt-Id"},
+	"events":        {Start: okHead + "Content-Type: text/event-stream\r\n\r\n", Unit: "data: a\n", IDHeader: "X-Attempt-Id"},
+	"slow header":   {Start: "HTTP/1.1 200 OK\r\n", Unit: "A: a\r\n", IsSlow: true},
+	"slow body":     {Start: okHead + "\r\n", Unit: "a", IDHeader: "X-Attempt-Id", IsSlow: true},
+	"slow comments": {Start: okHead + "Content-Type: text/event-stream\r\n\r\n", Unit: ": a\n\n", IDHeader: "X-Attempt-Id", IsSlow: true},
+	"no HTTP":       {Start: "", Unit: "\x00\xff"},
 }
 
 // listenEach calls serve for each connection to a loopback address, which it returns.
-func listenEach(t *testing.T, serve func(net.Conn)) (addr string) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+func listenEach(t *testing.T, serve func(net.Conn)) string {
+	addr, stop, err := hitchfake.ServeEach(serve)
 	qt.Assert(t, err, qt.IsNil)
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go serve(c)
-		}
-	}()
-	return l.Addr().String()
+	t.Cleanup(stop)
+	return addr
 }
 
 // endlessFleet is a fleet of three processes on machines of machineMegabytes, whose path to the store can be replaced with
 // bytes without end.
 type endlessFleet struct {
 	*killedFleet
-	storeFlood atomic.Pointer[flood]
-	hits       floodHits
-	mu         sync.Mutex
-	storeConns []net.Conn
+	stores []*hitchfake.FloodablePath
+	hits   hitchfake.FloodHits
 }
 
 // floodStore replaces the paths to the store with bytes without end, or restores them if kind is nil.
-func (f *endlessFleet) floodStore(kind *flood) {
-	f.storeFlood.Store(kind)
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	for _, c := range f.storeConns {
-		_ = c.Close()
+func (f *endlessFleet) floodStore(kind *hitchfake.Flood) {
+	for _, path := range f.stores {
+		path.SetFlood(kind)
 	}
-	f.storeConns = nil
 }
 
 func startEndlessFleet(t *testing.T, seed uint64, program string) *endlessFleet {
@@ -158,11 +85,12 @@
 	for _, i := range f.instances {
 		i.signal(syscall.SIGKILL)
 		_ = i.cmd.Wait()
-		target := i.storeAddr
-		proxy := listenEach(t, func(c net.Conn) { f.serveStore(c, target) })
+		path := &hitchfake.FloodablePath{Target: i.storeAddr, Hits: &f.hits}
+		f.stores = append(f.stores, path)
+		addr := listenEach(t, path.Serve)
 		text, err := os.ReadFile(i.settings)
 		qt.Assert(t, err, qt.IsNil)
-		changed := strings.Replace(strings.Replace(string(text), target, proxy, 1), "linkMbps", fmt.Sprintf("memoryMb = %d\nlinkMbps", machineMegabytes), 1)
+		changed := strings.Replace(strings.Replace(string(text), i.storeAddr, addr, 1), "linkMbps", fmt.Sprintf("memoryMb = %d\nlinkMbps", machineMegabytes), 1)
 		qt.Assert(t, os.WriteFile(i.settings, []byte(changed), 0o600), qt.IsNil)
 		qt.Assert(t, i.start(), qt.IsNil)
 	}
@@ -170,25 +98,6 @@
 	return f
 }
 
-// serveStore forwards a connection to the store, or answers it with bytes without end.
-func (f *endlessFleet) serveStore(c net.Conn, target string) {
-	f.mu.Lock()
-	f.storeConns = append(f.storeConns, c)
-	f.mu.Unlock()
-	if flood := f.storeFlood.Load(); flood != nil {
-		flood.serve(c, &f.hits)
-		return
-	}
-	store, err := net.Dial("tcp", target)
-	if err != nil {
-		_ = c.Close()
-		return
-	}
-	go func() { _, _ = io.Copy(store, c); _ = store.Close() }()
-	_, _ = io.Copy(c, store)
-	_ = c.Close()
-}
-
 // awaitServing waits until all instances serve.
 func (f *endlessFleet) awaitServing(name string) {
 	for n, addr := range f.addrs() {
@@ -236,10 +145,10 @@
 }
 
 // putEndless adds endpoints that send bytes without end, and returns the function that removes them.
-func (f *endlessFleet) putEndless(t *testing.T, kinds map[string]flood) (remove func()) {
+func (f *endlessFleet) putEndless(t *testing.T, kinds map[string]hitchfake.Flood) (remove func()) {
 	var keys []string
 	for name, kind := range kinds {
-		e := hitchstandin.Endpoint{ID: "endless-" + strings.ReplaceAll(name, " ", "-"), Service: "engines", Zone: zoneOf(len(keys)), Addr: listenEach(t, func(c net.Conn) { kind.serve(c, &f.hits) })}
+		e := hitchstandin.Endpoint{ID: "endless-" + strings.ReplaceAll(name, " ", "-"), Service: "engines", Zone: zoneOf(len(keys)), Addr: listenEach(t, func(c net.Conn) { kind.Serve(c, &f.hits) })}
 		if len(keys)%2 == 1 {
 			e.Service = "shop"
 		}
@@ -255,8 +164,8 @@
 
 // addImpostor adds an instance that is alive by its datagrams and that says to be a hub with the newest revision, while what it
 // serves has no end. It returns the function that removes it.
-func (f *endlessFleet) addImpostor(t *testing.T, kind flood) (remove func()) {
-	addr := listenEach(t, func(c net.Conn) { kind.serve(c, &f.hits) })
+func (f *endlessFleet) addImpostor(t *testing.T, kind hitchfake.Flood) (remove func()) {
+	addr := listenEach(t, func(c net.Conn) { kind.Serve(c, &f.hits) })
 	ip := strings.TrimSuffix(f.instances[0].ip, "1") + "9"
 	socket, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.ParseIP(ip), Port: impostorPort})
 	qt.Assert(t, err, qt.IsNil)
@@ -308,17 +217,17 @@
 // floodCallers opens connections to all instances whose requests have no end, and returns the function that closes them.
 func (f *endlessFleet) floodCallers(t *testing.T) (end func()) {
 	head := "POST /lookup/x HTTP/1.1\r\nHost: soak.example\r\nApi-Key: " + f.keys[0] + "\r\nX-Attempt-Id: endless\r\n"
-	kinds := []flood{
-		{head, "A: a\r\n", false}, {head, "A: a\r\n", true}, {head + "A: ", "a", false},
-		{head + "Content-Length: 1000000000000\r\n\r\n", "a", false}, {head + "Transfer-Encoding: chunked\r\n\r\n", "1\r\na\r\n", false},
-		{head + "Content-Length: 900000\r\n\r\n", "a", true}, {head + "Transfer-Encoding: chunked\r\n\r\n40;a=", "a", false}, {"", "\x00\xff", false},
+	kinds := []hitchfake.Flood{
+		{Start: head, Unit: "A: a\r\n"}, {Start: head, Unit: "A: a\r\n", IsSlow: true}, {Start: head + "A: ", Unit: "a"},
+		{Start: head + "Content-Length: 1000000000000\r\n\r\n", Unit: "a"}, {Start: head + "Transfer-Encoding: chunked\r\n\r\n", Unit: "1\r\na\r\n"},
+		{Start: head + "Content-Length: 900000\r\n\r\n", Unit: "a", IsSlow: true}, {Start: head + "Transfer-Encoding: chunked\r\n\r\n40;a=", Unit: "a"}, {Start: "", Unit: "\x00\xff"},
 	}
 	var conns []net.Conn
 	for n := range 3 * endlessConns {
 		c, err := net.Dial("tcp", f.addrs()[n%len(f.instances)])
 		qt.Assert(t, err, qt.IsNil)
 		conns = append(conns, c)
-		go kinds[n/3%len(kinds)].send(c, kinds[n/3%len(kinds)].start)
+		go kinds[n/3%len(kinds)].Send(c)
 	}
 	return func() {
 		for _, c := range conns {
@@ -340,7 +249,7 @@
 		remove := f.putEndless(t, floods)
 		served := f.callAll("endpoints")
 		remove()
-		hits := f.hits.take()
+		hits := f.hits.Take()
 		t.Log(served, "served,", hits, f.checkMemory(t), "MB")
 		qt.Check(t, hits["/lookup/x"] > 0 && hits["/stream/4x20/x"] > 0, qt.IsTrue)
 		f.awaitServing("after-endpoints")
@@ -364,7 +273,7 @@
 				e.relay.Resume()
 			}
 			remove()
-			hits := f.hits.take()
+			hits := f.hits.Take()
 			t.Log(served, "served,", relayed, "while no endpoint answered,", hits, f.checkMemory(t), "MB")
 			qt.Check(t, hits["/v1/view"] > 0 && hits["/lookup/x"]+hits["/stream/4x20/x"] > 0, qt.IsTrue)
 			f.awaitServing("after-instance")
@@ -374,7 +283,7 @@
 			f.floodStore(&kind)
 			served := f.callAll("store-" + name)
 			f.floodStore(nil)
-			hits := f.hits.take()
+			hits := f.hits.Take()
 			t.Log(served, "served,", hits, f.checkMemory(t), "MB")
 			qt.Check(t, hits["/v1/kv-watch"] > 0, qt.IsTrue)
 			f.awaitServing("after-store")
--- a/hitchstore/call.go
+++ b/hitchstore/call.go
@@ -26,7 +26,7 @@
 		return err
 	}
 	defer response.Body.Close()
-	body := messageReader{body: response.Body, left: maxMessageBytes}
+	body := messageReader{body: response.Body, left: maxResponseBytes(request)}
 	if err := json.NewDecoder(&body).Decode(result); err != nil {
 		c.recordFailure(endpoint)
 		return &callError{Ambiguous: true, Final: errors.Is(err, errMessageTooLarge), Err: fmt.Errorf("%s: read response: %w", path, err)}
--- a/hitchstore/client.go
+++ b/hitchstore/client.go
@@ -54,7 +54,7 @@
 	Endpoints []string
 	// Writer names this process in the values that it writes.
 	Writer string
-	// HTTP makes the calls; http.DefaultClient if nil. It must have no Timeout, as
+	// HTTP makes the calls; if nil, a client that limits the heads of responses to 16 KiB. It must have no Timeout, as
 	// that would end watches.
 	HTTP *http.Client
 	// Now returns the current time; time.Now if nil.
@@ -143,7 +143,7 @@
 
 func (c *Client) httpClient() *http.Client {
 	if c.HTTP == nil {
-		return http.DefaultClient
+		return &defaultHTTP
 	}
 	return c.HTTP
 }
@@ -156,4 +156,16 @@
 	return delays
 }
 
+// maxHeadBytes limits the head of a response, which net/http parses into several times its size.
+const maxHeadBytes = 16 << 10
+
+// defaultHTTP is the HTTP client of clients that have none.
+var defaultHTTP = http.Client{Transport: newTransport()}
+
+func newTransport() *http.Transport {
+	t := http.DefaultTransport.(*http.Transport).Clone()
+	t.MaxResponseHeaderBytes = maxHeadBytes
+	return t
+}
+
 func newSessionID() string { return ulid.Make().String() }
--- a/hitchstore/endless_test.go
+++ b/hitchstore/endless_test.go
@@ -17,16 +17,18 @@
 // now, that sends no answer but bytes without end.
 func TestEndlessResponsesOfStore(t *testing.T) {
 	// A decoder's buffer doubles, so that all buffers together are up to four times the limit.
-	const size, maxAllocBytes = 512 << 20, 4*maxMessageBytes + 16<<20
+	const size = 512 << 20
 	tests := map[string]struct {
 		start string
+		limit uint64
 		call  func(ctx context.Context, c *Client) error
 	}{
-		"get": {`{"kvs":[{"value":"`, func(ctx context.Context, c *Client) error { _, err := c.Get(ctx, "k"); return err }},
-		"watch": {`{"result":{"events":[{"type":"`, func(ctx context.Context, c *Client) error {
+		"get":  {`{"kvs":[{"value":"`, maxMessageBytes, func(ctx context.Context, c *Client) error { _, err := c.Get(ctx, "k"); return err }},
+		"list": {`{"kvs":[{"value":"`, maxListBytes, func(ctx context.Context, c *Client) error { _, err := c.List(ctx, "k"); return err }},
+		"watch": {`{"result":{"events":[{"type":"`, maxMessageBytes, func(ctx context.Context, c *Client) error {
 			return c.Watch(ctx, Key("k"), 5, func(Entry) error { return nil })
 		}},
-		"error": {"", func(ctx context.Context, c *Client) error { _, err := c.Get(ctx, "status"); return err }},
+		"error": {"", MaxValueBytes, func(ctx context.Context, c *Client) error { _, err := c.Get(ctx, "status"); return err }},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -56,7 +58,7 @@
 			runtime.ReadMemStats(&after)
 			allocated := after.TotalAlloc - before.TotalAlloc
 			qt.Assert(t, err, qt.IsNotNil)
-			qt.Assert(t, allocated < maxAllocBytes, qt.IsTrue, qt.Commentf("%d bytes", allocated))
+			qt.Assert(t, allocated < 4*test.limit+(8<<20), qt.IsTrue, qt.Commentf("%d bytes", allocated))
 		})
 	}
 }
--- a/hitchstore/message.go
+++ b/hitchstore/message.go
@@ -5,8 +5,21 @@
 	"io"
 )
 
-// maxMessageBytes limits a response of the store, or a message of a watch. The largest is the list of a home's journal.
-const maxMessageBytes = 32 << 20
+// Limits of what the store sends. Values are in base64, a third longer.
+const (
+	// maxMessageBytes limits a response, or a message of a watch: some values of MaxValueBytes.
+	maxMessageBytes = 4 << 20
+	// maxListBytes limits the list of a prefix, of which a home's journal is the longest.
+	maxListBytes = 16 << 20
+)
+
+// maxResponseBytes returns the limit of the response to a request.
+func maxResponseBytes(request any) int {
+	if r, ok := request.(wireRange); ok && len(r.RangeEnd) > 0 {
+		return maxListBytes
+	}
+	return maxMessageBytes
+}
 
 var errMessageTooLarge = errors.New("the store's message exceeds the size limit")
 
