A hub doesn't say that it is behind after a probe and a watch that cross

Found while reading the diff: a probe that saw a change, while the watch brought it, set the lag behind the read that ends it. Change: what a read has brought already is no lag.

--- a/hitchview/lag.go
+++ b/hitchview/lag.go
@@ -19,15 +19,17 @@
 	// is none.
 	revision hitchfleet.Revision
 	since    time.Time
+	// readRevision is the newest one that a read has brought.
+	readRevision hitchfleet.Revision
 	// newsAt is when a read last brought a newer revision than the view's.
 	newsAt time.Time
 }
 
-// recordSeen records a revision that the source has and the view lacks.
+// recordSeen records a revision that the source has and the view lacked before. A read may have brought it meanwhile.
 func (l *lag) recordSeen(now time.Time, revision hitchfleet.Revision) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.revision == 0 {
+	if l.revision == 0 && revision > l.readRevision {
 		l.revision, l.since = revision, now
 	}
 }
@@ -36,6 +38,7 @@
 func (l *lag) recordRead(now time.Time, revision hitchfleet.Revision, isNew bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.readRevision = max(l.readRevision, revision)
 	if revision >= l.revision {
 		l.revision = 0
 	}
