--- a/hitchsoak/endless_test.go
+++ b/hitchsoak/endless_test.go
@@ -236,14 +236,19 @@
 	}
 }
 
+// buildProgram builds the program without the race detector, which takes several times the memory.
+func buildProgram(t *testing.T) (path string) {
+	path = filepath.Join(t.TempDir(), "citronhitch")
+	out, err := exec.Command("go", "build", "-o", path, "../cmd/citronhitch").CombinedOutput()
+	qt.Assert(t, err, qt.IsNil, qt.Commentf("%s", out))
+	return path
+}
+
 // TestEndlessBytesKeepNoMemory guards against instances that keep bytes without end until they run out of memory, and
 // whose other requests end with them (rule LOST): of endpoints, of other instances (views, origins, relayed requests), of
 // the store and of callers. Processes that other machines would run are real ones.
 func TestEndlessBytesKeepNoMemory(t *testing.T) {
-	program := filepath.Join(t.TempDir(), "citronhitch") // without the race detector, which takes several times the memory
-	out, err := exec.Command("go", "build", "-o", program, "../cmd/citronhitch").CombinedOutput()
-	qt.Assert(t, err, qt.IsNil, qt.Commentf("%s", out))
-	f := startEndlessFleet(t, 360, program)
+	f := startEndlessFleet(t, 360, buildProgram(t))
 
 	t.Run("endpoints", func(t *testing.T) {
 		remove := f.putEndless(t, floods)
