--- a/hitchfake/flood.go
+++ b/hitchfake/flood.go
@@ -21,7 +21,7 @@
 // Flood is a peer that answers each request with bytes without end.
 //
 //	flood := hitchfake.Flood{Start: "HTTP/1.1 200 OK\r\n", Unit: "A: a\r\n"}
-//	addr, err := hitchfake.ServeEach(ctx, func(c net.Conn) { flood.Serve(c, &hits) })
+//	addr, stop, err := hitchfake.ServeEach(func(c net.Conn) { flood.Serve(c, &hits) })
 type Flood struct {
 	// Start is written first, and Unit again and again after it.
 	Start, Unit string
