A request whose ID was sent before gets a connection that hasn't carried it

What callers saw: a caller that sends one ID twice, as a client library that sends a refused payment again does, had it run by up to four endpoints, and was told by a 503 that it hasn't run.

Cause: a refusal counts as the request's own if it has its ID. A second copy of the refusal of the earlier request has that ID too. It arrives on the kept connection before the second request's own response, is believed, and the next endpoint gets the request, where the same follows. Class: an identity that isn't unique. An ID tells requests apart only as long as it is used once on a connection.

Change: a connection remembers the IDs of its newest 64 requests, and a request goes on one that hasn't carried its ID, a new one if there is none. Log line and counter tell that an ID was sent before, which nothing did.

--- a/hitchforward/conn.go
+++ b/hitchforward/conn.go
@@ -6,6 +6,7 @@
 	"errors"
 	"net"
 	"os"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -46,6 +47,8 @@
 	idleDeadline time.Time
 	// wasUsed is set once a request is sent on the connection.
 	wasUsed bool
+	// carried are the IDs of the requests that were sent on the connection.
+	carried carriedIDs
 	// written is the number of bytes written, and isUnacked is set once the connection was closed as
 	// the endpoint acknowledges nothing.
 	written   atomic.Int64
@@ -142,31 +145,36 @@
 	Dialed counter
 }
 
-// getIdle returns the most recently used idle connection that can be reused, or
-// nil.
-func (p *ConnPool) getIdle(now time.Time, addr string) *conn {
+// getIdle returns the most recently used idle connection that can be reused for a request with an ID,
+// or nil. isRepeat is set if another one has carried the ID.
+func (p *ConnPool) getIdle(now time.Time, addr, id string) (_ *conn, isRepeat bool) {
 	for {
-		c := p.popIdle(addr)
+		c, hasCarried := p.popIdle(addr, id)
+		isRepeat = isRepeat || hasCarried
 		if c == nil {
-			return nil
+			return nil, isRepeat
 		}
 		if now.Before(c.idleDeadline) && c.checkIdle() == nil {
-			return c
+			return c, isRepeat
 		}
 		_ = c.Close()
 	}
 }
 
-func (p *ConnPool) popIdle(addr string) *conn {
+// popIdle takes the most recently used idle connection that hasn't carried an ID, if there is one.
+// hasCarried is set if one that was used later has.
+func (p *ConnPool) popIdle(addr, id string) (_ *conn, hasCarried bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.idle[addr]
-	if len(list) == 0 {
-		return nil
+	for i, c := range slices.Backward(list) {
+		if !c.carried.contains(id) {
+			p.idle[addr] = slices.Delete(list, i, i+1)
+			return c, hasCarried
+		}
+		hasCarried = true
 	}
-	c := list[len(list)-1]
-	p.idle[addr] = list[:len(list)-1]
-	return c
+	return nil, hasCarried
 }
 
 // putIdle adds a connection to the pool until idleDeadline.
--- a/hitchforward/exchange.go
+++ b/hitchforward/exchange.go
@@ -27,6 +27,9 @@
 	Host   string
 	Header http.Header
 	Body   []byte
+	// ID is the request's ID, which its response names. The request isn't sent on a connection that has
+	// carried one with the same ID, as a second copy of that one's response couldn't be told from its own.
+	ID string
 	// NeedsNewConn is set if the response can't be told from one to another request, so that the
 	// request is sent on a connection that has carried none.
 	NeedsNewConn bool
@@ -44,6 +47,8 @@
 	// before.
 	OpenedAt time.Time
 	IsKept   bool
+	// IsRepeat is set if another connection to the address has carried a request with the same ID.
+	IsRepeat bool
 	// Skipped is how many responses to other requests arrived before Response.
 	Skipped int
 
@@ -69,7 +74,7 @@
 			x.Close()
 		}
 	}()
-	if err := x.connect(ctx, r.NeedsNewConn, deadline); err != nil {
+	if err := x.connect(ctx, r, deadline); err != nil {
 		return nil, &Failure{Kind: FailureUnsent, Err: err}
 	}
 	if err := tracker.BeginDispatch(); err != nil {
@@ -78,6 +83,7 @@
 	c := x.conn
 	x.OpenedAt, x.IsKept = c.openedAt, c.wasUsed
 	c.wasUsed = true
+	c.carried.add(r.ID)
 	x.stopCancelWatch = context.AfterFunc(ctx, func() { _ = c.Close() })
 	_ = x.conn.SetDeadline(deadline)
 	stopWatch := watchUnacked(c)
@@ -94,12 +100,12 @@
 }
 
 // connect takes an idle connection from the pool, unless a new one is needed, or opens one.
-func (x *Exchange) connect(ctx context.Context, needsNew bool, deadline time.Time) error {
+func (x *Exchange) connect(ctx context.Context, r Request, deadline time.Time) error {
 	if err := ctx.Err(); err != nil {
 		return err
 	}
-	if !needsNew {
-		x.conn = x.pool.getIdle(time.Now(), x.addr)
+	if !r.NeedsNewConn {
+		x.conn, x.IsRepeat = x.pool.getIdle(time.Now(), x.addr, r.ID)
 	}
 	if x.conn != nil {
 		return nil
--- a/hitchingress/attempt.go
+++ b/hitchingress/attempt.go
@@ -130,7 +130,15 @@
 		LastEventID:     req.stream.lastEventID,
 		CacheSourceAddr: pick.CacheSource.Addr,
 	})
-	return hitchforward.Request{Method: req.original.Method, Target: req.original.RequestURI, Host: req.original.Host, Header: h, Body: req.body, NeedsNewConn: req.ID == ""}
+	return req.messageWith(h)
+}
+
+// messageWith returns the request as the caller sent it, with another header.
+func (req *proxyRequest) messageWith(h http.Header) hitchforward.Request {
+	return hitchforward.Request{
+		Method: req.original.Method, Target: req.original.RequestURI, Host: req.original.Host, Header: h, Body: req.body,
+		ID: req.ID, NeedsNewConn: req.ID == "",
+	}
 }
 
 // observeHead stores the header of an attempt's response, and records what it says of
@@ -141,6 +149,10 @@
 	if msg.skipped > 0 {
 		g.Log.Info("responses to other requests skipped", "ID", req.ID, "Endpoint", a.pick.Endpoint.ID, "Relay", a.pick.Relay, "Responses", msg.skipped)
 	}
+	if msg.isRepeat {
+		g.Metrics.countRepeatedID()
+		g.Log.Info("request ID was sent before", "ID", req.ID, "Endpoint", a.pick.Endpoint.ID, "Relay", a.pick.Relay, "Status", msg.response.StatusCode, "NotRun", a.head.DidNotRun)
+	}
 	if a.head.DidNotRun {
 		g.Metrics.countNotRunResponse(notRunKey{id: identify(a.head.RequestID, req.ID), isKept: a.isKept})
 	}
--- a/hitchingress/exchange.go
+++ b/hitchingress/exchange.go
@@ -23,6 +23,8 @@
 	// carried other requests before.
 	openedAt time.Time
 	isKept   bool
+	// isRepeat is set if a request with the same ID was sent there before.
+	isRepeat bool
 	// skipped is how many responses to other requests came before.
 	skipped int
 	// data is a whole body, or bytes of a stream that are valid until the next message is
@@ -105,7 +107,7 @@
 		// to the next request on the connection.
 		exchange.DiscardConnection()
 	}
-	if !x.deliver(exchangeMsg{response: response, head: head, openedAt: exchange.OpenedAt, isKept: exchange.IsKept, skipped: exchange.Skipped}) {
+	if !x.deliver(exchangeMsg{response: response, head: head, openedAt: exchange.OpenedAt, isKept: exchange.IsKept, isRepeat: exchange.IsRepeat, skipped: exchange.Skipped}) {
 		return
 	}
 	if x.isStream(response.StatusCode, head) {
--- a/hitchingress/metrics.go
+++ b/hitchingress/metrics.go
@@ -55,6 +55,8 @@
 	slotResults counts[slotResultKey]
 	// notRunResponses counts the responses that say that a request wasn't run.
 	notRunResponses counts[notRunKey]
+	// repeatedIDs counts the requests whose ID was sent to the same endpoint before.
+	repeatedIDs atomic.Int64
 	// rolloutAttempts counts the attempts that have ended while their service's rollout was
 	// active.
 	rolloutAttempts counts[rolloutAttemptKey]
@@ -250,6 +252,9 @@
 	isKept bool
 }
 
+// countRepeatedID counts a request whose ID was sent to the same endpoint before.
+func (m *Metrics) countRepeatedID() { m.repeatedIDs.Add(1) }
+
 // countNotRunResponse counts a response that says that a request wasn't run.
 func (m *Metrics) countNotRunResponse(key notRunKey) {
 	if m != nil {
@@ -352,6 +357,7 @@
 	for key, count := range m.notRunResponses.all() {
 		out.printf("citronhitch_not_run_responses_total{id=%q,kept=\"%t\"} %d\n", key.id, key.isKept, count)
 	}
+	out.printf("citronhitch_repeated_ids_total %d\n", m.repeatedIDs.Load())
 	out.printf("citronhitch_quarantine_refusals_total %d\n", m.quarantineRefusals.Load())
 	for kind, histogram := range m.latencies {
 		for _, quantile := range quantiles {
--- a/hitchingress/relay.go
+++ b/hitchingress/relay.go
@@ -51,7 +51,7 @@
 	g.Protocol.EncodeRelay(h, RelayInfo{Key: req.Key, Deadline: req.Deadline, LastEventID: req.stream.lastEventID})
 	h.Set(headerRelayedBy, string(g.Self.ID))
 	h.Set(headerAttempts, strconv.Itoa(attempts))
-	return hitchforward.Request{Method: req.original.Method, Target: req.original.RequestURI, Host: req.original.Host, Header: h, Body: req.body, NeedsNewConn: req.ID == ""}
+	return req.messageWith(h)
 }
 
 // IsRelayed reports whether another instance relays a request through this one.
