Soak repeats: some callers send a request's ID a second time

No caller of the soak used an ID twice, so that it couldn't find a copy of a response to an earlier request with the same ID. A fifth of the requests that may run once are sent a second time under their ID, to the same instance. A request may run as often as it was sent and not refused as not run; runs before a call began belong to an earlier one.

--- a/hitchsoak/caller.go
+++ b/hitchsoak/caller.go
@@ -21,6 +21,8 @@
 	resolveTimeout = time.Second
 	// meanThinkTime is the mean pause between two calls of a caller.
 	meanThinkTime = 40 * time.Millisecond
+	// sendAgainShare is the share of requests that a caller sends a second time, if it does.
+	sendAgainShare = 0.2
 	// maxIdleConns limits the connections that a caller keeps for its next calls. All
 	// callers together have few file descriptors.
 	maxIdleConns = 8
@@ -62,6 +64,8 @@
 	addrsExpireAt time.Time
 	// path is the path of all requests; empty means random ones.
 	path string
+	// sendsAgain is set if some requests are sent a second time under their ID, to the same instance.
+	sendsAgain bool
 	// cause makes endpoints crash at all requests; the zero value is none.
 	cause crashCause
 }
@@ -72,7 +76,11 @@
 	c.client.Transport = &http.Transport{MaxIdleConns: maxIdleConns}
 	for n := 0; ctx.Err() == nil; n++ {
 		if c.resolve(ctx, rng) {
-			record(c.sendCall(rng, n))
+			x := c.newCall(rng, n)
+			record(c.sendCall(rng, x))
+			if c.sendsAgain && rng.Float64() < sendAgainShare {
+				record(c.sendCall(rng, x.again()))
+			}
 		}
 		time.Sleep(time.Duration(rng.ExpFloat64() * float64(meanThinkTime)))
 	}
@@ -145,9 +153,14 @@
 	return r, nil
 }
 
+// again returns the same call at a later time.
+func (x call) again() call {
+	x.Begin = time.Now()
+	return x
+}
+
 // sendCall sends one request and returns the call.
-func (c *caller) sendCall(rng *rand.Rand, n int) call {
-	out := c.newCall(rng, n)
+func (c *caller) sendCall(rng *rand.Rand, out call) call {
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
 	r, err := c.newRequest(ctx, rng, out)
--- a/hitchsoak/check.go
+++ b/hitchsoak/check.go
@@ -49,6 +49,8 @@
 	// addrs holds the addresses of the instances.
 	addrs  []string
 	runLog *hitchstandin.RunLog
+	// sends are how often each attempt was sent; one that isn't listed was sent once.
+	sends map[string]attemptSends
 	// rollouts are the orders of the soak.
 	rollouts []rollout
 }
@@ -60,11 +62,12 @@
 	}
 	runs := c.runLog.Runs(x.Attempt)
 	isBooking := strings.HasPrefix(x.Path, "/booking/") || strings.HasPrefix(x.Path, hitchstandin.OncePrefix)
-	if isBooking && len(runs) > 1 {
-		add("AtMostOnce", "%d runs: %v", len(runs), runs)
+	sends := c.sendsOf(x)
+	if isBooking && len(runs) > sends.sent {
+		add("AtMostOnce", "sent %d times, %d runs: %v", sends.sent, len(runs), runs)
 	}
-	if promisesNotRun(x.Status) && len(runs) > 0 {
-		add("NotRun", "refused as not run, but ran: %v", runs)
+	if promisesNotRun(x.Status) && len(runs) > sends.sent-sends.refused {
+		add("NotRun", "refused as not run %d of %d times, but ran: %v", sends.refused, sends.sent, runs)
 	}
 	if x.Mismatch != "" {
 		add("OwnWholeAnswer", "%s", x.Mismatch)
@@ -78,11 +81,41 @@
 		add("Answered", "%s at %s, %s after the start: the request was read and the connection closed without a response", x.Path, x.Instance, x.Begin.Sub(c.start))
 	}
 	for _, r := range runs {
-		c.checkRun(x, r, add)
+		if sends.sent == 1 || !r.At.Before(x.Begin) {
+			c.checkRun(x, r, add)
+		}
 	}
 	return out
 }
 
+// attemptSends are how often an attempt was sent, and how many of these were refused as not run.
+type attemptSends struct{ sent, refused int }
+
+// with returns the figures with one more call.
+func (s attemptSends) with(x call) attemptSends {
+	s.sent++
+	if promisesNotRun(x.Status) {
+		s.refused++
+	}
+	return s
+}
+
+// countSends counts how often attempts were sent.
+func (c *checker) countSends(calls []call) {
+	c.sends = make(map[string]attemptSends)
+	for _, x := range calls {
+		c.sends[x.Attempt] = c.sends[x.Attempt].with(x)
+	}
+}
+
+// sendsOf returns how often the attempt of a call was sent.
+func (c *checker) sendsOf(x call) attemptSends {
+	if sends, ok := c.sends[x.Attempt]; ok {
+		return sends
+	}
+	return attemptSends{}.with(x)
+}
+
 // promisesNotRun reports whether a status promises that the request has not run and never
 // will.
 func promisesNotRun(status int) bool {
--- a/hitchsoak/crashes.go
+++ b/hitchsoak/crashes.go
@@ -204,7 +204,7 @@
 		if len(causes) > 0 && c.resolve(ctx, rng) {
 			c.cause = causes[rng.IntN(len(causes))]
 			c.path = c.cause.path
-			x := c.sendCall(rng, n)
+			x := c.sendCall(rng, c.newCall(rng, n))
 			x.IsCrashing = true
 			record(x)
 		}
--- a/hitchsoak/repeats.go
+++ b/hitchsoak/repeats.go
@@ -71,7 +71,7 @@
 	var wg sync.WaitGroup
 	bookers := bookersPerInstance * s.instances()
 	for n := range bookers + onceCallersPerFleet {
-		x := &caller{seed: s.Seed<<16 + repeatCallerSeed + uint64(n), fleet: f, path: "/booking/x"}
+		x := &caller{seed: s.Seed<<16 + repeatCallerSeed + uint64(n), fleet: f, path: "/booking/x", sendsAgain: true}
 		if n >= bookers {
 			x.path = hitchstandin.OncePrefix + "x"
 		}
--- a/hitchsoak/soak.go
+++ b/hitchsoak/soak.go
@@ -217,6 +217,7 @@
 // newReport checks all calls and returns the report.
 func newReport(c *checker, calls []call) Report {
 	r := Report{Faults: c.plan, Calls: len(calls)}
+	c.countSends(calls)
 	afterRecovery, servedAfterRecovery := 0, 0
 	for _, x := range calls {
 		switch {
--- a/hitchsoak/soak_test.go
+++ b/hitchsoak/soak_test.go
@@ -114,6 +114,43 @@
 	}
 }
 
+// TestCheckerCountsRunsOfRepeatedIDs guards against second runs that aren't seen as their caller has sent the
+// request's ID twice.
+func TestCheckerCountsRunsOfRepeatedIDs(t *testing.T) {
+	tests := map[string]struct {
+		statuses []int
+		runs     int
+		want     string
+	}{
+		"each ran":                    {[]int{200, 200}, 2, ""},
+		"one ran twice":               {[]int{200, 200}, 3, "AtMostOnce"},
+		"first was refused":           {[]int{503, 200}, 1, ""},
+		"first was refused, two runs": {[]int{503, 200}, 2, "NotRun"},
+		"both were refused":           {[]int{503, 429}, 0, ""},
+		"both were refused, one run":  {[]int{503, 429}, 1, "NotRun"},
+		"one isn't known":             {[]int{200, 502}, 1, ""},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			var runLog hitchstandin.RunLog
+			for range test.runs {
+				runRequest(&hitchstandin.Endpoint{ID: "e", RunLog: &runLog}, "attempt")
+			}
+			c := &checker{start: time.Now(), end: time.Now().Add(seconds(72)), runLog: &runLog}
+			var calls []call
+			for _, status := range test.statuses {
+				calls = append(calls, call{Attempt: "attempt", Path: "/booking/x", Status: status})
+			}
+			c.countSends(calls)
+			got := ""
+			for _, v := range c.checkCall(calls[0]) {
+				got += v.Guarantee
+			}
+			qt.Assert(t, got, qt.Equals, test.want)
+		})
+	}
+}
+
 func TestFindMismatch(t *testing.T) {
 	header := http.Header{"X-Attempt-Id": {"a"}, "X-Response-Seal": {"s"}}
 	completeStream := streamBody("a", hitchstandin.ShapeOf("/stream/x"))
