A reset that a write got isn't the end of a response

What callers saw: an endpoint that answers a long request at once with a 200 without a length, sends a part and resets the connection while the request is still written had the part passed on as a whole answer: plain, HTTP/1.0 and streams, directly and through a relay. The same in the own API and in calls of instances.

Cause: the kernel reports a connection's error to one call only. If the write of the request gets the reset, the read of the response returns an end of file, which is the end of a response without a length. Class: an error that only one of two calls on a connection gets.

Change: hitchconn.Conn keeps the first error of a write. At an end of file it asks the kernel whether the connection is closed on both sides; if so a write under way returns at once, and its error is that of the read, unless it is EPIPE: then the other side had ended before. Nothing waits while an endpoint that has ended its side reads on. All TCP clients use it: endpoints, relays, both APIs, instances, stores, the soak.

TestConnectionOutlastsSilentEndpoint gets the file descriptor through hitchconn.Raw and checks what it did.

--- a/hitchclient/client.go
+++ b/hitchclient/client.go
@@ -19,6 +19,8 @@
 	"net/url"
 	"sync"
 	"time"
+
+	"citronhitch.example/citronhitch/hitchconn"
 )
 
 // Limits of a client. The defaults apply to fields that are zero.
@@ -79,7 +81,7 @@
 		c.http = c.HTTP
 		if c.http == nil {
 			c.http = &http.Client{Transport: &http.Transport{
-				DialContext: (&net.Dialer{Timeout: dialTimeout}).DialContext, MaxIdleConnsPerHost: 16, TLSClientConfig: c.TLS,
+				DialContext: hitchconn.Dial((&net.Dialer{Timeout: dialTimeout}).DialContext), MaxIdleConnsPerHost: 16, TLSClientConfig: c.TLS,
 			}}
 		}
 	})
--- a/hitchedge/peerview.go
+++ b/hitchedge/peerview.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"time"
 
+	"citronhitch.example/citronhitch/hitchconn"
 	"citronhitch.example/citronhitch/hitchfleet"
 	"citronhitch.example/citronhitch/hitchview"
 )
@@ -146,7 +147,7 @@
 // newPeerClient returns the HTTP client for requests to other instances.
 func newPeerClient() http.Client {
 	return http.Client{Transport: peerTransport{&http.Transport{
-		DialContext:     (&net.Dialer{Timeout: peerDialTimeout}).DialContext,
+		DialContext:     hitchconn.Dial((&net.Dialer{Timeout: peerDialTimeout}).DialContext),
 		IdleConnTimeout: peerIdleTimeout,
 
 		MaxResponseHeaderBytes: maxPeerHeadBytes,
--- a/hitchforward/conn.go
+++ b/hitchforward/conn.go
@@ -11,6 +11,8 @@
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"citronhitch.example/citronhitch/hitchconn"
 )
 
 // Timeouts and limits of connections to endpoints.
@@ -95,6 +97,7 @@
 }
 
 func newConn(nc net.Conn) *conn {
+	nc = hitchconn.CheckEnd(nc)
 	c := &conn{Conn: nc, limit: limitedReader{Reader: nc}, openedAt: time.Now()}
 	c.br = bufio.NewReaderSize(&c.limit, readBufferBytes)
 	return c
@@ -109,11 +112,10 @@
 	if c.br.Buffered() > 0 {
 		return errStale
 	}
-	sc, ok := c.Conn.(syscall.Conn)
-	if !ok {
+	raw, err := hitchconn.Raw(c.Conn)
+	if errors.Is(err, errors.ErrUnsupported) {
 		return nil
 	}
-	raw, err := sc.SyscallConn()
 	if err != nil {
 		return err
 	}
--- a/hitchforward/conn_test.go
+++ b/hitchforward/conn_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"citronhitch.example/citronhitch/hitchconn"
 )
 
 // TestConnectionOutlastsSilentEndpoint guards against connections that the kernel cuts
@@ -19,7 +21,7 @@
 	c, err := new(ConnPool).dial(t.Context(), l.Addr().String())
 	qt.Assert(t, err, qt.IsNil)
 	defer func() { _ = c.Close() }()
-	raw, err := c.Conn.(syscall.Conn).SyscallConn()
+	raw, err := hitchconn.Raw(c.Conn)
 	qt.Assert(t, err, qt.IsNil)
 	var ms int
 	var optErr error
--- a/hitchforward/forward.go
+++ b/hitchforward/forward.go
@@ -21,6 +21,7 @@
 
 	"github.com/oklog/ulid/v2"
 
+	"citronhitch.example/citronhitch/hitchconn"
 	"citronhitch.example/citronhitch/hitchfleet"
 )
 
@@ -77,7 +78,7 @@
 	if dial == nil {
 		dial = dialReset
 	}
-	return &http.Transport{DialContext: dial, DisableCompression: true, MaxResponseHeaderBytes: maxHeadBytes}
+	return &http.Transport{DialContext: hitchconn.Dial(dial), DisableCompression: true, MaxResponseHeaderBytes: maxHeadBytes}
 }
 
 // dialReset opens a connection that discards what wasn't acknowledged when it is closed.
--- a/hitchforward/limit.go
+++ b/hitchforward/limit.go
@@ -4,6 +4,8 @@
 	"io"
 	"math"
 	"net/http"
+
+	"citronhitch.example/citronhitch/hitchconn"
 )
 
 // maxHeadBytes is the maximum size of the status line and header of a response, with
@@ -42,6 +44,7 @@
 // heads of responses to 8 KiB.
 func NewTransport() *http.Transport {
 	t := http.DefaultTransport.(*http.Transport).Clone()
+	t.DialContext = hitchconn.Dial(t.DialContext)
 	t.MaxResponseHeaderBytes = maxHeadBytes
 	return t
 }
--- a/hitchforward/unacked.go
+++ b/hitchforward/unacked.go
@@ -4,10 +4,11 @@
 	"errors"
 	"net"
 	"sync"
-	"syscall"
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"citronhitch.example/citronhitch/hitchconn"
 )
 
 // Times of the watch over written bytes.
@@ -98,11 +99,7 @@
 // unackedBytes returns how many bytes that were written to a TCP connection the other side hasn't
 // acknowledged.
 func unackedBytes(nc net.Conn) (n int64, err error) {
-	sc, ok := nc.(syscall.Conn)
-	if !ok {
-		return 0, errors.ErrUnsupported
-	}
-	raw, err := sc.SyscallConn()
+	raw, err := hitchconn.Raw(nc)
 	if err != nil {
 		return 0, err
 	}
--- a/hitchsoak/caller.go
+++ b/hitchsoak/caller.go
@@ -7,11 +7,13 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
 	"time"
 
+	"citronhitch.example/citronhitch/hitchconn"
 	hitchstandin "citronhitch.example/citronhitch/platform/standin"
 )
 
@@ -70,10 +72,15 @@
 	cause crashCause
 }
 
+// newTransport returns the transport of a caller, which takes no part of a response for a whole one.
+func newTransport() *http.Transport {
+	return &http.Transport{DialContext: hitchconn.Dial(new(net.Dialer).DialContext), MaxIdleConns: maxIdleConns}
+}
+
 // run makes calls until ctx ends and passes each finished one to record.
 func (c *caller) run(ctx context.Context, record func(call)) {
 	rng := rand.New(rand.NewPCG(c.seed, 2))
-	c.client.Transport = &http.Transport{MaxIdleConns: maxIdleConns}
+	c.client.Transport = newTransport()
 	for n := 0; ctx.Err() == nil; n++ {
 		if c.resolve(ctx, rng) {
 			x := c.newCall(rng, n)
--- a/hitchsoak/crashes.go
+++ b/hitchsoak/crashes.go
@@ -197,7 +197,7 @@
 // runCrashing sends requests with such causes until ctx ends.
 func (c *caller) runCrashing(ctx context.Context, checker *checker, record func(call)) {
 	rng := rand.New(rand.NewPCG(c.seed, 7))
-	c.client.Transport = &http.Transport{MaxIdleConns: maxIdleConns}
+	c.client.Transport = newTransport()
 	for n := 0; ctx.Err() == nil; n++ {
 		sleepUntil(ctx, time.Now().Add(time.Duration(rng.ExpFloat64()*float64(crashCallerPause))))
 		causes := checker.crashCauses(time.Now())
--- a/hitchsoak/opencaller.go
+++ b/hitchsoak/opencaller.go
@@ -42,7 +42,7 @@
 // run makes calls until ctx ends and passes each finished one to record.
 func (c *openCaller) run(ctx context.Context, record func(call)) {
 	rng := rand.New(rand.NewPCG(c.seed, 3))
-	c.client.Transport = &http.Transport{MaxIdleConns: maxIdleConns}
+	c.client.Transport = newTransport()
 	defer c.close()
 	for n := 0; ctx.Err() == nil; n++ {
 		if c.conn == nil && !c.connect(ctx, rng) {
--- a/hitchsoak/streamcaller.go
+++ b/hitchsoak/streamcaller.go
@@ -99,7 +99,7 @@
 // run requests streams until ctx ends and passes each finished one to record.
 func (c *streamCaller) run(ctx context.Context, record func(stream)) {
 	rng := rand.New(rand.NewPCG(c.seed, 4))
-	c.client.Transport = &http.Transport{MaxIdleConns: maxIdleConns}
+	c.client.Transport = newTransport()
 	for n := 0; ctx.Err() == nil; n++ {
 		if c.resolve(ctx, rng) {
 			record(c.runStream(ctx, rng, n))
--- a/hitchstore/client.go
+++ b/hitchstore/client.go
@@ -20,6 +20,8 @@
 	"github.com/cenkalti/backoff/v5"
 	"github.com/oklog/ulid/v2"
 	"golang.org/x/time/rate"
+
+	"citronhitch.example/citronhitch/hitchconn"
 )
 
 const (
@@ -164,6 +166,7 @@
 
 func newTransport() *http.Transport {
 	t := http.DefaultTransport.(*http.Transport).Clone()
+	t.DialContext = hitchconn.Dial(t.DialContext)
 	t.MaxResponseHeaderBytes = maxHeadBytes
 	return t
 }
