Callers of HTTP/1.0 see a stream that breaks off, and plain responses have a length

What callers saw: HTTP/1.0 has no chunks, so that the end of a stream is that of its connection. A stream that an instance broke off, or of a caller that stalled, ended as a whole one does. A plain response whose endpoint named no length had none either.

Cause: the instance closes such a connection in both cases. Class: an end without an error that counts as complete.

Change: while the handler of such a request runs, the connection is reset when it is closed, also by the end of the process; after the handler has returned it is closed as before. A write that fails aborts the stream. A plain response, which is held whole, gets its length.

--- a/hitchingress/callerwriter_test.go
+++ b/hitchingress/callerwriter_test.go
@@ -37,7 +37,12 @@
 // startCallerServer starts a gateway in front of an endpoint, with the small send buffers of
 // an instance, and returns its address.
 func startCallerServer(t *testing.T, endpoint *backend) (addr string) {
-	gateway := startGateway(t, hitchroute.Route{Kind: hitchroute.Streaming, TimeoutMilliseconds: 60_000}, endpoint)
+	return startCallerServerOf(t, hitchroute.Streaming, endpoint)
+}
+
+// startCallerServerOf is startCallerServer for a route of a kind.
+func startCallerServerOf(t *testing.T, kind hitchroute.Kind, endpoint *backend) (addr string) {
+	gateway := startGateway(t, hitchroute.Route{Kind: kind, TimeoutMilliseconds: 60_000}, endpoint)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	qt.Assert(t, err, qt.IsNil)
 	server := &hitchserver.Server{HTTP: http.Server{Handler: gateway.Config.Handler}, SendBufferBytes: 32 << 10}
--- a/hitchingress/response.go
+++ b/hitchingress/response.go
@@ -26,6 +26,9 @@
 	if req.relayedBy != "" {
 		req.writer.Header().Set(headerRuns, strconv.Itoa(req.retryState.PossibleRuns()))
 	}
+	if len(response.body) > 0 {
+		req.writer.Header().Set("Content-Length", strconv.Itoa(len(response.body)))
+	}
 	req.writer.WriteHeader(response.status)
 	err := req.writeBody(response.body, false)
 	end := "Answered"
--- a/hitchingress/stream.go
+++ b/hitchingress/stream.go
@@ -78,6 +78,7 @@
 	}
 	if err = req.writeBody(req.stream.buffered[:completeLength], true); err != nil {
 		req.logEntry.setEnd(writeEnd(err), http.StatusOK, err)
+		req.stream.isAborted = true
 		return attemptResult{isFinal: true, balancerResult: hitchbalance.ResultAbandoned, err: err}, false
 	}
 	req.stream.lastEventID, req.stream.eventCount = lastID, req.stream.eventCount+count
--- a/hitchserver/conn.go
+++ b/hitchserver/conn.go
@@ -89,6 +89,20 @@
 	return nil
 }
 
+// setResetOnClose makes the end of the connection, also that of the process, a reset, which no caller takes for the
+// end of its response.
+func (c *conn) setResetOnClose(on bool) {
+	tcp, ok := c.Conn.(*net.TCPConn)
+	if !ok {
+		return
+	}
+	seconds := -1 // the default: what was written is still sent
+	if on {
+		seconds = 0
+	}
+	_ = tcp.SetLinger(seconds)
+}
+
 // setPhase sets the phase. A request that was read together with the one before it begins
 // without a read: its connection is no longer without one.
 func (c *conn) setPhase(p Phase) {
--- a/hitchserver/server.go
+++ b/hitchserver/server.go
@@ -104,6 +104,13 @@
 	}
 	c.setPhase(PhaseHandling)
 	defer c.setPhase(PhaseWriting)
+	if !r.ProtoAtLeast(1, 1) {
+		// The end of such a response may be that of its connection.
+		c.setResetOnClose(true)
+		handler.ServeHTTP(w, r)
+		c.setResetOnClose(false)
+		return
+	}
 	handler.ServeHTTP(w, r)
 }
 
