A response with an invalid status is no response for any client

What callers saw: a client of the own API got a booking with status 000 as its answer. An engine's status of 000 to an order counted as a refusal, and the store's as its word that a write wasn't carried out, which ended the call.

Cause: only the gateway and the forwarding client checked the status; the others compare it with 200, 500 and so on, where 000 is below 500.

Evidence: TestInvalidStatusIsNoResponse fails before in all 18 cases (six bookings had no error at all), TestInvalidStatusLeavesOrderUnknown in its six. TestInvalidStatusIsNeitherAnswerNorRefusal passes before too: 14 statuses, of which eight are malformed, as answers and as refusals with the mark "not run", of endpoints, endpoints of relays, and relays.

Change: hitchconn.Transport checks the status of each response, for the own API's client, instances, orders, reports and both stores. A question whether the path to an endpoint works still takes any response: it asks about the path only.

Result: all pass.

--- a/hitchclient/client.go
+++ b/hitchclient/client.go
@@ -80,9 +80,9 @@
 	c.once.Do(func() {
 		c.http = c.HTTP
 		if c.http == nil {
-			c.http = &http.Client{Transport: &http.Transport{
-				DialContext: hitchconn.Dial((&net.Dialer{Timeout: dialTimeout}).DialContext), MaxIdleConnsPerHost: 16, TLSClientConfig: c.TLS,
-			}}
+			c.http = &http.Client{Transport: hitchconn.NewTransport(&http.Transport{
+				DialContext: (&net.Dialer{Timeout: dialTimeout}).DialContext, MaxIdleConnsPerHost: 16, TLSClientConfig: c.TLS,
+			})}
 		}
 	})
 	return c.http
--- a/hitchconn/conn.go
+++ b/hitchconn/conn.go
@@ -1,10 +1,11 @@
-// Package hitchconn tells the clean end of a TCP connection from a broken one, for both calls that use it.
+// Package hitchconn has connections and transports of clients that take no broken response for a whole one.
 //
 // The kernel reports an error of a connection to one call only. If that is the write of a long request, the read of
 // the response returns io.EOF, as after a clean end, and a response without a length seems whole.
 //
 //	nc, err := dialer.DialContext(ctx, "tcp", addr)
 //	nc = hitchconn.CheckEnd(nc) // a read returns the error that a write got
+//	client := http.Client{Transport: hitchconn.NewTransport(&http.Transport{DialContext: dialer.DialContext})}
 package hitchconn
 
 import (
@@ -35,9 +36,12 @@
 	return &Conn{Conn: nc}
 }
 
-// Dial returns a function that dials as another one, for connections that check their end. Their errors are
-// those of dial.
+// Dial returns a function that opens connections that check their end. It dials by another one, whose errors it
+// returns; nil dials as net.Dialer does.
 func Dial(dial func(ctx context.Context, network, addr string) (net.Conn, error)) func(ctx context.Context, network, addr string) (net.Conn, error) {
+	if dial == nil {
+		dial = new(net.Dialer).DialContext
+	}
 	return func(ctx context.Context, network, addr string) (net.Conn, error) {
 		nc, err := dial(ctx, network, addr)
 		return CheckEnd(nc), err
--- a/hitchedge/peertransport.go
+++ b/hitchedge/peertransport.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"net/http"
+
+	"citronhitch.example/citronhitch/hitchconn"
 )
 
 // headerAnswers holds which request a response between instances answers, by path and query.
@@ -11,7 +13,7 @@
 // peerTransport sends requests to other instances. A response to another request, such as a
 // second copy that arrives late on a connection that is in use again, is an error. Instances
 // of older versions don't say which request they answer.
-type peerTransport struct{ *http.Transport }
+type peerTransport struct{ hitchconn.Transport }
 
 // RoundTrip sends a request and returns its response.
 func (t peerTransport) RoundTrip(r *http.Request) (*http.Response, error) {
--- a/hitchedge/peerview.go
+++ b/hitchedge/peerview.go
@@ -146,12 +146,12 @@
 
 // newPeerClient returns the HTTP client for requests to other instances.
 func newPeerClient() http.Client {
-	return http.Client{Transport: peerTransport{&http.Transport{
-		DialContext:     hitchconn.Dial((&net.Dialer{Timeout: peerDialTimeout}).DialContext),
+	return http.Client{Transport: peerTransport{hitchconn.NewTransport(&http.Transport{
+		DialContext:     (&net.Dialer{Timeout: peerDialTimeout}).DialContext,
 		IdleConnTimeout: peerIdleTimeout,
 
 		MaxResponseHeaderBytes: maxPeerHeadBytes,
-	}}}
+	})}}
 }
 
 // revisionParameter returns a revision from the query of a request, and 0 if it has none.
--- a/hitchforward/attempt.go
+++ b/hitchforward/attempt.go
@@ -12,6 +12,7 @@
 	"sync/atomic"
 	"time"
 
+	"citronhitch.example/citronhitch/hitchconn"
 	"citronhitch.example/citronhitch/hitchfleet"
 	"citronhitch.example/citronhitch/hitchoutcome"
 )
@@ -65,7 +66,7 @@
 		return nil, a.readFailure(err)
 	}
 	a.resetWatchdog()
-	if err := checkStatus(a.response.StatusCode); err != nil {
+	if err := hitchconn.CheckStatus(a.response.StatusCode); err != nil {
 		return nil, a.newFailure(FailureCut, err)
 	}
 	if err := a.checkAttemptID(); err != nil {
--- a/hitchforward/clientlimit_test.go
+++ b/hitchforward/clientlimit_test.go
@@ -7,6 +7,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"citronhitch.example/citronhitch/hitchconn"
 	"citronhitch.example/citronhitch/hitchfleet"
 	"citronhitch.example/citronhitch/hitchoutcome"
 )
@@ -46,7 +47,7 @@
 			var client Client
 			var tracker hitchoutcome.DispatchTracker
 			_, err := client.Do(t.Context(), Call{Method: http.MethodGet, Path: "/"}, hitchfleet.Endpoint{ID: "e", URL: "http://" + e.addr}, &tracker)
-			qt.Assert(t, err, qt.ErrorIs, errInvalidStatus)
+			qt.Assert(t, err, qt.ErrorIs, hitchconn.ErrInvalidStatus)
 		})
 	}
 }
--- a/hitchforward/endless_test.go
+++ b/hitchforward/endless_test.go
@@ -13,6 +13,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"citronhitch.example/citronhitch/hitchconn"
 	"citronhitch.example/citronhitch/hitchoutcome"
 )
 
@@ -107,7 +108,7 @@
 			})
 			var p ConnPool
 			_, err := get(t, &p, e.addr)
-			qt.Assert(t, err, qt.ErrorIs, errInvalidStatus)
+			qt.Assert(t, err, qt.ErrorIs, hitchconn.ErrInvalidStatus)
 			qt.Assert(t, p.idle[e.addr], qt.HasLen, 0)
 		})
 	}
--- a/hitchforward/exchange.go
+++ b/hitchforward/exchange.go
@@ -13,6 +13,7 @@
 	"sync/atomic"
 	"time"
 
+	"citronhitch.example/citronhitch/hitchconn"
 	"citronhitch.example/citronhitch/hitchoutcome"
 )
 
@@ -199,7 +200,7 @@
 			return nil, err
 		}
 		if !isInterim(res.StatusCode) {
-			return res, checkStatus(res.StatusCode)
+			return res, hitchconn.CheckStatus(res.StatusCode)
 		}
 	}
 }
--- a/hitchforward/limit.go
+++ b/hitchforward/limit.go
@@ -41,10 +41,9 @@
 }
 
 // NewTransport returns a transport as http.DefaultTransport is, for calls that aren't requests of callers, which limits the
-// heads of responses to 8 KiB.
-func NewTransport() *http.Transport {
+// heads of responses to 8 KiB and takes no broken response for a whole one.
+func NewTransport() hitchconn.Transport {
 	t := http.DefaultTransport.(*http.Transport).Clone()
-	t.DialContext = hitchconn.Dial(t.DialContext)
 	t.MaxResponseHeaderBytes = maxHeadBytes
-	return t
+	return hitchconn.NewTransport(t)
 }
--- a/hitchnode/foreignresponse_test.go
+++ b/hitchnode/foreignresponse_test.go
@@ -64,3 +64,31 @@
 	qt.Check(t, order(), qt.Equals, hitchorder.OrderDeferred)
 	qt.Check(t, order(), qt.Equals, hitchorder.OrderAccepted)
 }
+
+// TestInvalidStatusLeavesOrderUnknown guards against orders that count as refused, as an engine in trouble has sent a
+// status that says nothing.
+func TestInvalidStatusLeavesOrderUnknown(t *testing.T) {
+	for _, status := range []string{"000", "001", "099", "101", "600", "999"} {
+		t.Run(status, func(t *testing.T) {
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			qt.Assert(t, err, qt.IsNil)
+			t.Cleanup(func() { _ = l.Close() })
+			go func() {
+				c, err := l.Accept()
+				if err != nil {
+					return
+				}
+				defer func() { _ = c.Close() }()
+				if r, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+					_, _ = io.Copy(io.Discard, r.Body)
+					_, _ = io.WriteString(c, "HTTP/1.1 "+status+" X\r\nContent-Length: 2\r\n\r\n{}")
+				}
+			}()
+			var client engineClient
+			order := hitchorder.Order{Kind: hitchorder.LoadVersion, URL: "http://" + l.Addr().String(), Deadline: time.Now().Add(time.Second)}
+			result := client.send(t.Context(), order, "")
+			qt.Check(t, result.Kind, qt.Equals, hitchorder.OrderUnknown)
+			qt.Check(t, result.err, qt.IsNotNil)
+		})
+	}
+}
--- a/hitchnode/orderengine.go
+++ b/hitchnode/orderengine.go
@@ -13,6 +13,7 @@
 
 	"github.com/samber/lo"
 
+	"citronhitch.example/citronhitch/hitchconn"
 	"citronhitch.example/citronhitch/hitchfleet"
 	"citronhitch.example/citronhitch/hitchforward"
 	"citronhitch.example/citronhitch/hitchorder"
@@ -37,7 +38,7 @@
 // unkeptConns opens a connection for each call.
 var unkeptConns = newUnkeptConns()
 
-func newUnkeptConns() *http.Transport {
+func newUnkeptConns() hitchconn.Transport {
 	t := hitchforward.NewTransport()
 	t.DisableKeepAlives = true
 	return t
--- a/hitchsoak/caller.go
+++ b/hitchsoak/caller.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -73,8 +72,8 @@
 }
 
 // newTransport returns the transport of a caller, which takes no part of a response for a whole one.
-func newTransport() *http.Transport {
-	return &http.Transport{DialContext: hitchconn.Dial(new(net.Dialer).DialContext), MaxIdleConns: maxIdleConns}
+func newTransport() hitchconn.Transport {
+	return hitchconn.NewTransport(&http.Transport{MaxIdleConns: maxIdleConns})
 }
 
 // run makes calls until ctx ends and passes each finished one to record.
--- a/hitchstore/client.go
+++ b/hitchstore/client.go
@@ -164,11 +164,10 @@
 // defaultHTTP is the HTTP client of clients that have none.
 var defaultHTTP = http.Client{Transport: newTransport()}
 
-func newTransport() *http.Transport {
+func newTransport() hitchconn.Transport {
 	t := http.DefaultTransport.(*http.Transport).Clone()
-	t.DialContext = hitchconn.Dial(t.DialContext)
 	t.MaxResponseHeaderBytes = maxHeadBytes
-	return t
+	return hitchconn.NewTransport(t)
 }
 
 func newSessionID() string { return ulid.Make().String() }
