A caller of HTTP/1.0 is reset only once it has a part of its response

A reset without a byte of a response says that the request wasn't read, so that a caller may send it again although it ran.

--- a/hitchconn/conn_test.go
+++ b/hitchconn/conn_test.go
@@ -34,8 +34,8 @@
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			for range 20 {
-				nc, writing := dialWriting(t, test.end)
-				got, err := readPart(nc, writing)
+				nc, written := dialWriting(t, test.end)
+				got, err := readPart(nc, written)
 				qt.Check(t, got, qt.Equals, "part")
 				qt.Assert(t, err, qt.ErrorIs, test.want)
 				_ = nc.Close()
@@ -44,8 +44,9 @@
 	}
 }
 
-// dialWriting returns a connection that is written to, whose other side sends a part and then ends it.
-func dialWriting(t *testing.T, end func(c *net.TCPConn)) (_ net.Conn, writing chan struct{}) {
+// dialWriting returns a connection that is written to, whose other side sends a part and then ends it. The channel
+// is closed once the write has returned.
+func dialWriting(t *testing.T, end func(c *net.TCPConn)) (net.Conn, <-chan struct{}) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	qt.Assert(t, err, qt.IsNil)
 	go func() {
@@ -61,23 +62,23 @@
 	}()
 	nc, err := net.Dial("tcp", l.Addr().String())
 	qt.Assert(t, err, qt.IsNil)
-	nc, writing = CheckEnd(nc), make(chan struct{})
+	checked, written := CheckEnd(nc), make(chan struct{})
 	go func() {
-		defer close(writing)
-		_, _ = nc.Write(make([]byte, uploadBytes))
+		defer close(written)
+		_, _ = checked.Write(make([]byte, uploadBytes))
 	}()
-	return nc, writing
+	return checked, written
 }
 
 // readPart reads until the end. If the connection breaks, it lets the write get the error first.
-func readPart(nc net.Conn, writing chan struct{}) (part string, err error) {
+func readPart(nc net.Conn, written <-chan struct{}) (part string, err error) {
 	b := make([]byte, 16)
 	n, err := nc.Read(b)
 	if err != nil {
 		return "", err
 	}
 	select {
-	case <-writing:
+	case <-written:
 	case <-time.After(100 * time.Millisecond):
 	}
 	_, err = nc.Read(b[n:])
--- a/hitchforward/unacked.go
+++ b/hitchforward/unacked.go
@@ -1,13 +1,10 @@
 package hitchforward
 
 import (
-	"errors"
 	"net"
 	"sync"
 	"time"
 
-	"golang.org/x/sys/unix"
-
 	"citronhitch.example/citronhitch/hitchconn"
 )
 
@@ -82,7 +79,7 @@
 	defer w.mu.Unlock()
 	now, sent := time.Now(), sentBytes{written: w.conn.written.Load()}
 	var err error
-	if sent.unacked, err = unackedBytes(w.conn.Conn); err != nil || w.isStopped {
+	if sent.unacked, err = hitchconn.Unacked(w.conn.Conn); err != nil || w.isStopped {
 		return // closed, not a TCP connection, or not watched any more
 	}
 	if sent != w.seen || sent.unacked == 0 {
@@ -95,16 +92,3 @@
 	}
 	w.timer.Reset(unackedInterval)
 }
-
-// unackedBytes returns how many bytes that were written to a TCP connection the other side hasn't
-// acknowledged.
-func unackedBytes(nc net.Conn) (n int64, err error) {
-	raw, err := hitchconn.Raw(nc)
-	if err != nil {
-		return 0, err
-	}
-	var count int
-	var ioctlErr error
-	err = raw.Control(func(fd uintptr) { count, ioctlErr = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ) })
-	return int64(count), errors.Join(err, ioctlErr)
-}
--- a/hitchserver/conn.go
+++ b/hitchserver/conn.go
@@ -13,6 +13,9 @@
 type conn struct {
 	net.Conn
 
+	// unframed is the response to a request of HTTP/1.0, if one is being written.
+	unframed unframedResponse
+
 	mu           sync.Mutex
 	phase        Phase
 	isStopping   bool
@@ -31,6 +34,20 @@
 	return n, err
 }
 
+// Write writes bytes of a response.
+func (c *conn) Write(b []byte) (n int, err error) {
+	c.unframed.resetOnClose()
+	n, err = c.Conn.Write(b)
+	c.unframed.add(n)
+	return n, err
+}
+
+// Close closes the connection. A caller of HTTP/1.0 sees that its response isn't whole.
+func (c *conn) Close() error {
+	c.unframed.awaitAck()
+	return c.Conn.Close()
+}
+
 // beginRequest notes that a part of a request has been read. The rest of it may be read
 // even if the connection is stopping.
 func (c *conn) beginRequest() {
@@ -89,20 +106,6 @@
 	return nil
 }
 
-// setResetOnClose makes the end of the connection, also that of the process, a reset, which no caller takes for the
-// end of its response.
-func (c *conn) setResetOnClose(on bool) {
-	tcp, ok := c.Conn.(*net.TCPConn)
-	if !ok {
-		return
-	}
-	seconds := -1 // the default: what was written is still sent
-	if on {
-		seconds = 0
-	}
-	_ = tcp.SetLinger(seconds)
-}
-
 // setPhase sets the phase. A request that was read together with the one before it begins
 // without a read: its connection is no longer without one.
 func (c *conn) setPhase(p Phase) {
--- a/hitchserver/server.go
+++ b/hitchserver/server.go
@@ -105,10 +105,9 @@
 	c.setPhase(PhaseHandling)
 	defer c.setPhase(PhaseWriting)
 	if !r.ProtoAtLeast(1, 1) {
-		// The end of such a response may be that of its connection.
-		c.setResetOnClose(true)
+		c.unframed.begin(c.Conn)
 		handler.ServeHTTP(w, r)
-		c.setResetOnClose(false)
+		c.unframed.end()
 		return
 	}
 	handler.ServeHTTP(w, r)
