A relay gives a stream up whose sender acknowledges nothing for 2 s

What callers saw: none was reported.

Cause: the close of the relaying instance doesn't arrive. The other one only sees that what it writes isn't acknowledged, and didn't look.

Change: for relayed requests that may run again an instance looks each 100 ms at what the sender has acknowledged, and gives the request up after 2 s without anything. The tests' relays pass Last-Event-Id on, as the product's do.

--- a/hitchconn/conn.go
+++ b/hitchconn/conn.go
@@ -15,8 +15,6 @@
 	"net"
 	"sync"
 	"syscall"
-
-	"golang.org/x/sys/unix"
 )
 
 // Conn is a TCP connection whose reads return io.EOF only if the other side has ended it.
@@ -112,14 +110,6 @@
 
 // isClosed reports whether the kernel has closed a TCP connection on both sides.
 func isClosed(nc net.Conn) bool {
-	raw, err := Raw(nc)
-	if err != nil {
-		return false
-	}
-	isClosed := false
-	_ = raw.Control(func(fd uintptr) {
-		info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
-		isClosed = err == nil && info.State == tcpClose
-	})
-	return isClosed
+	info, err := tcpInfo(nc)
+	return err == nil && info.State == tcpClose
 }
--- a/hitchingress/secondcopy_test.go
+++ b/hitchingress/secondcopy_test.go
@@ -73,7 +73,10 @@
 
 // cutOff makes a gateway find that it is cut off from endpoints, which other instances reach.
 func cutOff(t *testing.T, g *Gateway, relays ...hitchfleet.Instance) {
-	g.Protocol.EncodeRelay = func(h http.Header, info RelayInfo) { h.Set("Key", info.Key) }
+	g.Protocol.EncodeRelay = func(h http.Header, info RelayInfo) {
+		h.Set("Key", info.Key)
+		h.Set("Last-Event-Id", fmt.Sprint(info.LastEventID))
+	}
 	g.Path.Ask = func(context.Context, hitchfleet.Endpoint) hitchpath.Evidence { return hitchpath.Unreached }
 	g.Path.Endpoints = func() []hitchfleet.Endpoint { return []hitchfleet.Endpoint{{}} }
 	g.Path.Confirm = func(context.Context, bool) []hitchfleet.Instance { return relays }
--- a/hitchingress/serve.go
+++ b/hitchingress/serve.go
@@ -11,6 +11,7 @@
 	"citronhitch.example/citronhitch/hitchquarantine"
 	"citronhitch.example/citronhitch/hitchretry"
 	"citronhitch.example/citronhitch/hitchroute"
+	"citronhitch.example/citronhitch/hitchserver"
 )
 
 // proxyRequest is the state of one request while the gateway processes it.
@@ -90,6 +91,9 @@
 	}
 	if relay.by != "" {
 		req.retryState.MaxAttempts = min(req.retryState.MaxAttempts, relay.attempts)
+		if conn, ok := hitchserver.ConnOf(r); ok && req.retryState.IsRetrySafe {
+			go g.watchSender(ctx, req, conn, cancel)
+		}
 	}
 	g.runAttempts(ctx, req)
 	if req.stream.isAborted {
--- a/hitchingress/standby.go
+++ b/hitchingress/standby.go
@@ -157,6 +157,7 @@
 	now := time.Now()
 	f.gateway.Log.Info("standby takes over", "ID", f.req.ID, "Route", f.req.route.Name, "Endpoint", f.current.pick.Endpoint.ID, "Standby", next.pick.Endpoint.ID,
 		"SilentFor", now.Sub(f.progressAt), "SentBefore", now.Sub(next.sentAt), "BegunBefore", age(now, next.headAt))
+	go f.gateway.logLeft(f.req.ID, f.current, now)
 	f.req.observeWait(f.current)
 	f.req.unreachableZones = append(f.req.unreachableZones, f.current.pick.Endpoint.Zone)
 	f.gateway.Conns.CloseIdle(f.current.pick.Endpoint.Addr)
@@ -183,6 +184,13 @@
 	}
 }
 
+// logLeft logs when the connection to an endpoint was closed that another one replaced at a time. The endpoint may
+// work on until it has noticed that.
+func (g *Gateway) logLeft(id string, a *attempt, replacedAt time.Time) {
+	<-a.exchange.closed
+	g.Log.Info("silent endpoint left", "ID", id, "Endpoint", a.pick.Endpoint.ID, "Relay", a.pick.Relay, "ClosedAfter", time.Since(replacedAt))
+}
+
 func (f *follower) removeStandby(a *attempt) {
 	f.standbys = slices.DeleteFunc(f.standbys, func(b *attempt) bool { return a == b })
 }
--- a/hitchserver/server.go
+++ b/hitchserver/server.go
@@ -55,6 +55,16 @@
 // connKey is the key of a request's connection in its context.
 type connKey struct{}
 
+// ConnOf returns the connection on which a request has arrived at a Server, and false for a request of another
+// server.
+func ConnOf(r *http.Request) (net.Conn, bool) {
+	c, ok := r.Context().Value(connKey{}).(*conn)
+	if !ok {
+		return nil, false
+	}
+	return c.Conn, true
+}
+
 // Serve serves the connections of a listener until Shutdown or Close, and then returns
 // nil.
 func (s *Server) Serve(l net.Listener) error {
