Soak repeats: at the end all instances and endpoints lose power at once

What runs after a loss of power of everything wasn't tried. A plan of this variant ends with the kill of all instances and all endpoints at the same moment, for 1.5 s, after one second without other faults; an instance that is stopped as planned has ended by then.

--- a/hitchsoak/repeats.go
+++ b/hitchsoak/repeats.go
@@ -42,13 +42,17 @@
 	maxRunOverlap = 400 * time.Millisecond
 	// pauseSettleTime is how long a process that goes on may be late.
 	pauseSettleTime = time.Second
+	// powerLossTime is how long all processes are down at the end, after powerLossLead without other faults.
+	powerLossTime = 1500 * time.Millisecond
+	powerLossLead = time.Second
 )
 
-// newRepeatPlan returns random faults for a soak of VariantRepeats. At most half of the instances are
-// affected at a time.
+// newRepeatPlan returns random faults for a soak of VariantRepeats, at the end of which all instances and endpoints lose
+// power. At most half of the instances are affected at a time before.
 func newRepeatPlan(seed uint64, length time.Duration, instances int) (plan []Fault) {
 	rng := rand.New(rand.NewPCG(seed, 12))
-	end := length - faultFreeEnd
+	powerLossAt := length - faultFreeEnd - powerLossTime
+	end := powerLossAt - powerLossLead
 	busyUntil := make([]time.Duration, bookingProcesses+engineProcesses)
 	for at := faultFreeStart; at < end; at += time.Duration(rng.ExpFloat64() * float64(repeatFaultInterval)) {
 		f := Fault{Kind: repeatPlanKinds[rng.IntN(len(repeatPlanKinds))], Begin: at}
@@ -61,9 +65,23 @@
 		} else if f.Target = rng.IntN(instances); countAffectedInstances(plan, f) >= max(instances/2, 1) {
 			continue
 		}
+		if f.Kind == StopInstance && at+hitchstandin.GracePeriod > end {
+			continue
+		}
 		plan = append(plan, f)
 	}
-	return plan
+	return append(plan, powerLoss(powerLossAt, instances)...)
+}
+
+// powerLoss returns the faults by which all instances and endpoints are killed at the same time.
+func powerLoss(at time.Duration, instances int) (faults []Fault) {
+	for n := range instances {
+		faults = append(faults, Fault{Kind: KillInstance, Target: n, Begin: at, End: at + powerLossTime})
+	}
+	for n := range bookingProcesses + engineProcesses {
+		faults = append(faults, Fault{Kind: KillProcess, Target: n, Begin: at, End: at + powerLossTime})
+	}
+	return faults
 }
 
 // runRepeatCallers runs the callers of bookings, and of streams that may run once, until ctx ends.
