--- a/hitchsoak/caller.go
+++ b/hitchsoak/caller.go
@@ -92,13 +92,26 @@
 	}
 }
 
-// resolve requests the addresses of instances from a directory if the cached ones
+// maxDirectories is how many directories a caller asks before it goes on with old addresses.
+const maxDirectories = 3
+
+// resolve requests the addresses of instances from directories if the cached ones
 // have expired. It reports whether any address is known.
 func (c *caller) resolve(ctx context.Context, rng *rand.Rand) bool {
 	if time.Now().Before(c.addrsExpireAt) && len(c.addrs) > 0 {
 		return true
 	}
-	i := c.fleet.instances[rng.IntN(len(c.fleet.instances))]
+	order := rng.Perm(len(c.fleet.instances))
+	for _, n := range order[:min(len(order), maxDirectories)] {
+		if c.askDirectory(ctx, c.fleet.instances[n]) {
+			return true
+		}
+	}
+	return len(c.addrs) > 0
+}
+
+// askDirectory requests the addresses from the directory of an instance. It reports whether it has got some.
+func (c *caller) askDirectory(ctx context.Context, i *instance) bool {
 	ctx, cancel := context.WithTimeout(ctx, resolveTimeout)
 	defer cancel()
 	url := fmt.Sprintf("http://%s:%d/v1/resolve?name=soak.example&region=r&zone=a", i.ip, hitchstandin.DirectoryPort)
@@ -108,7 +121,7 @@
 	}
 	res, err := c.client.Do(r)
 	if err != nil {
-		return len(c.addrs) > 0
+		return false
 	}
 	defer func() { _ = res.Body.Close() }()
 	var out struct {
@@ -116,7 +129,7 @@
 		TTL       float64  `json:"ttlS"`
 	}
 	if json.NewDecoder(res.Body).Decode(&out) != nil || len(out.Addresses) == 0 {
-		return len(c.addrs) > 0
+		return false
 	}
 	c.addrs, c.addrsExpireAt = out.Addresses, time.Now().Add(time.Duration(out.TTL*float64(time.Second)))
 	return true
