--- a/hitchforward/attempt.go
+++ b/hitchforward/attempt.go
@@ -82,7 +82,7 @@
 // A response without an attempt ID, such as the error of a proxy in front of the endpoint, or bytes
 // that belong to no call, doesn't show whether the endpoint runs the call.
 func (a *attempt) checkAttemptID() error {
-	got := a.response.Header.Get(AttemptHeader)
+	got := OnlyValue(a.response.Header, AttemptHeader)
 	if got == a.id {
 		return nil
 	}
--- a/hitchforward/call.go
+++ b/hitchforward/call.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"time"
 )
 
@@ -26,6 +27,15 @@
 	Attempt string
 }
 
+// OnlyValue returns the value of a header field, and an empty string if it has several that differ.
+func OnlyValue(h http.Header, name string) string {
+	values := h.Values(name)
+	if slices.ContainsFunc(values, func(value string) bool { return value != values[0] }) {
+		return ""
+	}
+	return h.Get(name)
+}
+
 // hopByHopHeaders apply to a single connection and aren't forwarded (RFC 9110,
 // 7.6.1).
 var hopByHopHeaders = []string{
