--- a/hitchingress/dispatch.go
+++ b/hitchingress/dispatch.go
@@ -110,11 +110,7 @@
 	for range maxSlotReturns {
 		unusable, returnAt, refusal := g.Balancer.UnusableRuns(time.Now(), request)
 		if refusal != hitchbalance.NotRefused {
-			if g.awaitRoom(ctx, req, refusal) {
-				return hitchbalance.Pick{}, Slot{}, slotRetry
-			}
-			g.finishWithoutEndpoint(req, refusal, returnAt)
-			return hitchbalance.Pick{}, Slot{}, slotEnded
+			return hitchbalance.Pick{}, Slot{}, g.awaitRoomOrFinish(ctx, req, refusal, returnAt)
 		}
 		question.Tried = append(unusable, req.unusedRuns...)
 		answer := g.Slots.Acquire(ctx, req.service, question)
--- a/hitchingress/run.go
+++ b/hitchingress/run.go
@@ -96,29 +96,13 @@
 			}
 			hasOwnSlot = true
 		}
-		pick, refusal := g.Balancer.Pick(time.Now(), g.pickRequest(req))
-		if refusal != hitchbalance.NotRefused {
-			if g.awaitRoom(ctx, req, refusal) {
-				continue
-			}
-			g.finishWithoutEndpoint(req, refusal, pick.RetryAt)
+		pick, slot, step := g.pickByItself(ctx, req, hasOwnSlot)
+		switch step {
+		case slotEnded:
 			return nil
-		}
-		if pick.PendingPrefix != 0 && req.logEntry.prefillWaitFrom.IsZero() {
-			g.waitForPrefill(ctx, req, pick)
+		case slotRetry:
 			continue
 		}
-		var slot Slot
-		if hasOwnSlot {
-			var ok bool
-			if slot, ok = g.takeOwnSlot(req, pick); !ok {
-				if g.awaitRoom(ctx, req, hitchbalance.AllAtQuota) {
-					continue
-				}
-				g.finishWithoutEndpoint(req, hitchbalance.AllAtQuota, time.Time{})
-				return nil
-			}
-		}
 		permit := g.permit(ctx, req, pick)
 		if permit.IsGranted {
 			return g.startAttempt(ctx, req, pick, slot)
@@ -137,6 +121,36 @@
 	}
 }
 
+// pickByItself picks an endpoint without an owner of slots, with a slot of this instance's share if one is needed.
+func (g *Gateway) pickByItself(ctx context.Context, req *proxyRequest, needsSlot bool) (hitchbalance.Pick, Slot, slotStep) {
+	pick, refusal := g.Balancer.Pick(time.Now(), g.pickRequest(req))
+	if refusal != hitchbalance.NotRefused {
+		return hitchbalance.Pick{}, Slot{}, g.awaitRoomOrFinish(ctx, req, refusal, pick.RetryAt)
+	}
+	if pick.PendingPrefix != 0 && req.logEntry.prefillWaitFrom.IsZero() {
+		g.waitForPrefill(ctx, req, pick)
+		return hitchbalance.Pick{}, Slot{}, slotRetry
+	}
+	if !needsSlot {
+		return pick, Slot{}, slotPicked
+	}
+	slot, ok := g.takeOwnSlot(req, pick)
+	if !ok {
+		return hitchbalance.Pick{}, Slot{}, g.awaitRoomOrFinish(ctx, req, hitchbalance.AllAtQuota, time.Time{})
+	}
+	return pick, slot, slotPicked
+}
+
+// awaitRoomOrFinish waits until the endpoints are to be looked at again, or ends the request, whose caller may return
+// at returnAt.
+func (g *Gateway) awaitRoomOrFinish(ctx context.Context, req *proxyRequest, refusal hitchbalance.Refusal, returnAt time.Time) slotStep {
+	if g.awaitRoom(ctx, req, refusal) {
+		return slotRetry
+	}
+	g.finishWithoutEndpoint(req, refusal, returnAt)
+	return slotEnded
+}
+
 // pickRequest returns the properties of the request that decide which endpoint gets its
 // next attempt.
 func (g *Gateway) pickRequest(req *proxyRequest) hitchbalance.Request {
