--- a/hitchforward/carried.go
+++ b/hitchforward/carried.go
@@ -1,6 +1,10 @@
 package hitchforward
 
-import "slices"
+import (
+	"slices"
+
+	"citronhitch.example/citronhitch/hitchfleet"
+)
 
 // maxCarried is how many requests a connection remembers. A second copy of a response arrives with one
 // of the next responses.
@@ -8,8 +12,8 @@
 
 // carriedIDs are the IDs of the newest requests that a connection has carried. The zero value is empty.
 type carriedIDs struct {
-	ids []string
-	// next is where the next ID is put once there are maxCarried.
+	keys []hitchfleet.Key
+	// next is where the next key is put once there are maxCarried.
 	next int
 }
 
@@ -17,13 +21,15 @@
 func (c *carriedIDs) add(id string) {
 	switch {
 	case id == "":
-	case len(c.ids) < maxCarried:
-		c.ids = append(c.ids, id)
+	case len(c.keys) < maxCarried:
+		c.keys = append(c.keys, hitchfleet.KeyOf(id))
 	default:
-		c.ids[c.next] = id
+		c.keys[c.next] = hitchfleet.KeyOf(id)
 		c.next = (c.next + 1) % maxCarried
 	}
 }
 
 // contains reports whether the connection has carried a request with an ID.
-func (c *carriedIDs) contains(id string) bool { return id != "" && slices.Contains(c.ids, id) }
+func (c *carriedIDs) contains(id string) bool {
+	return id != "" && slices.Contains(c.keys, hitchfleet.KeyOf(id))
+}
