Soak: a process that is stopped once more while it stops is no failure

Its plan stops router-0 each 7 s, which may take 8 s.

Cause, a fault of the stand-in: the second stop waited for the same process too, and would have started it a second time.

Change: a process that is stopping gets the signal again, and whoever stopped it first starts it again.

--- a/hitchsoak/fleet.go
+++ b/hitchsoak/fleet.go
@@ -283,11 +283,22 @@
 	}
 }
 
-// setStopping records whether the process has got a signal that ends it.
-func (i *instance) setStopping(isStopping bool) {
+// beginStop records that the process gets a signal that ends it. It returns false if it has got one before.
+func (i *instance) beginStop() bool {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	i.isStopping = isStopping
+	if i.isStopping {
+		return false
+	}
+	i.isStopping = true
+	return true
+}
+
+// endStop records that the process has ended.
+func (i *instance) endStop() {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.isStopping = false
 }
 
 // signalIfStopping sends a signal to the process if it has got one that ends it.
--- a/hitchsoak/soak.go
+++ b/hitchsoak/soak.go
@@ -323,10 +323,14 @@
 
 // terminate sends a process a signal that ends it, and returns the function that
 // starts it again. A process that still runs after the grace period would be killed.
+// One that is stopping gets the signal too; whoever stopped it first starts it again.
 func (f *fleet) terminate(n int, sig syscall.Signal) func() {
 	i := f.instances[n]
 	begin := time.Now()
-	i.setStopping(true)
+	if !i.beginStop() {
+		i.signal(sig)
+		return func() {}
+	}
 	i.signal(sig)
 	ended := make(chan error, 1)
 	go func() {
@@ -340,7 +344,7 @@
 		if err := <-ended; err != nil {
 			f.addProcessFailure(fmt.Sprintf("%s ended: %v", i.name, err))
 		}
-		i.setStopping(false)
+		i.endStop()
 		if err := i.start(); err != nil {
 			f.addProcessFailure(fmt.Sprintf("%s failed to start: %v", i.name, err))
 		}
