Soak repeats: each send of a repeated ID runs once at most

The check that came with callers that send an ID again allowed as many runs as sends, so that two runs of one send were missed if the other one hadn't run. Runs before the last send are the first one's and may be one at most; if it is known what became of the first, so may the later ones. Four new cases of the checker; the case "first was refused, two runs" names AtMostOnce too.

--- a/hitchsoak/check.go
+++ b/hitchsoak/check.go
@@ -63,7 +63,7 @@
 	runs := c.runLog.Runs(x.Attempt)
 	isBooking := strings.HasPrefix(x.Path, "/booking/") || strings.HasPrefix(x.Path, hitchstandin.OncePrefix)
 	sends := c.sendsOf(x)
-	if isBooking && len(runs) > sends.sent {
+	if isBooking && sends.ranTooOften(runs) {
 		add("AtMostOnce", "sent %d times, %d runs: %v", sends.sent, len(runs), runs)
 	}
 	if promisesNotRun(x.Status) && len(runs) > sends.sent-sends.refused {
@@ -88,12 +88,33 @@
 	return out
 }
 
-// attemptSends are how often an attempt was sent, and how many of these were refused as not run.
-type attemptSends struct{ sent, refused int }
+// attemptSends are how often an attempt was sent, once or twice, and how many of these were refused as not run.
+type attemptSends struct {
+	sent, refused int
+	// lastBegin is when it was sent last. isKnown is set if what became of it before is known: a run of
+	// an earlier send then isn't later than that.
+	lastBegin time.Time
+	isKnown   bool
+	// lastIsKnown is the same for the last send.
+	lastIsKnown bool
+}
+
+// ranTooOften reports whether a send has run more than once.
+func (s attemptSends) ranTooOften(runs []hitchstandin.Run) bool {
+	before := 0
+	for _, r := range runs {
+		if r.At.Before(s.lastBegin) {
+			before++
+		}
+	}
+	return len(runs) > s.sent || before > 1 || s.isKnown && len(runs)-before > 1
+}
 
 // with returns the figures with one more call.
 func (s attemptSends) with(x call) attemptSends {
 	s.sent++
+	s.isKnown = s.sent == 1 || s.lastIsKnown
+	s.lastBegin, s.lastIsKnown = x.Begin, x.Err == nil && (x.Status == http.StatusOK || promisesNotRun(x.Status))
 	if promisesNotRun(x.Status) {
 		s.refused++
 	}
--- a/hitchsoak/soak_test.go
+++ b/hitchsoak/soak_test.go
@@ -125,7 +125,7 @@
 		"each ran":                    {[]int{200, 200}, 2, ""},
 		"one ran twice":               {[]int{200, 200}, 3, "AtMostOnce"},
 		"first was refused":           {[]int{503, 200}, 1, ""},
-		"first was refused, two runs": {[]int{503, 200}, 2, "NotRun"},
+		"first was refused, two runs": {[]int{503, 200}, 2, "AtMostOnceNotRun"},
 		"both were refused":           {[]int{503, 429}, 0, ""},
 		"both were refused, one run":  {[]int{503, 429}, 1, "NotRun"},
 		"one isn't known":             {[]int{200, 502}, 1, ""},
@@ -133,14 +133,21 @@
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			var runLog hitchstandin.RunLog
-			for range test.runs {
-				runRequest(&hitchstandin.Endpoint{ID: "e", RunLog: &runLog}, "attempt")
+			run := func(count int) {
+				for range count {
+					runRequest(&hitchstandin.Endpoint{ID: "e", RunLog: &runLog}, "attempt")
+				}
 			}
 			c := &checker{start: time.Now(), end: time.Now().Add(seconds(72)), runLog: &runLog}
-			var calls []call
-			for _, status := range test.statuses {
-				calls = append(calls, call{Attempt: "attempt", Path: "/booking/x", Status: status})
+			first := call{Attempt: "attempt", Path: "/booking/x", Status: test.statuses[0], Begin: time.Now()}
+			before := 0 // one that was served has run before the next one is sent
+			if first.Status == http.StatusOK {
+				before = 1
 			}
+			run(before)
+			second := call{Attempt: "attempt", Path: "/booking/x", Status: test.statuses[1], Begin: time.Now()}
+			run(test.runs - before)
+			calls := []call{first, second}
 			c.countSends(calls)
 			got := ""
 			for _, v := range c.checkCall(calls[0]) {
@@ -151,6 +158,36 @@
 	}
 }
 
+// TestCheckerTellsRunsOfRepeatedIDsApart covers a send that ran twice, while the other one of its ID didn't run.
+func TestCheckerTellsRunsOfRepeatedIDsApart(t *testing.T) {
+	tests := map[string]struct {
+		firstStatus int
+		runsAt      []float64 // seconds; the second send is at 10
+		want        string
+	}{
+		"each ran":                           {200, []float64{1, 11}, ""},
+		"first ran twice":                    {502, []float64{1, 2}, "AtMostOnce"},
+		"second ran twice, first was served": {200, []float64{11, 12}, "AtMostOnce"},
+		"first ran late":                     {502, []float64{11, 12}, ""},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			var runs []hitchstandin.Run
+			for _, at := range test.runsAt {
+				runs = append(runs, hitchstandin.Run{Attempt: "a", Organisation: "organisation-0", At: timeAt(at)})
+			}
+			c := &checker{start: start, end: timeAt(80), runLog: hitchstandin.NewRunLog(runs...)}
+			first := call{Attempt: "a", Path: "/booking/x", Status: test.firstStatus, Begin: timeAt(0)}
+			c.countSends([]call{first, {Attempt: "a", Path: "/booking/x", Status: 502, Begin: timeAt(10)}})
+			got := ""
+			for _, v := range c.checkCall(first) {
+				got += v.Guarantee
+			}
+			qt.Assert(t, got, qt.Equals, test.want)
+		})
+	}
+}
+
 func TestFindMismatch(t *testing.T) {
 	header := http.Header{"X-Attempt-Id": {"a"}, "X-Response-Seal": {"s"}}
 	completeStream := streamBody("a", hitchstandin.ShapeOf("/stream/x"))
