Connections are bounded in sum: idle ones make room, and descriptors are kept for endpoints and the store

Cause: no listener bounded its connections, so that one port took all descriptors; none were left for ordinary callers, endpoints, other instances and the store.

Directory, readiness, peers and metrics are such ports too.

Change: a server has at most MaxConns connections. For a new one it closes the one that has waited longest without a whole request; one that has carried a request may wait 5 s longer than one that hasn't. A request with a body is whole once the body was read, as the gateway acts on none before. A request whose connection was closed isn't handled, so that a reset without a response still says that nothing has run. hitchedge derives the bounds from maxFds (now read) and memoryMb: 3/8 of the sockets for callers, 1/8 for peers, 1/16 for the directory, 1/32 each for readiness and metrics. Nothing depends on the client's address. Metric citronhitch_closed_connections_total, and a line in the log at most each 2 s.

--- a/hitchedge/edge.go
+++ b/hitchedge/edge.go
@@ -28,6 +28,7 @@
 	"citronhitch.example/citronhitch/hitchforward"
 	"citronhitch.example/citronhitch/hitchingress"
 	"citronhitch.example/citronhitch/hitchquarantine"
+	"citronhitch.example/citronhitch/hitchserver"
 	"citronhitch.example/citronhitch/hitchview"
 	hitchplatform "citronhitch.example/citronhitch/platform"
 )
@@ -56,6 +57,8 @@
 	conns         hitchforward.ConnPool
 	metrics       hitchingress.Metrics
 	gateway       *hitchingress.Gateway
+	room          room
+	callerServer  *hitchserver.Server
 	follower      hitchview.Follower
 	// registration keeps this instance's entry in the store.
 	registration hitchview.Registration
@@ -189,16 +192,16 @@
 	runCtx, stopRun := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopRun()
 	group, runCtx := errgroup.WithContext(runCtx)
-	callerServer := e.newCallerServer()
+	callerServer := e.callerServer
 	group.Go(func() error { return callerServer.Serve(listener) })
-	group.Go(func() error {
-		return serveUntil(runCtx, settings.DirectoryAddr, hitchplatform.Directory{Addrs: e.directoryAddrs})
-	})
-	group.Go(func() error {
-		return serveUntil(runCtx, settings.ReadyAddr, hitchplatform.Readiness{IsReady: e.gateway.IsReady})
-	})
-	group.Go(func() error { return serveUntil(runCtx, settings.Self.PeerAddr, http.HandlerFunc(e.servePeers)) })
-	group.Go(func() error { e.runMetrics(runCtx); return nil })
+	directory := e.room.newServer("directory", directoryShare, hitchplatform.Directory{Addrs: e.directoryAddrs})
+	group.Go(func() error { return serveUntil(runCtx, settings.DirectoryAddr, directory) })
+	readiness := e.room.newServer("readiness", probeShare, hitchplatform.Readiness{IsReady: e.gateway.IsReady})
+	group.Go(func() error { return serveUntil(runCtx, settings.ReadyAddr, readiness) })
+	peers := e.room.newServer("peers", peerShare, http.HandlerFunc(e.servePeers))
+	group.Go(func() error { return serveUntil(runCtx, settings.Self.PeerAddr, peers) })
+	metrics := e.room.newServer("metrics", probeShare, http.HandlerFunc(e.serveMetrics))
+	group.Go(func() error { e.runMetrics(runCtx, metrics); return nil })
 	group.Go(func() error { e.follower.Run(runCtx); return nil })
 	group.Go(func() error { return e.exchangeDatagrams(runCtx) })
 	group.Go(func() error { e.trackCurrency(runCtx); return nil })
@@ -247,6 +250,8 @@
 
 		OriginExchange: e.originExchange(),
 	}
+	e.room.init(settings)
+	e.callerServer = e.newCallerServer()
 	e.gateway.Quarantine.SetRank(e.gateway.TrialRank)
 	e.gateway.Permits, e.gateway.Released, e.gateway.Turns = e.askPermit, e.release, e.askTurn
 	e.permits.reserve.StartsEmpty = true
@@ -299,7 +304,8 @@
 		"ZonesOut", summary.ZonesOut, "Instances", summary.Instances, "IsHub", summary.IsHub)
 }
 
-// expireConns periodically closes expired idle connections to endpoints.
+// expireConns periodically closes expired idle connections to endpoints, and logs those of
+// clients that were closed to make room.
 func (e *Edge) expireConns(ctx context.Context) {
 	ticker := time.NewTicker(connExpiryInterval)
 	defer ticker.Stop()
@@ -309,14 +315,15 @@
 			return
 		case now := <-ticker.C:
 			e.conns.CloseExpired(now)
+			e.logClosed()
 		}
 	}
 }
 
 // runMetrics serves the metrics until ctx ends. A failure is only logged, as callers
 // can be served without metrics.
-func (e *Edge) runMetrics(ctx context.Context) {
-	if err := serveUntil(ctx, e.Settings.MetricsAddr, http.HandlerFunc(e.serveMetrics)); err != nil {
+func (e *Edge) runMetrics(ctx context.Context, server *hitchserver.Server) {
+	if err := serveUntil(ctx, e.Settings.MetricsAddr, server); err != nil {
 		e.Log.Error("failed to serve metrics", "Addr", e.Settings.MetricsAddr, "Error", err)
 	}
 }
@@ -331,7 +338,7 @@
 	_, eraErr := fmt.Fprintf(w, "citronhitch_store_era %d\ncitronhitch_store_revision %d\ncitronhitch_quarantined_traits %d\ncitronhitch_limited_endpoints %d\ncitronhitch_retry_slack %g\ncitronhitch_invalid_entries_total %d\n",
 		view.Revision.Era(), view.Revision.Number(), e.gateway.Quarantine.Quarantined(time.Now()), e.gateway.Quotas.Limited(time.Now()), e.gateway.RetrySlackShare(time.Now()), e.feed.InvalidEntries())
 	_, err := e.metrics.WriteTo(w)
-	eraErr = errors.Join(eraErr, e.slotOwner.writeMetrics(w))
+	eraErr = errors.Join(eraErr, e.slotOwner.writeMetrics(w), e.room.writeMetrics(w))
 	if err = errors.Join(eraErr, err); err != nil {
 		e.Log.Warn("failed to write metrics", "Error", err)
 	}
--- a/hitchedge/edge_test.go
+++ b/hitchedge/edge_test.go
@@ -346,7 +346,7 @@
 		w.WriteHeader(http.StatusNoContent)
 	})
 	served := make(chan error, 1)
-	go func() { served <- serveUntil(ctx, addr, handler) }()
+	go func() { served <- serveUntil(ctx, addr, &hitchserver.Server{HTTP: http.Server{Handler: handler}}) }()
 	for {
 		res, err := http.Get("http://" + addr)
 		if errors.Is(err, syscall.ECONNREFUSED) && ctx.Err() == nil {
--- /dev/null
+++ b/hitchedge/room.go
@@ -0,0 +1,108 @@
+package hitchedge
+
+import (
+	"fmt"
+	"io"
+	"maps"
+	"net/http"
+	"slices"
+	"time"
+
+	"citronhitch.example/citronhitch/hitchserver"
+	hitchplatform "citronhitch.example/citronhitch/platform"
+)
+
+// What an instance has if its settings don't say.
+const (
+	defaultMemoryMegabytes = 256
+	defaultDescriptors     = 4096
+)
+
+// Divisions of the memory and the descriptors.
+const (
+	// connDivisor divides the memory. The quotient is for callers' connections, of connBytes each.
+	connDivisor = 4
+	connBytes   = 32 << 10
+	// fileDescriptors are kept for files.
+	fileDescriptors = 200
+	// callerShare, peerShare, directoryShare and probeShare are the parts of the sockets that each port may have. The rest is
+	// for connections to endpoints, other instances and the store.
+	callerShare    = 3.0 / 8
+	peerShare      = 1.0 / 8
+	directoryShare = 1.0 / 16
+	probeShare     = 1.0 / 32
+)
+
+// Limits of clients.
+const (
+	readHeaderTimeout = 10 * time.Second
+	idleTimeout       = 90 * time.Second
+	maxHeaderBytes    = 64 << 10
+)
+
+// room is what clients of all ports together may take of an instance.
+//
+// Load pattern: very many clients that send nothing, or a part of a request, at any port.
+type room struct {
+	memoryBytes int64
+	sockets     int
+	// servers are those of the ports by name, and logged is how many connections they had closed when that was logged last.
+	servers map[string]*hitchserver.Server
+	logged  int64
+}
+
+// init derives the room from the settings.
+func (r *room) init(settings hitchplatform.Settings) {
+	memory, descriptors := settings.MemoryMegabytes, settings.MaxDescriptors
+	if memory <= 0 {
+		memory = defaultMemoryMegabytes
+	}
+	if descriptors <= 0 {
+		descriptors = defaultDescriptors
+	}
+	r.memoryBytes = int64(memory) << 20
+	r.sockets = max(descriptors-fileDescriptors, descriptors/2)
+	r.servers = make(map[string]*hitchserver.Server)
+}
+
+// newServer returns the server of a port, which may have a share of the sockets.
+func (r *room) newServer(name string, share float64, handler http.Handler) *hitchserver.Server {
+	server := &hitchserver.Server{
+		HTTP:             http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes},
+		MaxConns:         max(int(float64(r.sockets)*share), 1),
+		ReadsWholeBodies: true,
+	}
+	r.servers[name] = server
+	return server
+}
+
+// maxCallerConns returns the number of callers' connections for which there is memory.
+func (r *room) maxCallerConns() int { return int(r.memoryBytes / connDivisor / connBytes) }
+
+// closed returns how many connections were closed to make room for others.
+func (r *room) closed() (n int64) {
+	for _, server := range r.servers {
+		n += server.Evicted()
+	}
+	return n
+}
+
+// writeMetrics writes how many connections were closed to make room for others.
+func (r *room) writeMetrics(w io.Writer) error {
+	for _, name := range slices.Sorted(maps.Keys(r.servers)) {
+		if _, err := fmt.Fprintf(w, "citronhitch_closed_connections_total{cause=\"conns\",port=%q} %d\n", name, r.servers[name].Evicted()); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// logClosed logs how many connections were closed to make room since that was logged last.
+func (e *Edge) logClosed() {
+	closed := e.room.closed()
+	if closed == e.room.logged {
+		return
+	}
+	e.Log.Warn("connections closed to make room for others", "Count", closed-e.room.logged, "Callers", e.callerServer.Conns())
+	e.room.logged = closed
+}
--- a/hitchedge/server.go
+++ b/hitchedge/server.go
@@ -3,39 +3,28 @@
 import (
 	"context"
 	"net"
-	"net/http"
 	"time"
 
 	"citronhitch.example/citronhitch/hitchserver"
 )
 
-// Limits of the server for callers.
-const (
-	readHeaderTimeout = 10 * time.Second
-	idleTimeout       = 90 * time.Second
-	maxHeaderBytes    = 64 << 10
-	// callerSendBufferBytes is more than most responses have. A larger buffer would let a
-	// thousand callers that don't read take up the memory of a small instance, and a write
-	// that waits for a third of it to become free would look like a stalled caller.
-	callerSendBufferBytes = 32 << 10
-)
+// callerSendBufferBytes is more than most responses have. A larger buffer would let a
+// thousand callers that don't read take up the memory of a small instance, and a write
+// that waits for a third of it to become free would look like a stalled caller.
+const callerSendBufferBytes = 32 << 10
 
 // internalShutdownTime is how long the internal servers wait for their requests at the
 // end of the process.
 const internalShutdownTime = 100 * time.Millisecond
 
+// newCallerServer returns the server for callers.
 func (e *Edge) newCallerServer() *hitchserver.Server {
-	return &hitchserver.Server{
-		HTTP: http.Server{
-			Handler:           e.gateway,
-			ReadHeaderTimeout: readHeaderTimeout,
-			IdleTimeout:       idleTimeout,
-			MaxHeaderBytes:    maxHeaderBytes,
-			ErrorLog:          e.Log.StandardLogger(nil),
-		},
-		ClosedEarly:     e.logClosedEarly,
-		SendBufferBytes: callerSendBufferBytes,
-	}
+	server := e.room.newServer("callers", callerShare, e.gateway)
+	server.HTTP.ErrorLog = e.Log.StandardLogger(nil)
+	server.MaxConns = min(server.MaxConns, e.room.maxCallerConns())
+	server.ClosedEarly = e.logClosedEarly
+	server.SendBufferBytes = callerSendBufferBytes
+	return server
 }
 
 // logClosedEarly logs a connection that was closed while a request on it had no
@@ -62,10 +51,9 @@
 	return server.Serve(l)
 }
 
-// serveUntil serves an internal HTTP handler, such as readiness or the directory, until
+// serveUntil serves an internal port, such as readiness or the directory, until
 // ctx ends and the requests in flight have their responses.
-func serveUntil(ctx context.Context, addr string, handler http.Handler) error {
-	server := &hitchserver.Server{HTTP: http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout}}
+func serveUntil(ctx context.Context, addr string, server *hitchserver.Server) error {
 	stopped := make(chan struct{})
 	cancelStop := context.AfterFunc(ctx, func() {
 		defer close(stopped)
--- a/hitchserver/conn.go
+++ b/hitchserver/conn.go
@@ -12,10 +12,16 @@
 // no request is dropped that was read.
 type conn struct {
 	net.Conn
+	server *Server
 
 	// unframed is the response to a request of HTTP/1.0, if one is being written.
 	unframed unframedResponse
 
+	// place is where the connection waits, and isForgotten is set once it was closed to make room. Both are under the
+	// server's lock.
+	place       place
+	isForgotten bool
+
 	mu           sync.Mutex
 	phase        Phase
 	isStopping   bool
@@ -51,13 +57,11 @@
 // beginRequest notes that a part of a request has been read. The rest of it may be read
 // even if the connection is stopping.
 func (c *conn) beginRequest() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.hasRequest() {
+	if p := c.currentPhase(); p != PhaseNew && p != PhaseIdle {
 		return
 	}
-	c.phase = PhaseReading
-	_ = c.applyReadDeadline()
+	c.server.awaitRequest(c, false)
+	c.setPhase(PhaseReading)
 }
 
 // hasRequest reports whether a request without a complete response has been read, in
--- /dev/null
+++ b/hitchserver/room_test.go
@@ -0,0 +1,81 @@
+package hitchserver
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+const partOfHead = "GET / HTTP/1.1\r\n"
+
+// serve starts a server on in-memory connections.
+func serve(t *testing.T, s *Server) *pipeListener {
+	l := newPipeListener()
+	go func() { _ = s.Serve(l) }()
+	t.Cleanup(func() { _ = s.Close() })
+	return l
+}
+
+// closedAfter waits until the server closes a connection.
+func (c *callerConn) closedAfter() time.Duration {
+	start := time.Now()
+	_, _ = io.Copy(io.Discard, c.br)
+	return time.Since(start)
+}
+
+// TestConnsMakeRoom covers which connection is closed if there are too many, and that a request whose connection was closed
+// isn't run.
+func TestConnsMakeRoom(t *testing.T) {
+	const post = "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n\r\n"
+	tests := map[string]struct {
+		// sent is what each connection sends, one second after the other.
+		sent []string
+		// closed is the one that is closed for another, and -1 the other one.
+		closed int
+	}{
+		"new ones":                    {[]string{"", ""}, 0},
+		"head in part":                {[]string{"", partOfHead}, 0},
+		"served one waits longer":     {[]string{request, ""}, 1},
+		"body in part":                {[]string{post, request}, 0},
+		"all are handled":             {[]string{post + "w", post + "w"}, -1},
+		"one is handled":              {[]string{post + "w", post}, 1},
+		"one is handled, one is idle": {[]string{post + "w", request}, 1},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := &Server{MaxConns: len(test.sent), ReadsWholeBodies: true}
+				s.HTTP.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+					body, err := io.ReadAll(r.Body)
+					qt.Check(t, err == nil || errors.Is(err, io.ErrClosedPipe), qt.IsTrue)
+					if string(body) == "w" {
+						time.Sleep(time.Minute)
+					}
+				})
+				l := serve(t, s)
+				closed := -1
+				for n, text := range test.sent {
+					c := l.dial()
+					c.send(text)
+					go func() {
+						if c.closedAfter() < 10*time.Second {
+							closed = n
+						}
+					}()
+					time.Sleep(time.Second)
+				}
+				l.dial()
+				time.Sleep(time.Second)
+				synctest.Wait()
+				qt.Check(t, closed, qt.Equals, test.closed)
+				qt.Check(t, s.Evicted(), qt.Equals, int64(1))
+				time.Sleep(2 * time.Minute) // until the handlers have returned
+			})
+		})
+	}
+}
--- a/hitchserver/server.go
+++ b/hitchserver/server.go
@@ -28,10 +28,18 @@
 	// SendBufferBytes is the size of each connection's send buffer, which bounds what a
 	// caller may leave unread; 0 means the system's default.
 	SendBufferBytes int
+	// MaxConns bounds the open connections. If there are as many, the one that has waited longest without a whole request is
+	// closed for a new one; if there is none, the new one is. 0 means no bound.
+	MaxConns int
+	// ReadsWholeBodies is set if the handler acts on a request only once it has read its body to the end. Until then its
+	// connection counts as one without a whole request.
+	ReadsWholeBodies bool
 
 	mu         sync.Mutex
 	listener   net.Listener
 	conns      map[*conn]struct{}
+	waiting    waitingConns
+	evicted    int64
 	isStopping bool
 	// drained is closed once the server is stopping and has no connections.
 	drained chan struct{}
@@ -80,7 +88,7 @@
 	if s.setListener(l) {
 		return l.Close()
 	}
-	err := s.HTTP.Serve(&listener{Listener: l, sendBufferBytes: s.SendBufferBytes, accepted: s.add})
+	err := s.HTTP.Serve(&listener{Listener: l, server: s})
 	if errors.Is(err, http.ErrServerClosed) || s.isShuttingDown() {
 		return nil
 	}
@@ -114,6 +122,7 @@
 	}
 	c.setPhase(PhaseHandling)
 	defer c.setPhase(PhaseWriting)
+	s.admit(c, r)
 	if !r.ProtoAtLeast(1, 1) {
 		c.unframed.begin(c.Conn)
 		handler.ServeHTTP(w, r)
@@ -126,34 +135,47 @@
 // listener wraps each accepted connection.
 type listener struct {
 	net.Listener
-	sendBufferBytes int
-	accepted        func(*conn)
+	server *Server
 }
 
-// Accept returns the next connection.
+// Accept returns the next connection for which there is room.
 func (l *listener) Accept() (net.Conn, error) {
-	nc, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	if tcp, ok := nc.(*net.TCPConn); ok && l.sendBufferBytes > 0 {
-		_ = tcp.SetWriteBuffer(l.sendBufferBytes) // the default also works, with more memory
+	for {
+		nc, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if tcp, ok := nc.(*net.TCPConn); ok && l.server.SendBufferBytes > 0 {
+			_ = tcp.SetWriteBuffer(l.server.SendBufferBytes) // the default also works, with more memory
+		}
+		c := &conn{Conn: nc, server: l.server}
+		if l.server.add(c) {
+			return c, nil
+		}
+		_ = nc.Close()
 	}
-	c := &conn{Conn: nc}
-	l.accepted(c)
-	return c, nil
 }
 
-func (s *Server) add(c *conn) {
+// add adds a connection, or returns false if there is no room for it.
+func (s *Server) add(c *conn) bool {
+	victim, ok := s.makeRoom()
+	if victim != nil {
+		_ = victim.Conn.Close()
+	}
+	if !ok {
+		return false
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.conns == nil {
 		s.conns = make(map[*conn]struct{})
 	}
 	s.conns[c] = struct{}{}
+	s.awaitRequestLocked(c, false)
 	if s.isStopping {
 		c.stop()
 	}
+	return true
 }
 
 // observeState follows the states of a connection that net/http reports.
@@ -165,6 +187,7 @@
 	switch state {
 	case http.StateIdle:
 		c.setPhase(PhaseIdle)
+		s.awaitRequest(c, true)
 	case http.StateClosed, http.StateHijacked:
 		s.remove(c)
 	}
@@ -172,12 +195,9 @@
 
 // remove forgets a closed connection.
 func (s *Server) remove(c *conn) {
-	s.mu.Lock()
-	delete(s.conns, c)
-	s.closeIfDrained()
-	s.mu.Unlock()
+	wasForgotten := s.forget(c)
 	phase := c.currentPhase()
-	if s.ClosedEarly != nil && (phase == PhaseReading || phase == PhaseHandling) {
+	if s.ClosedEarly != nil && !wasForgotten && (phase == PhaseReading || phase == PhaseHandling) {
 		s.ClosedEarly(c.RemoteAddr(), phase)
 	}
 }
--- /dev/null
+++ b/hitchsoak/crowd_test.go
@@ -0,0 +1,203 @@
+package hitchsoak
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"golang.org/x/sys/unix"
+
+	hitchstandin "citronhitch.example/citronhitch/platform/standin"
+)
+
+// A crowd meets one process with these limits.
+const (
+	crowdMegabytes = 96
+	crowdFds       = 600
+	// crowdSpareFds are kept for endpoints, other instances and the store.
+	crowdSpareFds = 100
+	// crowdTime is how long a crowd stays before the ordinary request, and crowdDials how often
+	// one of its clients connects again after its connection was closed.
+	crowdTime  = 3 * time.Second
+	crowdDials = 3
+)
+
+// crowd is a number of clients, each of which sends the same bytes and then keeps its connection open.
+type crowd struct {
+	// Addr returns the address of a port of the instance with an IP address; nil means the one for callers.
+	Addr  func(ip string) string
+	Conns int
+	// Start and End are sent first and last, and Bytes bytes of lines between them, each of another name or all named Name.
+	Start, End string
+	Bytes      int
+	Name       string
+	// Unit, if set, is sent without end. In it {n} is a number, another one each time.
+	Unit string
+	// IsDeaf is set if the clients don't read what is sent to them.
+	IsDeaf bool
+}
+
+// bytes returns what a client sends.
+func (c crowd) bytes() []byte {
+	out := []byte(c.Start)
+	for n := 0; len(out) < len(c.Start)+c.Bytes; n++ {
+		if c.Name != "" {
+			out = append(out, c.Name+":\r\n"...)
+			continue
+		}
+		out = fmt.Appendf(out, "%xx:\r\n", n)
+	}
+	return append(out, c.End...)
+}
+
+// block returns a number of units, the numbers in which begin at n.
+func (c crowd) block(n int) (out []byte) {
+	for i := 0; c.Unit != "" && len(out) < 4<<10; i++ {
+		out = append(out, strings.ReplaceAll(c.Unit, "{n}", strconv.Itoa(n+i))...)
+	}
+	return out
+}
+
+// join lets the crowd connect to an address, and returns once each client has sent all or was cut off. The clients leave when the
+// returned function is called.
+func (c crowd) join(addr string) (leave func()) {
+	text := c.bytes()
+	var mu sync.Mutex
+	var conns []net.Conn
+	isOver := false
+	add := func(nc net.Conn) bool {
+		mu.Lock()
+		defer mu.Unlock()
+		conns = append(conns, nc)
+		return !isOver
+	}
+	var clients sync.WaitGroup
+	until := time.Now().Add(crowdTime)
+	for n := range c.Conns {
+		clients.Go(func() {
+			for range crowdDials {
+				nc, err := net.DialTimeout("tcp", addr, crowdTime)
+				if err != nil || !add(nc) {
+					return
+				}
+				_ = nc.SetWriteDeadline(until)
+				_, err = nc.Write(text)
+				for i := n << 20; err == nil && c.Unit != "" && time.Now().Before(until); i += 4 << 10 {
+					_, err = nc.Write(c.block(i))
+				}
+				_ = nc.SetReadDeadline(until)
+				if c.IsDeaf {
+					return
+				}
+				if _, err := io.Copy(io.Discard, nc); os.IsTimeout(err) {
+					return
+				}
+			}
+		})
+	}
+	clients.Wait()
+	return func() {
+		mu.Lock()
+		defer mu.Unlock()
+		isOver = true
+		for _, nc := range conns {
+			_ = nc.Close()
+		}
+	}
+}
+
+// startCrowdFleet starts one process with the limits of a crowd, and returns it when it serves.
+func startCrowdFleet(t *testing.T, program string) *endlessFleet {
+	f := &endlessFleet{killedFleet: &killedFleet{fleet: &fleet{dir: t.TempDir()}, t: t}}
+	t.Cleanup(f.killInstances)
+	qt.Assert(t, f.start(t.Context(), &Soak{Seed: 590, Program: program, Instances: 1}), qt.IsNil)
+	i := f.instances[0]
+	i.signal(syscall.SIGKILL)
+	_ = i.cmd.Wait()
+	text, err := os.ReadFile(i.settings)
+	qt.Assert(t, err, qt.IsNil)
+	limits := fmt.Sprintf("memoryMb = %d\nmaxFds = %d\nlinkMbps", crowdMegabytes, crowdFds)
+	qt.Assert(t, os.WriteFile(i.settings, bytes.Replace(text, []byte("linkMbps"), []byte(limits), 1), 0o600), qt.IsNil)
+	qt.Assert(t, i.start(), qt.IsNil)
+	limit := unix.Rlimit{Cur: crowdFds, Max: crowdFds}
+	qt.Assert(t, unix.Prlimit(i.cmd.Process.Pid, unix.RLIMIT_NOFILE, &limit, nil), qt.IsNil)
+	f.awaitServing("ready")
+	return f
+}
+
+// checkLimits checks that the process lives, and that its memory and its descriptors are within their bounds.
+func (f *endlessFleet) checkLimits(t *testing.T) {
+	pid := f.instances[0].cmd.Process.Pid
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	qt.Assert(t, err, qt.IsNil)
+	m := peakMemory.FindSubmatch(status)
+	qt.Assert(t, m, qt.HasLen, 2, qt.Commentf("the process has ended"))
+	kilobytes, _ := strconv.Atoi(string(m[1]))
+	fds, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", pid))
+	qt.Assert(t, err, qt.IsNil)
+	t.Logf("%d MB at the peak, %d descriptors", kilobytes>>10, len(fds))
+	qt.Check(t, kilobytes>>10 < crowdMegabytes, qt.IsTrue, qt.Commentf("%d MB", kilobytes>>10))
+	qt.Check(t, len(fds) <= crowdFds-crowdSpareFds, qt.IsTrue, qt.Commentf("%d descriptors", len(fds)))
+}
+
+const (
+	crowdKey   = "Api-Key: key-0\r\n"
+	crowdHead  = "POST /lookup/x HTTP/1.1\r\nHost: soak.example\r\nX-Attempt-Id: crowd\r\n" + crowdKey
+	slowHead   = "POST /stream/20x100/x HTTP/1.1\r\nHost: soak.example\r\nX-Attempt-Id: crowd\r\n" + crowdKey
+	plainHead  = "GET /v1/directory?zone=a HTTP/1.1\r\nHost: soak.example\r\n"
+	emptyBody  = "Content-Length: 0\r\n\r\n"
+	chunkStart = "Transfer-Encoding: chunked\r\n\r\n"
+)
+
+// internalPorts are the addresses that don't serve callers' requests.
+var internalPorts = map[string]func(ip string) string{
+	"directory": func(ip string) string { return fmt.Sprintf("%s:%d", ip, hitchstandin.DirectoryPort) },
+	"readiness": func(ip string) string { return fmt.Sprintf("%s:%d", ip, 8220) },
+	"peers":     hitchstandin.ControlAddr,
+	"metrics":   func(ip string) string { return fmt.Sprintf("%s:%d", ip, 9464) },
+}
+
+// crowds returns the crowds by name.
+func crowds() map[string]crowd {
+	out := map[string]crowd{
+		"nothing":                   {Conns: 800},
+		"one request, then nothing": {Conns: 800, Start: crowdHead + emptyBody},
+		"a body that never comes":   {Conns: 800, Start: crowdHead + "Content-Length: 9\r\n\r\n"},
+	}
+	for name, addr := range internalPorts {
+		out[name+", nothing"] = crowd{Addr: addr, Conns: 800}
+		out[name+", one request, then nothing"] = crowd{Addr: addr, Conns: 800, Start: plainHead + emptyBody}
+	}
+	return out
+}
+
+// TestCrowd guards against clients outside all limits that make an instance hold more memory or descriptors than its machine has,
+// and whose ordinary callers get no answer. It runs apart from other tests.
+func TestCrowd(t *testing.T) {
+	program := buildProgram(t)
+	for name, c := range crowds() {
+		t.Run(name, func(t *testing.T) {
+			f := startCrowdFleet(t, program)
+			addr := hitchstandin.FrontAddr(f.instances[0].ip)
+			if c.Addr != nil {
+				addr = c.Addr(f.instances[0].ip)
+			}
+			leave := c.join(addr)
+			defer leave()
+			f.checkLimits(t)
+			f.awaitServing("beside")
+			leave()
+			f.awaitServing("after")
+			f.checkLimits(t)
+		})
+	}
+}
