Large heads share a budget of memory, and the heap has a limit

Cause: a head was bounded by its bytes. Each line takes some 500 bytes more, in the request's header and in the copy that is sent on, so that 15 kB of lines take over a megabyte, and nothing bounded the sum over all connections.

Change: hitchserver.HeadBudget counts the bytes and lines of each head as they are read, 512 bytes a line, and keeps them counted until the response is written. What is above 16 KiB draws on a quarter of memoryMb, all ports together. If that is used up, the connection without a whole request that has held most for longest (bytes times seconds) is closed; a request that is whole isn't, and one whose connection was closed isn't handled. Ordinary heads don't draw on it. The heap's soft limit is 0.7 of memoryMb, as the collector's default lets garbage take as much as what is in use.

--- a/hitchedge/edge.go
+++ b/hitchedge/edge.go
@@ -133,6 +133,7 @@
 	if err != nil {
 		return err
 	}
+	limitHeap(settings)
 	sink := newLogSink(out)
 	defer sink.Close()
 	log := hclog.New(&hclog.LoggerOptions{Name: "citronhitch", Level: hclog.Info, Output: sink})
--- a/hitchedge/room.go
+++ b/hitchedge/room.go
@@ -5,6 +5,7 @@
 	"io"
 	"maps"
 	"net/http"
+	"runtime/debug"
 	"slices"
 	"time"
 
@@ -20,6 +21,10 @@
 
 // Divisions of the memory and the descriptors.
 const (
+	// heapShare is the part of the memory that the heap and stacks should stay below.
+	heapShare = 0.7
+	// headDivisor divides the memory. The quotient is for large heads.
+	headDivisor = 4
 	// connDivisor divides the memory. The quotient is for callers' connections, of connBytes each.
 	connDivisor = 4
 	connBytes   = 32 << 10
@@ -42,10 +47,11 @@
 
 // room is what clients of all ports together may take of an instance.
 //
-// Load pattern: very many clients that send nothing, or a part of a request, at any port.
+// Load pattern: very many clients that send nothing, heads without end or heads of thousands of lines, at any port.
 type room struct {
 	memoryBytes int64
 	sockets     int
+	heads       hitchserver.HeadBudget
 	// servers are those of the ports by name, and logged is how many connections they had closed when that was logged last.
 	servers map[string]*hitchserver.Server
 	logged  int64
@@ -62,6 +68,7 @@
 	}
 	r.memoryBytes = int64(memory) << 20
 	r.sockets = max(descriptors-fileDescriptors, descriptors/2)
+	r.heads.Bytes = r.memoryBytes / headDivisor
 	r.servers = make(map[string]*hitchserver.Server)
 }
 
@@ -70,6 +77,7 @@
 	server := &hitchserver.Server{
 		HTTP:             http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes},
 		MaxConns:         max(int(float64(r.sockets)*share), 1),
+		Heads:            &r.heads,
 		ReadsWholeBodies: true,
 	}
 	r.servers[name] = server
@@ -81,6 +89,7 @@
 
 // closed returns how many connections were closed to make room for others.
 func (r *room) closed() (n int64) {
+	n = r.heads.Evicted()
 	for _, server := range r.servers {
 		n += server.Evicted()
 	}
@@ -94,7 +103,8 @@
 			return err
 		}
 	}
-	return nil
+	_, err := fmt.Fprintf(w, "citronhitch_closed_connections_total{cause=\"heads\",port=\"\"} %d\n", r.heads.Evicted())
+	return err
 }
 
 // logClosed logs how many connections were closed to make room since that was logged last.
@@ -106,3 +116,10 @@
 	e.Log.Warn("connections closed to make room for others", "Count", closed-e.room.logged, "Callers", e.callerServer.Conns())
 	e.room.logged = closed
 }
+
+// limitHeap makes the garbage collector run more often once the heap nears the memory of the process.
+func limitHeap(settings hitchplatform.Settings) {
+	if settings.MemoryMegabytes > 0 {
+		debug.SetMemoryLimit(int64(heapShare * float64(settings.MemoryMegabytes<<20)))
+	}
+}
--- a/hitchserver/conn.go
+++ b/hitchserver/conn.go
@@ -1,6 +1,8 @@
 package hitchserver
 
 import (
+	"bytes"
+	"io"
 	"net"
 	"sync"
 	"time"
@@ -17,6 +19,12 @@
 	// unframed is the response to a request of HTTP/1.0, if one is being written.
 	unframed unframedResponse
 
+	// head is the part of the next request's head that has been read. It is used by the goroutine that reads.
+	head head
+	// heldBytes is what the connection draws on the budget of heads, and lostHead is set once it was closed for want of
+	// that. Both are under the budget's lock.
+	heldBytes int64
+	lostHead  bool
 	// place is where the connection waits, and isForgotten is set once it was closed to make room. Both are under the
 	// server's lock.
 	place       place
@@ -24,6 +32,7 @@
 
 	mu           sync.Mutex
 	phase        Phase
+	phaseSince   time.Time
 	isStopping   bool
 	readDeadline time.Time
 }
@@ -34,12 +43,33 @@
 // Read reads bytes. The first ones after a response begin the next request.
 func (c *conn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
-	if n > 0 {
-		c.beginRequest()
+	if n > 0 && c.beginRequest() && !c.addToHead(b[:n]) {
+		return 0, io.EOF // net/http sends no response then
 	}
 	return n, err
 }
 
+// addToHead adds bytes to the head that is being read, and reports whether there is memory for it.
+func (c *conn) addToHead(b []byte) bool {
+	c.head.bytes += len(b)
+	c.head.lines += bytes.Count(b, []byte("\n"))
+	return c.server.Heads.hold(c, c.head.memoryBytes(), false)
+}
+
+// weight returns what the connection draws on the budget of heads times the seconds since its request began. It is called
+// with the budget's lock held.
+func (c *conn) weight(now time.Time) float64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return float64(c.heldBytes) * now.Sub(c.phaseSince).Seconds()
+}
+
+// evict closes the connection, whose request has not been handled, to make room for others.
+func (c *conn) evict() {
+	c.server.forget(c)
+	_ = c.Conn.Close()
+}
+
 // Write writes bytes of a response.
 func (c *conn) Write(b []byte) (n int, err error) {
 	c.unframed.resetOnClose()
@@ -54,14 +84,16 @@
 	return c.Conn.Close()
 }
 
-// beginRequest notes that a part of a request has been read. The rest of it may be read
-// even if the connection is stopping.
-func (c *conn) beginRequest() {
+// beginRequest notes that a part of a request has been read, and reports whether it may
+// be one of the head. The rest of it may be read even if the connection is stopping.
+func (c *conn) beginRequest() bool {
 	if p := c.currentPhase(); p != PhaseNew && p != PhaseIdle {
-		return
+		return p == PhaseReading
 	}
+	c.head = head{}
 	c.server.awaitRequest(c, false)
 	c.setPhase(PhaseReading)
+	return true
 }
 
 // hasRequest reports whether a request without a complete response has been read, in
@@ -115,7 +147,7 @@
 func (c *conn) setPhase(p Phase) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.phase = p
+	c.phase, c.phaseSince = p, time.Now()
 	if c.isStopping {
 		_ = c.applyReadDeadline()
 	}
--- a/hitchserver/room.go
+++ b/hitchserver/room.go
@@ -62,10 +62,13 @@
 	}
 }
 
-// admit admits a request whose head is whole, or aborts it if its connection was closed.
+// admit admits a request whose head is whole, or aborts it if its connection was closed or there is no memory for the head.
 // A request that isn't admitted isn't run.
 func (s *Server) admit(c *conn, r *http.Request) {
 	isWhole := !s.ReadsWholeBodies || r.Body == nil || r.Body == http.NoBody
+	if !s.Heads.hold(c, headOf(r).memoryBytes(), isWhole) {
+		panic(http.ErrAbortHandler)
+	}
 	if !isWhole {
 		s.awaitRequest(c, false)
 		r.Body = &awaitedBody{ReadCloser: r.Body, conn: c}
@@ -79,10 +82,11 @@
 // keep notes that the request of a connection is whole, so that it is no longer closed to make room. It returns false if it
 // has been closed.
 func (s *Server) keep(c *conn) bool {
+	isKept := s.Heads.keep(c)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.waiting.remove(c)
-	return !c.isForgotten
+	return isKept && !c.isForgotten
 }
 
 // awaitedBody is a body whose connection counts as one without a whole request until its end is read.
--- a/hitchserver/room_test.go
+++ b/hitchserver/room_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"testing"
 	"testing/synctest"
@@ -49,7 +50,7 @@
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				s := &Server{MaxConns: len(test.sent), ReadsWholeBodies: true}
+				s := &Server{MaxConns: len(test.sent), ReadsWholeBodies: true, Heads: &HeadBudget{Bytes: 1 << 20}}
 				s.HTTP.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 					body, err := io.ReadAll(r.Body)
 					qt.Check(t, err == nil || errors.Is(err, io.ErrClosedPipe), qt.IsTrue)
@@ -79,3 +80,26 @@
 		})
 	}
 }
+
+// TestHeadBudget covers which connection is closed if heads take too much memory together, and that its request isn't run.
+func TestHeadBudget(t *testing.T) {
+	b := HeadBudget{Bytes: 100 << 10}
+	s := &Server{Heads: &b}
+	at := func(age time.Duration) *conn {
+		server, _ := net.Pipe()
+		return &conn{Conn: server, server: s, phaseSince: time.Now().Add(-age)}
+	}
+	const kB = 1 << 10
+	old, young, whole, small := at(2*time.Second), at(time.Millisecond), at(time.Hour), at(time.Hour)
+	qt.Assert(t, b.hold(small, freeHeadBytes, false), qt.IsTrue)
+	qt.Assert(t, b.hold(old, freeHeadBytes+30*kB, false), qt.IsTrue)
+	qt.Assert(t, b.hold(whole, freeHeadBytes+30*kB, true) && b.keep(whole), qt.IsTrue)
+	qt.Assert(t, b.hold(young, freeHeadBytes+60*kB, false), qt.IsTrue)
+	qt.Assert(t, b.keep(old), qt.IsFalse)
+	qt.Assert(t, b.hold(old, freeHeadBytes, true), qt.IsFalse)
+	qt.Assert(t, b.hold(young, freeHeadBytes+80*kB, false), qt.IsFalse)
+	qt.Assert(t, b.keep(small) && b.keep(whole), qt.IsTrue)
+	b.release(whole)
+	qt.Assert(t, b.used, qt.Equals, int64(0))
+	qt.Assert(t, b.Evicted(), qt.Equals, int64(2))
+}
--- a/hitchserver/server.go
+++ b/hitchserver/server.go
@@ -15,6 +15,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"time"
 )
 
 // Server is an HTTP server. The fields are set before Serve.
@@ -31,6 +32,8 @@
 	// MaxConns bounds the open connections. If there are as many, the one that has waited longest without a whole request is
 	// closed for a new one; if there is none, the new one is. 0 means no bound.
 	MaxConns int
+	// Heads bounds the memory of large heads, of this server and others; nil means no bound.
+	Heads *HeadBudget
 	// ReadsWholeBodies is set if the handler acts on a request only once it has read its body to the end. Until then its
 	// connection counts as one without a whole request.
 	ReadsWholeBodies bool
@@ -148,7 +151,7 @@
 		if tcp, ok := nc.(*net.TCPConn); ok && l.server.SendBufferBytes > 0 {
 			_ = tcp.SetWriteBuffer(l.server.SendBufferBytes) // the default also works, with more memory
 		}
-		c := &conn{Conn: nc, server: l.server}
+		c := &conn{Conn: nc, server: l.server, phaseSince: time.Now()}
 		if l.server.add(c) {
 			return c, nil
 		}
@@ -186,6 +189,7 @@
 	}
 	switch state {
 	case http.StateIdle:
+		s.Heads.release(c)
 		c.setPhase(PhaseIdle)
 		s.awaitRequest(c, true)
 	case http.StateClosed, http.StateHijacked:
@@ -195,6 +199,7 @@
 
 // remove forgets a closed connection.
 func (s *Server) remove(c *conn) {
+	s.Heads.release(c)
 	wasForgotten := s.forget(c)
 	phase := c.currentPhase()
 	if s.ClosedEarly != nil && !wasForgotten && (phase == PhaseReading || phase == PhaseHandling) {
--- a/hitchsoak/crowd_test.go
+++ b/hitchsoak/crowd_test.go
@@ -169,9 +169,34 @@
 // crowds returns the crowds by name.
 func crowds() map[string]crowd {
 	out := map[string]crowd{
-		"nothing":                   {Conns: 800},
-		"one request, then nothing": {Conns: 800, Start: crowdHead + emptyBody},
-		"a body that never comes":   {Conns: 800, Start: crowdHead + "Content-Length: 9\r\n\r\n"},
+		"lines of many names":                     {Conns: 200, Start: crowdHead, Bytes: 15000, End: emptyBody},
+		"lines, endpoints are slow":               {Conns: 140, Start: slowHead, Bytes: 15000, End: emptyBody},
+		"lines of one name":                       {Conns: 250, Start: crowdHead, Bytes: 15000, Name: "a", End: emptyBody},
+		"15 kB of lines, no end":                  {Conns: 500, Start: crowdHead, Bytes: 15000},
+		"60 kB of lines, no end":                  {Conns: 120, Start: crowdHead, Bytes: 60000},
+		"60 kB of lines":                          {Conns: 100, Start: crowdHead, Bytes: 60000, End: emptyBody},
+		"nothing":                                 {Conns: 800},
+		"one request, then nothing":               {Conns: 800, Start: crowdHead + emptyBody},
+		"a body of one-byte chunks":               {Conns: 100, Start: crowdHead + chunkStart, Unit: "1\r\na\r\n"},
+		"a head of lines without end":             {Conns: 100, Start: crowdHead, Unit: "a:\r\n"},
+		"a line without end":                      {Conns: 100, Start: crowdHead + "a: ", Unit: "a"},
+		"empty lines without end":                 {Conns: 100, Unit: "\r\n"},
+		"a chunk extension":                       {Conns: 100, Start: crowdHead + chunkStart + "1;", Unit: "a"},
+		"trailers":                                {Conns: 100, Start: crowdHead + chunkStart + "0\r\n", Unit: "a:\r\n"},
+		"tokens in Connection":                    {Conns: 100, Start: crowdHead + "Connection: " + strings.Repeat("a,", 7000) + "a\r\n", End: emptyBody},
+		"a body that never comes":                 {Conns: 800, Start: crowdHead + "Content-Length: 9\r\n\r\n"},
+		"a body that never comes, 15 kB of lines": {Conns: 400, Start: crowdHead, Bytes: 15000, End: "Content-Length: 9\r\n\r\n"},
+		"long bodies that stop":                   {Conns: 140, Start: crowdHead + "Content-Length: 900000\r\n\r\n" + strings.Repeat("a", 800000)},
+		"responses that aren't read":              {Conns: 140, Start: strings.Replace(slowHead, "20x100", "20000x0", 1) + emptyBody, IsDeaf: true},
+		"pipelined, not read":                     {Conns: 140, Unit: crowdHead + emptyBody, IsDeaf: true},
+		"unknown hosts":                           {Conns: 50, Unit: "GET / HTTP/1.1\r\nHost: h{n}.example\r\n\r\n"},
+		"unknown paths":                           {Conns: 50, Unit: "GET /" + strings.Repeat("p", 1000) + "{n} HTTP/1.1\r\nHost: soak.example\r\n\r\n"},
+		"unknown keys":                            {Conns: 50, Unit: "GET /lookup/ HTTP/1.1\r\nHost: soak.example\r\nApi-Key: k{n}" + strings.Repeat("k", 1000) + "\r\n\r\n"},
+		"many IDs":                                {Conns: 50, Unit: "POST /lookup/x{n} HTTP/1.1\r\nHost: soak.example\r\nX-Attempt-Id: " + strings.Repeat("i", 2000) + "{n}\r\n" + crowdKey + emptyBody},
+		"many prompts":                            {Conns: 50, Unit: "POST /stream/1x0/x HTTP/1.1\r\nHost: soak.example\r\nX-Attempt-Id: i{n}\r\nX-Prompt-Prefix: " + strings.Repeat("{n}:9,", 800) + "1:9\r\n" + crowdKey + emptyBody},
+		"many resumed streams":                    {Conns: 50, Unit: "POST /stream/1x0/x HTTP/1.1\r\nHost: soak.example\r\nX-Attempt-Id: i{n}\r\nResumes: r{n}" + strings.Repeat("r", 2000) + "\r\nLast-Event-Id: 3\r\n" + crowdKey + emptyBody},
+		"pipelined requests":                      {Conns: 100, Unit: crowdHead + emptyBody},
+		"pipelined heads of lines":                {Conns: 100, Unit: string(crowd{Start: crowdHead, Bytes: 15000, End: emptyBody}.bytes())},
 	}
 	for name, addr := range internalPorts {
 		out[name+", nothing"] = crowd{Addr: addr, Conns: 800}
