--- a/hitchburn/event.go
+++ b/hitchburn/event.go
@@ -176,7 +176,7 @@
 func isCallerError(reason hitchoutcome.Reason) bool {
 	switch reason {
 	case hitchoutcome.ReasonBadRequest, hitchoutcome.ReasonUnauthenticated, hitchoutcome.ReasonForbidden,
-		hitchoutcome.ReasonNoRoute, hitchoutcome.ReasonTooLarge, hitchoutcome.ReasonKeyMissing,
+		hitchoutcome.ReasonNoRoute, hitchoutcome.ReasonTooLarge, hitchoutcome.ReasonHeadTooLarge, hitchoutcome.ReasonKeyMissing,
 		hitchoutcome.ReasonKeyInvalid, hitchoutcome.ReasonKeyExpired, hitchoutcome.ReasonKeyReused,
 		hitchoutcome.ReasonShareExceeded, hitchoutcome.ReasonConflict:
 		return true
--- a/hitchedge/edge.go
+++ b/hitchedge/edge.go
@@ -195,13 +195,13 @@
 	group, runCtx := errgroup.WithContext(runCtx)
 	callerServer := e.callerServer
 	group.Go(func() error { return callerServer.Serve(listener) })
-	directory := e.room.newServer("directory", directoryShare, hitchplatform.Directory{Addrs: e.directoryAddrs})
+	directory := e.room.newServer("directory", directoryShare, maxInternalHeadBytes, hitchplatform.Directory{Addrs: e.directoryAddrs})
 	group.Go(func() error { return serveUntil(runCtx, settings.DirectoryAddr, directory) })
-	readiness := e.room.newServer("readiness", probeShare, hitchplatform.Readiness{IsReady: e.gateway.IsReady})
+	readiness := e.room.newServer("readiness", probeShare, maxInternalHeadBytes, hitchplatform.Readiness{IsReady: e.gateway.IsReady})
 	group.Go(func() error { return serveUntil(runCtx, settings.ReadyAddr, readiness) })
-	peers := e.room.newServer("peers", peerShare, http.HandlerFunc(e.servePeers))
+	peers := e.room.newServer("peers", peerShare, maxRelayedHeadBytes, http.HandlerFunc(e.servePeers))
 	group.Go(func() error { return serveUntil(runCtx, settings.Self.PeerAddr, peers) })
-	metrics := e.room.newServer("metrics", probeShare, http.HandlerFunc(e.serveMetrics))
+	metrics := e.room.newServer("metrics", probeShare, maxInternalHeadBytes, http.HandlerFunc(e.serveMetrics))
 	group.Go(func() error { e.runMetrics(runCtx, metrics); return nil })
 	group.Go(func() error { e.follower.Run(runCtx); return nil })
 	group.Go(func() error { return e.exchangeDatagrams(runCtx) })
@@ -272,6 +272,9 @@
 func (e *Edge) setView(view hitchview.View) {
 	e.doubtNewFleet(view)
 	e.gateway.SetView(time.Now(), view)
+	if view.Table != nil {
+		e.callerServer.SetLimits(callerLimits(view.Table.Limits()))
+	}
 	e.updateRegion(view)
 	e.slotOwner.updateEndpoints(time.Now())
 	e.logView(view)
--- a/hitchedge/room.go
+++ b/hitchedge/room.go
@@ -1,14 +1,15 @@
 package hitchedge
 
 import (
+	"cmp"
 	"fmt"
 	"io"
 	"maps"
 	"net/http"
 	"runtime/debug"
 	"slices"
-	"time"
 
+	"citronhitch.example/citronhitch/hitchroute"
 	"citronhitch.example/citronhitch/hitchserver"
 	hitchplatform "citronhitch.example/citronhitch/platform"
 )
@@ -38,11 +39,15 @@
 	probeShare     = 1.0 / 32
 )
 
-// Limits of clients.
+// Limits of clients unless the configuration sets others.
 const (
-	readHeaderTimeout = 10 * time.Second
-	idleTimeout       = 90 * time.Second
-	maxHeaderBytes    = 64 << 10
+	defaultHeadBytes        = 64 << 10
+	defaultHeadMilliseconds = 10_000
+	defaultIdleMilliseconds = 90_000
+	// maxInternalHeadBytes is for ports without callers' requests, and maxRelayedHeadBytes for requests that another instance
+	// relays, which have its own headers too.
+	maxInternalHeadBytes = 16 << 10
+	maxRelayedHeadBytes  = 2 * defaultHeadBytes
 )
 
 // room is what clients of all ports together may take of an instance.
@@ -73,9 +78,12 @@
 }
 
 // newServer returns the server of a port, which may have a share of the sockets.
-func (r *room) newServer(name string, share float64, handler http.Handler) *hitchserver.Server {
+func (r *room) newServer(name string, share float64, headBytes int, handler http.Handler) *hitchserver.Server {
 	server := &hitchserver.Server{
-		HTTP:             http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes},
+		HTTP: http.Server{Handler: handler},
+		Limits: hitchserver.Limits{
+			HeadBytes: headBytes, HeadMilliseconds: defaultHeadMilliseconds, IdleMilliseconds: defaultIdleMilliseconds,
+		},
 		MaxConns:         max(int(float64(r.sockets)*share), 1),
 		Heads:            &r.heads,
 		ReadsWholeBodies: true,
@@ -117,6 +125,15 @@
 	e.room.logged = closed
 }
 
+// callerLimits returns the limits of callers that a configuration sets.
+func callerLimits(l hitchroute.Limits) hitchserver.Limits {
+	return hitchserver.Limits{
+		HeadBytes:        cmp.Or(max(l.HeaderBytes, 0), defaultHeadBytes),
+		HeadMilliseconds: cmp.Or(max(l.HeaderMilliseconds, 0), defaultHeadMilliseconds),
+		IdleMilliseconds: cmp.Or(max(l.IdleMilliseconds, 0), defaultIdleMilliseconds),
+	}
+}
+
 // limitHeap makes the garbage collector run more often once the heap nears the memory of the process.
 func limitHeap(settings hitchplatform.Settings) {
 	if settings.MemoryMegabytes > 0 {
--- a/hitchedge/server.go
+++ b/hitchedge/server.go
@@ -19,7 +19,7 @@
 
 // newCallerServer returns the server for callers.
 func (e *Edge) newCallerServer() *hitchserver.Server {
-	server := e.room.newServer("callers", callerShare, e.gateway)
+	server := e.room.newServer("callers", callerShare, defaultHeadBytes, e.gateway)
 	server.HTTP.ErrorLog = e.Log.StandardLogger(nil)
 	server.MaxConns = min(server.MaxConns, e.room.maxCallerConns())
 	server.ClosedEarly = e.logClosedEarly
--- a/hitchingress/prepare.go
+++ b/hitchingress/prepare.go
@@ -9,6 +9,7 @@
 	"citronhitch.example/citronhitch/hitchoutcome"
 	"citronhitch.example/citronhitch/hitchretry"
 	"citronhitch.example/citronhitch/hitchroute"
+	"citronhitch.example/citronhitch/hitchserver"
 	"citronhitch.example/citronhitch/hitchview"
 )
 
@@ -32,6 +33,9 @@
 		return hitchoutcome.RefuseNotRun(hitchoutcome.ReasonStale, g.returnTime(time.Now()), "no configuration is known yet")
 	}
 	req.logEntry.tableVersion, req.logEntry.viewRevision = view.Table.Version(), view.Revision
+	if limit := view.Table.Limits().HeaderBytes; limit > 0 && req.relayedBy == "" && hitchserver.HeadBytes(req.original) > limit {
+		return hitchoutcome.RefuseNotRun(hitchoutcome.ReasonHeadTooLarge, time.Time{}, "the header is larger than %d bytes", limit)
+	}
 	route, ok := view.Table.Route(req.original.Host, pathOf(req.original.RequestURI))
 	if !ok {
 		return hitchoutcome.RefuseNotRun(hitchoutcome.ReasonNoRoute, time.Time{}, "no route")
--- a/hitchingress/refuse.go
+++ b/hitchingress/refuse.go
@@ -16,6 +16,7 @@
 	hitchoutcome.ReasonUnauthenticated: http.StatusUnauthorized,
 	hitchoutcome.ReasonNoRoute:         http.StatusNotFound,
 	hitchoutcome.ReasonTooLarge:        http.StatusRequestEntityTooLarge,
+	hitchoutcome.ReasonHeadTooLarge:    http.StatusRequestHeaderFieldsTooLarge,
 }
 
 // statusOf returns the HTTP status of a refusal. Status 503 guarantees that the
--- a/hitchoutcome/refusal.go
+++ b/hitchoutcome/refusal.go
@@ -15,6 +15,7 @@
 	ReasonForbidden       Reason = "Forbidden"
 	ReasonNoRoute         Reason = "NoRoute"
 	ReasonTooLarge        Reason = "TooLarge"
+	ReasonHeadTooLarge    Reason = "HeadTooLarge"
 	ReasonKeyMissing      Reason = "KeyMissing"
 	ReasonKeyInvalid      Reason = "KeyInvalid"
 	ReasonKeyExpired      Reason = "KeyExpired"
--- a/hitchserver/conn.go
+++ b/hitchserver/conn.go
@@ -34,6 +34,7 @@
 	phase        Phase
 	phaseSince   time.Time
 	isStopping   bool
+	limits       Limits
 	readDeadline time.Time
 }
 
@@ -49,13 +50,23 @@
 	return n, err
 }
 
-// addToHead adds bytes to the head that is being read, and reports whether there is memory for it.
+// addToHead adds bytes to the head that is being read, and reports whether the head is within its limits.
 func (c *conn) addToHead(b []byte) bool {
 	c.head.bytes += len(b)
 	c.head.lines += bytes.Count(b, []byte("\n"))
+	if c.currentLimits().exceeds(c.head.bytes) {
+		_, _ = io.WriteString(c.Conn, headTooLarge)
+		return false
+	}
 	return c.server.Heads.hold(c, c.head.memoryBytes(), false)
 }
 
+func (c *conn) currentLimits() Limits {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.limits
+}
+
 // weight returns what the connection draws on the budget of heads times the seconds since its request began. It is called
 // with the budget's lock held.
 func (c *conn) weight(now time.Time) float64 {
@@ -108,6 +119,17 @@
 	_ = c.applyReadDeadline()
 }
 
+// setLimits replaces the limits. A connection without a request has the whole time of the new ones.
+func (c *conn) setLimits(l Limits) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.limits = l
+	if !c.hasRequest() {
+		c.phaseSince = time.Now()
+	}
+	_ = c.applyReadDeadline()
+}
+
 // SetReadDeadline sets the deadline of reads.
 func (c *conn) SetReadDeadline(deadline time.Time) error {
 	c.mu.Lock()
@@ -130,7 +152,7 @@
 	if c.isStopping && !c.hasRequest() {
 		return c.Conn.SetReadDeadline(longAgo)
 	}
-	return c.Conn.SetReadDeadline(c.readDeadline)
+	return c.Conn.SetReadDeadline(earliest(c.readDeadline, c.limits.deadline(c.phase, c.phaseSince)))
 }
 
 // CloseWrite closes the sending half, as net/http does before it closes a connection
@@ -148,7 +170,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.phase, c.phaseSince = p, time.Now()
-	if c.isStopping {
+	if c.isStopping || c.limits != (Limits{}) {
 		_ = c.applyReadDeadline()
 	}
 }
--- a/hitchserver/room.go
+++ b/hitchserver/room.go
@@ -10,6 +10,19 @@
 // errEvicted is returned by the body of a request whose connection was closed to make room.
 var errEvicted = errors.New("hitchserver: the connection was closed to make room for others")
 
+// SetLimits replaces the limits of all connections.
+func (s *Server) SetLimits(l Limits) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.Limits == l {
+		return
+	}
+	s.Limits = l
+	for c := range s.conns {
+		c.setLimits(l)
+	}
+}
+
 // Evicted returns the number of connections that were closed since the start as there were MaxConns.
 func (s *Server) Evicted() int64 {
 	s.mu.Lock()
--- a/hitchserver/room_test.go
+++ b/hitchserver/room_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -29,6 +30,47 @@
 	return time.Since(start)
 }
 
+// TestLimitsOfTime covers clients that send nothing, a part of a head, or no further request, also if the limits change.
+func TestLimitsOfTime(t *testing.T) {
+	limits := Limits{HeadMilliseconds: 3000, IdleMilliseconds: 15000}
+	tests := map[string]struct {
+		act    func(t *testing.T, c *callerConn) string
+		change Limits
+		want   time.Duration
+	}{
+		"nothing":                       {func(*testing.T, *callerConn) string { return "" }, limits, 15 * time.Second},
+		"part of a head":                {func(_ *testing.T, c *callerConn) string { c.send(partOfHead); return "" }, limits, 3 * time.Second},
+		"idle":                          {exchangeOnce, limits, 15 * time.Second},
+		"idle, limits change":           {exchangeOnce, Limits{IdleMilliseconds: 5000}, 6 * time.Second},
+		"part of a head, limits change": {func(_ *testing.T, c *callerConn) string { c.send(partOfHead); return "" }, Limits{HeadMilliseconds: 2000}, 2 * time.Second},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newTestServer(0)
+				s.HTTP.ReadHeaderTimeout, s.HTTP.IdleTimeout, s.Limits = 0, 0, limits
+				c := serve(t, s).dial()
+				test.act(t, c)
+				time.AfterFunc(time.Second, func() { s.SetLimits(test.change) })
+				qt.Assert(t, c.closedAfter(), qt.Equals, test.want)
+			})
+		})
+	}
+}
+
+// TestHeadLimit guards against heads beyond the limit, also those without end.
+func TestHeadLimit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newTestServer(0)
+		s.Limits = Limits{HeadBytes: 1000}
+		c := serve(t, s).dial()
+		go func() { _, _ = io.Copy(c, strings.NewReader(partOfHead+strings.Repeat("A: a\r\n", 2000))) }()
+		res, err := http.ReadResponse(c.br, nil)
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, res.StatusCode, qt.Equals, http.StatusRequestHeaderFieldsTooLarge)
+	})
+}
+
 // TestConnsMakeRoom covers which connection is closed if there are too many, and that a request whose connection was closed
 // isn't run.
 func TestConnsMakeRoom(t *testing.T) {
--- a/hitchserver/server.go
+++ b/hitchserver/server.go
@@ -29,6 +29,8 @@
 	// SendBufferBytes is the size of each connection's send buffer, which bounds what a
 	// caller may leave unread; 0 means the system's default.
 	SendBufferBytes int
+	// Limits bounds what each client may send until SetLimits is called.
+	Limits Limits
 	// MaxConns bounds the open connections. If there are as many, the one that has waited longest without a whole request is
 	// closed for a new one; if there is none, the new one is. 0 means no bound.
 	MaxConns int
@@ -175,6 +177,7 @@
 	}
 	s.conns[c] = struct{}{}
 	s.awaitRequestLocked(c, false)
+	c.setLimits(s.Limits)
 	if s.isStopping {
 		c.stop()
 	}
--- a/hitchsoak/crowd_test.go
+++ b/hitchsoak/crowd_test.go
@@ -199,6 +199,9 @@
 		"pipelined heads of lines":                {Conns: 100, Unit: string(crowd{Start: crowdHead, Bytes: 15000, End: emptyBody}.bytes())},
 	}
 	for name, addr := range internalPorts {
+		out[name+", 1 MB of lines, no end"] = crowd{Addr: addr, Conns: 12, Start: plainHead, Bytes: 1 << 20}
+		out[name+", 1 MB of lines"] = crowd{Addr: addr, Conns: 12, Start: plainHead, Bytes: 1 << 20, End: emptyBody}
+		out[name+", a head without end"] = crowd{Addr: addr, Conns: 40, Start: plainHead, Unit: "a:\r\n"}
 		out[name+", nothing"] = crowd{Addr: addr, Conns: 800}
 		out[name+", one request, then nothing"] = crowd{Addr: addr, Conns: 800, Start: plainHead + emptyBody}
 	}
@@ -226,3 +229,36 @@
 		})
 	}
 }
+
+// TestConfiguredHeadLimit checks that the configuration's limit on heads is in force, also that of a new version, and that a
+// request within it is served however many lines its head has.
+func TestConfiguredHeadLimit(t *testing.T) {
+	f := startCrowdFleet(t, buildProgram(t))
+	tests := map[string]struct {
+		limit, bytes int
+		want         string
+	}{
+		"4,000 lines":         {16384, 16000, "200"},
+		"more than the limit": {16384, 16400, "431"},
+		"far more":            {16384, 60000, "431"},
+		"a larger limit":      {32768, 16400, "200"},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			f.version++
+			cfg := hitchstandin.Config(f.version, f.keys, f.variation)
+			f.store.Put("op/config", bytes.Replace(cfg, []byte(`"limits":{`), fmt.Appendf(nil, `"limits":{"maxHeaderBytes":%d,`, test.limit), 1))
+			got := ""
+			qt.Check(t, f.await(20*time.Second, func() bool {
+				nc, err := net.Dial("tcp", f.addrs()[0])
+				qt.Assert(t, err, qt.IsNil)
+				defer func() { _ = nc.Close() }()
+				_, _ = nc.Write(crowd{Start: crowdHead, Bytes: test.bytes, Name: "a", End: emptyBody}.bytes())
+				status := make([]byte, len("HTTP/1.1 200"))
+				_, _ = io.ReadFull(nc, status)
+				got = string(status[len("HTTP/1.1 "):])
+				return got == test.want
+			}), qt.IsTrue, qt.Commentf("%s", got))
+		})
+	}
+}
