Own API: connections make room for others, and large heads share a budget of memory

They take at most half of the descriptors. All requests that act on a body read it to the end first, so that one whose body never comes makes room. hitchserver.Memory has the divisions for both servers; the budget for long bodies moves there from hitchingress. hitchfake.Crowd is the clients of both tests.

--- /dev/null
+++ b/cmd/citronhitch/crowd_test.go
@@ -0,0 +1,63 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"golang.org/x/sys/unix"
+
+	"citronhitch.example/citronhitch/hitchdev"
+	"citronhitch.example/citronhitch/hitchfake"
+)
+
+// A crowd meets routers with these limits.
+const (
+	crowdMegabytes = 96
+	crowdFds       = 600
+	// crowdSpareFds are kept for endpoints, other routers and the store.
+	crowdSpareFds = 100
+)
+
+// crowds returns the crowds of the own API by name.
+func crowds(key string) map[string]hitchfake.Crowd {
+	head := "POST /v1/chat/completions HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer " + key + "\r\n"
+	service := strings.Replace(head, "/v1/chat/completions", "/services/boxoffice/slots", 1)
+	return map[string]hitchfake.Crowd{
+		"nothing":                     {Conns: 800},
+		"one request, then nothing":   {Conns: 800, Start: "GET /v1/address HTTP/1.1\r\nHost: h\r\n\r\n"},
+		"a body that never comes":     {Conns: 800, Start: head + "Content-Length: 9\r\n\r\n"},
+		"lines":                       {Conns: 400, Start: service, LineBytes: 30000, End: "\r\n"},
+		"lines without end of a head": {Conns: 400, Start: service, LineBytes: 30000},
+		"a head without end":          {Conns: 100, Start: head, Unit: "a:\r\n"},
+	}
+}
+
+// TestCrowd guards against clients outside all limits that make a router of the own API hold more memory or descriptors than its
+// machine has, and whose ordinary callers get no answer. It runs apart from other tests.
+func TestCrowd(t *testing.T) {
+	program := buildProgram(t)
+	through := func(_, addr string) string { return addr }
+	for name, c := range crowds(hitchdev.Kustakvariet().APIKey(0)) {
+		t.Run(name, func(t *testing.T) {
+			f := startFleetThrough(t, program, through, fmt.Sprintf("--memory-mb=%d", crowdMegabytes), "--connections=200")
+			pid := f.routers[0].cmd.Process.Pid
+			limit := unix.Rlimit{Cur: crowdFds, Max: crowdFds}
+			qt.Assert(t, unix.Prlimit(pid, unix.RLIMIT_NOFILE, &limit, nil), qt.IsNil)
+			leave := c.Join(f.routers[0].values["Address"])
+			defer leave()
+			megabytes, ok := peakMegabytes(t, f.routers[0])
+			qt.Assert(t, ok, qt.IsTrue, qt.Commentf("the router has ended"))
+			fds, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", pid))
+			qt.Assert(t, err, qt.IsNil)
+			t.Logf("%d MB at the peak, %d descriptors", megabytes, len(fds))
+			qt.Check(t, megabytes < crowdMegabytes, qt.IsTrue, qt.Commentf("%d MB", megabytes))
+			qt.Check(t, len(fds) <= crowdFds-crowdSpareFds, qt.IsTrue, qt.Commentf("%d descriptors", len(fds)))
+			f.routers = f.routers[:1]
+			qt.Check(t, f.callFor(t, 5*time.Second) > 0, qt.IsTrue)
+		})
+	}
+}
--- a/cmd/citronhitch/endless_test.go
+++ b/cmd/citronhitch/endless_test.go
@@ -34,12 +34,18 @@
 	return kilobytes >> 10, true
 }
 
+// buildProgram builds the program without the race detector, which takes several times the memory.
+func buildProgram(t *testing.T) (path string) {
+	path = filepath.Join(t.TempDir(), "citronhitch")
+	out, err := exec.Command("go", "build", "-o", path, ".").CombinedOutput()
+	qt.Assert(t, err, qt.IsNil, qt.Commentf("%s", out))
+	return path
+}
+
 // TestEndlessBytesKeepNoMemory guards against routers of the own API that keep bytes without end until they run out of
 // memory, and whose other requests end with them: of the store, the platform's list, an engine and a service.
 func TestEndlessBytesKeepNoMemory(t *testing.T) {
-	program := filepath.Join(t.TempDir(), "citronhitch") // without the race detector, which takes several times the memory
-	out, err := exec.Command("go", "build", "-o", program, ".").CombinedOutput()
-	qt.Assert(t, err, qt.IsNil, qt.Commentf("%s", out))
+	program := buildProgram(t)
 	var hits hitchfake.FloodHits
 	paths := make(map[string]*hitchfake.FloodablePath) // of engines the last one
 	f := startFleetThrough(t, program, func(name, addr string) string {
--- a/cmd/citronhitch/processes_test.go
+++ b/cmd/citronhitch/processes_test.go
@@ -89,8 +89,9 @@
 // fleet consists of routers and fakes, each a separate process. The transcript
 // records a session's commands and results for comparison with a golden file.
 type fleet struct {
-	// program is what the routers run.
+	// program is what the routers run, and serveArgs are more arguments of its serve command.
 	program    string
+	serveArgs  []string
 	deployment hitchdev.Deployment
 	store      *process
 	list       *process
@@ -108,10 +109,10 @@
 
 // startFleetThrough starts a small deployment whose routers are processes of a program, and reach the fakes at the
 // addresses that through returns for their names and addresses.
-func startFleetThrough(t *testing.T, program string, through func(name, addr string) string) *fleet {
+func startFleetThrough(t *testing.T, program string, through func(name, addr string) string, serveArgs ...string) *fleet {
 	d := hitchdev.Kustakvariet()
 	d.Routers, d.Engines, d.Services, d.Organisations = 3, 3, 1, 2
-	f := &fleet{program: program, deployment: d, store: startProcess(t, "fake", "store"), list: startProcess(t, "fake", "list")}
+	f := &fleet{program: program, serveArgs: serveArgs, deployment: d, store: startProcess(t, "fake", "store"), list: startProcess(t, "fake", "list")}
 	f.store.values["Address"] = through("store", f.store.values["Address"])
 	f.list.values["Address"] = through("list", f.list.values["Address"])
 	for n := range d.Engines {
@@ -149,11 +150,11 @@
 		id := hitchfleet.InstanceID(fmt.Sprintf("router-%d", n))
 		keys, err := authority.Issue(id, time.Now())
 		qt.Assert(t, err, qt.IsNil)
-		router := startProgram(t, f.program, "serve", "--id="+string(id), "--region="+string(f.deployment.Region), "--zone="+string(f.deployment.Zone(n)),
+		router := startProgram(t, f.program, append([]string{"serve", "--id=" + string(id), "--region=" + string(f.deployment.Region), "--zone=" + string(f.deployment.Zone(n)),
 			"--address=127.0.0.1:0", "--peer-address=127.0.0.1:0", "--grace-ms=500",
-			"--store=http://"+f.store.values["Address"], "--list=http://"+f.list.values["Address"],
-			"--peer-certificate="+keys.Certificate, "--peer-key="+keys.PrivateKey, "--peer-authority="+keys.Authorities,
-			"--booking-secret="+bookingSecret, "--fleet-key="+fleetKey)
+			"--store=http://" + f.store.values["Address"], "--list=http://" + f.list.values["Address"],
+			"--peer-certificate=" + keys.Certificate, "--peer-key=" + keys.PrivateKey, "--peer-authority=" + keys.Authorities,
+			"--booking-secret=" + bookingSecret, "--fleet-key=" + fleetKey}, f.serveArgs...)...)
 		f.routers = append(f.routers, router)
 		f.platform.Instances = append(f.platform.Instances, hitchfleet.Instance{
 			ID: id, Addr: router.values["Address"], PeerAddr: router.values["PeerAddress"],
--- a/cmd/citronhitch/serve.go
+++ b/cmd/citronhitch/serve.go
@@ -17,6 +17,7 @@
 	"citronhitch.example/citronhitch/hitchfleet"
 	"citronhitch.example/citronhitch/hitchnode"
 	"citronhitch.example/citronhitch/hitchpeer"
+	"citronhitch.example/citronhitch/hitchserver"
 )
 
 // serveSettings holds the unvalidated flags of a router instance.
@@ -33,7 +34,7 @@
 	bookingSecrets             []string
 	fleetKeys                  []string
 	silenceMillis, graceMillis int
-	connections                int
+	connections, memory        int
 	stopSeconds                int
 	logLevel                   string
 }
@@ -49,6 +50,7 @@
 			return err
 		}
 		settings.Log = p.logger(s.logLevel)
+		hitchserver.Megabytes(s.memory).LimitHeap()
 		return p.serveNode(ctx, settings, time.Duration(s.stopSeconds)*time.Second)
 	}}
 }
@@ -72,6 +74,7 @@
 	clause.Flag("silence-ms", "Inactivity timeout of a connection to an endpoint, in milliseconds.").Default("3000").IntVar(&s.silenceMillis)
 	clause.Flag("grace-ms", "How long a router still accepts new requests after its shutdown has begun, in milliseconds.").Default("2000").IntVar(&s.graceMillis)
 	clause.Flag("connections", "Number of connections that callers may have open at the same time.").Default("10000").IntVar(&s.connections)
+	clause.Flag("memory-mb", "Memory of the process in MB, of which callers may take a part: a quarter each for connections and large headers, an eighth for long bodies. 0 means that it isn't known: 256 is divided, and the connections are as many as --connections allows.").Default("0").IntVar(&s.memory)
 	clause.Flag("stop-seconds", "Timeout of a graceful shutdown, in seconds.").Default("600").IntVar(&s.stopSeconds)
 	s.protection.addFlags(clause)
 	clause.Flag("log-level", "trace, debug, info, warn or error.").Default("info").EnumVar(&s.logLevel, "trace", "debug", "info", "warn", "error")
@@ -99,6 +102,7 @@
 const (
 	maxMillis      = 600_000
 	maxConnections = 1_000_000
+	maxMegabytes   = 1 << 20
 	maxStopSeconds = 86_400
 	minSecretBytes = 16
 	maxNameBytes   = 128
@@ -119,6 +123,7 @@
 		func() error { return checkRange("silence-ms", s.silenceMillis, 1, maxMillis) },
 		func() error { return checkRange("grace-ms", s.graceMillis, 1, maxMillis) },
 		func() error { return checkRange("connections", s.connections, 1, maxConnections) },
+		func() error { return checkRange("memory-mb", s.memory, 0, maxMegabytes) },
 		func() error { return checkRange("stop-seconds", s.stopSeconds, 1, maxStopSeconds) },
 		func() error { return checkSecrets("booking-secret", s.bookingSecrets) },
 		func() error { return checkKeyPair("peer-certificate", s.peerCertificate, s.peerKey) },
@@ -133,7 +138,7 @@
 		Listen: s.address, Advertise: s.advertise, PeerListen: s.peerAddress,
 		Stores: s.stores, ListURL: s.list,
 		PeerKeys:                hitchpeer.Keys{Certificate: s.peerCertificate, PrivateKey: s.peerKey, Authorities: s.peerAuthority}.Current,
-		InactivityTimeoutMillis: s.silenceMillis, GracePeriodMillis: s.graceMillis, MaxConnections: s.connections,
+		InactivityTimeoutMillis: s.silenceMillis, GracePeriodMillis: s.graceMillis, MaxConnections: s.connections, MemoryMegabytes: s.memory,
 	}
 	if out.Quarantine, err = s.protection.validate(); err != nil {
 		return out, err
--- a/hitchapi/server.go
+++ b/hitchapi/server.go
@@ -6,17 +6,16 @@
 	"net"
 	"net/http"
 	"sync"
-	"time"
 
-	"golang.org/x/net/netutil"
+	"golang.org/x/sys/unix"
 
 	"citronhitch.example/citronhitch/hitchserver"
 )
 
 // Limits for callers' connections.
 const (
-	headerReadTimeout     = 5 * time.Second
-	idleTimeout           = 90 * time.Second
+	headMilliseconds      = 5_000
+	idleMilliseconds      = 90_000
 	DefaultMaxHeaderBytes = 32 << 10
 	DefaultMaxConnections = 10_000
 )
@@ -29,12 +28,16 @@
 	// Certificate returns the server's certificate; nil disables TLS.
 	Certificate func(*tls.ClientHelloInfo) (*tls.Certificate, error)
 	// MaxConnections is the maximum number of open connections; 0 means
-	// DefaultMaxConnections.
+	// DefaultMaxConnections. There are fewer if the memory or the descriptors don't allow
+	// as many.
 	MaxConnections int
+	// Memory is that of the process, of which callers may take a part.
+	Memory hitchserver.Memory
 
 	mu       sync.Mutex
 	listener net.Listener
 	server   *hitchserver.Server
+	heads    hitchserver.HeadBudget
 }
 
 // Listen opens the listening socket, so that an unusable address is reported
@@ -44,13 +47,9 @@
 	if err != nil {
 		return err
 	}
-	maxConnections := s.MaxConnections
-	if maxConnections <= 0 {
-		maxConnections = DefaultMaxConnections
-	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.listener = netutil.LimitListener(listener, maxConnections)
+	s.listener = listener
 	if s.Certificate != nil {
 		s.listener = tls.NewListener(s.listener, &tls.Config{
 			GetCertificate: s.Certificate,
@@ -58,15 +57,35 @@
 			NextProtos:     []string{"http/1.1"},
 		})
 	}
-	s.server = &hitchserver.Server{HTTP: http.Server{
-		Handler:           s.Handler,
-		ReadHeaderTimeout: headerReadTimeout,
-		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    DefaultMaxHeaderBytes,
-	}}
+	s.heads.Bytes = s.Memory.HeadBytes()
+	s.server = &hitchserver.Server{
+		HTTP:     http.Server{Handler: s.Handler},
+		Limits:   hitchserver.Limits{HeadBytes: DefaultMaxHeaderBytes, HeadMilliseconds: headMilliseconds, IdleMilliseconds: idleMilliseconds},
+		MaxConns: s.maxConns(),
+		Heads:    &s.heads,
+		// Only reads act before their body, if they have one, is read.
+		ReadsWholeBodies: true,
+	}
 	return nil
 }
 
+// maxConns returns the number of connections that the settings, the memory and the descriptors allow. Half of the
+// descriptors are kept for endpoints and other connections.
+func (s *Server) maxConns() int {
+	n := s.MaxConnections
+	if n <= 0 {
+		n = DefaultMaxConnections
+	}
+	if s.Memory > 0 {
+		n = min(n, s.Memory.Conns())
+	}
+	var limit unix.Rlimit
+	if unix.Getrlimit(unix.RLIMIT_NOFILE, &limit) == nil {
+		n = int(min(uint64(n), limit.Cur/2))
+	}
+	return max(n, 1)
+}
+
 // ListenAddr returns the address of the listening socket.
 func (s *Server) ListenAddr() string {
 	s.mu.Lock()
--- a/hitchedge/edge.go
+++ b/hitchedge/edge.go
@@ -36,10 +36,6 @@
 // connExpiryInterval is how often expired idle connections to endpoints are closed.
 const connExpiryInterval = 2 * time.Second
 
-// bodyMemoryDivisor divides the memory of the process. The quotient is for long request
-// bodies, of which a copy may be on its way to an endpoint.
-const bodyMemoryDivisor = 8
-
 // Edge is one instance. Its fields are set before Run.
 type Edge struct {
 	Settings hitchplatform.Settings
@@ -133,7 +129,7 @@
 	if err != nil {
 		return err
 	}
-	limitHeap(settings)
+	hitchserver.Megabytes(settings.MemoryMegabytes).LimitHeap()
 	sink := newLogSink(out)
 	defer sink.Close()
 	log := hclog.New(&hclog.LoggerOptions{Name: "citronhitch", Level: hclog.Info, Output: sink})
@@ -233,6 +229,7 @@
 func (e *Edge) initialize() {
 	settings := e.Settings
 	e.viewChanged = make(chan struct{}, 1)
+	e.room.init(settings)
 	e.store.Addr = settings.StoreAddr
 	e.seeds.Store(&settings.Seeds)
 	e.balancer.SetLimits(balancerLimits(settings))
@@ -247,11 +244,10 @@
 		RetrySlack: settings.Bounds.RetrySlack,
 		StartedAt:  time.Now(),
 
-		MaxBodyMemoryBytes: int64(settings.MemoryMegabytes) << 20 / bodyMemoryDivisor,
+		Bodies: hitchserver.BodyBudget{Bytes: e.room.memory.BodyBytes()},
 
 		OriginExchange: e.originExchange(),
 	}
-	e.room.init(settings)
 	e.callerServer = e.newCallerServer()
 	e.gateway.Quarantine.SetRank(e.gateway.TrialRank)
 	e.gateway.Permits, e.gateway.Released, e.gateway.Turns = e.askPermit, e.release, e.askTurn
--- a/hitchedge/room.go
+++ b/hitchedge/room.go
@@ -6,7 +6,6 @@
 	"io"
 	"maps"
 	"net/http"
-	"runtime/debug"
 	"slices"
 
 	"citronhitch.example/citronhitch/hitchroute"
@@ -14,21 +13,10 @@
 	hitchplatform "citronhitch.example/citronhitch/platform"
 )
 
-// What an instance has if its settings don't say.
+// Divisions of the descriptors.
 const (
-	defaultMemoryMegabytes = 256
-	defaultDescriptors     = 4096
-)
-
-// Divisions of the memory and the descriptors.
-const (
-	// heapShare is the part of the memory that the heap and stacks should stay below.
-	heapShare = 0.7
-	// headDivisor divides the memory. The quotient is for large heads.
-	headDivisor = 4
-	// connDivisor divides the memory. The quotient is for callers' connections, of connBytes each.
-	connDivisor = 4
-	connBytes   = 32 << 10
+	// defaultDescriptors is assumed if the settings don't say how many there are.
+	defaultDescriptors = 4096
 	// fileDescriptors are kept for files.
 	fileDescriptors = 200
 	// callerShare, peerShare, directoryShare and probeShare are the parts of the sockets that each port may have. The rest is
@@ -54,9 +42,9 @@
 //
 // Load pattern: very many clients that send nothing, heads without end or heads of thousands of lines, at any port.
 type room struct {
-	memoryBytes int64
-	sockets     int
-	heads       hitchserver.HeadBudget
+	memory  hitchserver.Memory
+	sockets int
+	heads   hitchserver.HeadBudget
 	// servers are those of the ports by name, and logged is how many connections they had closed when that was logged last.
 	servers map[string]*hitchserver.Server
 	logged  int64
@@ -64,16 +52,10 @@
 
 // init derives the room from the settings.
 func (r *room) init(settings hitchplatform.Settings) {
-	memory, descriptors := settings.MemoryMegabytes, settings.MaxDescriptors
-	if memory <= 0 {
-		memory = defaultMemoryMegabytes
-	}
-	if descriptors <= 0 {
-		descriptors = defaultDescriptors
-	}
-	r.memoryBytes = int64(memory) << 20
+	descriptors := cmp.Or(settings.MaxDescriptors, defaultDescriptors)
+	r.memory = hitchserver.Megabytes(settings.MemoryMegabytes)
 	r.sockets = max(descriptors-fileDescriptors, descriptors/2)
-	r.heads.Bytes = r.memoryBytes / headDivisor
+	r.heads.Bytes = r.memory.HeadBytes()
 	r.servers = make(map[string]*hitchserver.Server)
 }
 
@@ -92,9 +74,6 @@
 	return server
 }
 
-// maxCallerConns returns the number of callers' connections for which there is memory.
-func (r *room) maxCallerConns() int { return int(r.memoryBytes / connDivisor / connBytes) }
-
 // closed returns how many connections were closed to make room for others.
 func (r *room) closed() (n int64) {
 	n = r.heads.Evicted()
@@ -133,10 +112,3 @@
 		IdleMilliseconds: cmp.Or(max(l.IdleMilliseconds, 0), defaultIdleMilliseconds),
 	}
 }
-
-// limitHeap makes the garbage collector run more often once the heap nears the memory of the process.
-func limitHeap(settings hitchplatform.Settings) {
-	if settings.MemoryMegabytes > 0 {
-		debug.SetMemoryLimit(int64(heapShare * float64(settings.MemoryMegabytes<<20)))
-	}
-}
--- a/hitchedge/server.go
+++ b/hitchedge/server.go
@@ -21,7 +21,7 @@
 func (e *Edge) newCallerServer() *hitchserver.Server {
 	server := e.room.newServer("callers", callerShare, defaultHeadBytes, e.gateway)
 	server.HTTP.ErrorLog = e.Log.StandardLogger(nil)
-	server.MaxConns = min(server.MaxConns, e.room.maxCallerConns())
+	server.MaxConns = min(server.MaxConns, e.room.memory.Conns())
 	server.ClosedEarly = e.logClosedEarly
 	server.SendBufferBytes = callerSendBufferBytes
 	return server
--- a/hitchingress/body_test.go
+++ b/hitchingress/body_test.go
@@ -21,14 +21,14 @@
 	endpoint := startBackend(t, okResponse)
 	server := startGateway(t, hitchroute.Route{Kind: hitchroute.Idempotent}, endpoint)
 	g := server.Config.Handler.(*Gateway)
-	g.MaxBodyMemoryBytes = 1 << 20
+	g.Bodies.Bytes = 1 << 20
 	const size = 600 << 10
 	first, err := net.Dial("tcp", server.Listener.Addr().String())
 	qt.Assert(t, err, qt.IsNil)
 	defer func() { _ = first.Close() }()
 	_, err = fmt.Fprintf(first, "POST /x HTTP/1.1\r\nHost: h.example\r\nId: id-2\r\nKey: k\r\nContent-Length: %d\r\n\r\n%s", size, strings.Repeat("x", size-1))
 	qt.Assert(t, err, qt.IsNil)
-	for g.bodyMemory.used.Load() < size {
+	for g.Bodies.Used() < size {
 		time.Sleep(time.Millisecond)
 	}
 	post := func(size int) int {
@@ -45,7 +45,7 @@
 	qt.Assert(t, post(1<<10), qt.Equals, http.StatusOK)
 	_, err = io.WriteString(first, "x")
 	qt.Assert(t, err, qt.IsNil)
-	for endpoint.requests.Load() < 2 || g.bodyMemory.used.Load() > 0 {
+	for endpoint.requests.Load() < 2 || g.Bodies.Used() > 0 {
 		time.Sleep(time.Millisecond)
 	}
 	qt.Assert(t, post(size), qt.Equals, http.StatusOK)
--- a/hitchingress/gateway.go
+++ b/hitchingress/gateway.go
@@ -27,6 +27,7 @@
 	"citronhitch.example/citronhitch/hitchquarantine"
 	"citronhitch.example/citronhitch/hitchquota"
 	"citronhitch.example/citronhitch/hitchretry"
+	"citronhitch.example/citronhitch/hitchserver"
 	"citronhitch.example/citronhitch/hitchview"
 )
 
@@ -43,9 +44,8 @@
 	// window of a retry budget, to RetryRatio times its requests plus RetrySlack.
 	RetryRatio float64
 	RetrySlack float64
-	// MaxBodyMemoryBytes limits the memory of the long request bodies together; 0 means no
-	// limit.
-	MaxBodyMemoryBytes int64
+	// Bodies bounds the memory of long request bodies.
+	Bodies hitchserver.BodyBudget
 	// StartedAt is when the instance started, from which on it lacks a configuration
 	// until the first view.
 	StartedAt time.Time
@@ -83,7 +83,6 @@
 	rollouts       atomic.Pointer[rollouts]
 	drain          atomic.Pointer[Drain] // nil unless the instance shuts down
 	inFlight       inFlightRequests
-	bodyMemory     bodyMemory
 
 	mu            sync.Mutex
 	serviceStates map[hitchfleet.ServiceID]*serviceState
--- a/hitchnode/settings.go
+++ b/hitchnode/settings.go
@@ -43,6 +43,8 @@
 	GracePeriodMillis int
 	// MaxConnections limits the open connections of callers.
 	MaxConnections int
+	// MemoryMegabytes is the memory of the process; 0 if unknown.
+	MemoryMegabytes int
 	// Quarantine sets when requests are refused, as engines crash at them.
 	Quarantine hitchquarantine.Limits
 	// IgnoreQuotas is set if endpoints may get more requests than they say they take.
--- a/hitchnode/wire.go
+++ b/hitchnode/wire.go
@@ -10,6 +10,7 @@
 	"citronhitch.example/citronhitch/hitchforward"
 	"citronhitch.example/citronhitch/hitchpeer"
 	"citronhitch.example/citronhitch/hitchrouter"
+	"citronhitch.example/citronhitch/hitchserver"
 	"citronhitch.example/citronhitch/hitchstore"
 )
 
@@ -88,6 +89,7 @@
 func provideServer(i do.Injector) (*hitchapi.Server, error) {
 	n := do.MustInvoke[*Node](i)
 	o := do.MustInvoke[*observer](i)
+	memory := hitchserver.Megabytes(n.Settings.MemoryMegabytes)
 	api := &hitchapi.API{Router: do.MustInvoke[*hitchrouter.Router](i), Operators: n.Operators()}
 	api.Operators.Report = o.summary
 	api.Metrics = api.Operators.RequireOperator(http.HandlerFunc(o.serveMetrics))
@@ -96,6 +98,7 @@
 		Handler:        o.instrument(api.Handler()),
 		Certificate:    n.Settings.Certificate,
 		MaxConnections: n.Settings.MaxConnections,
+		Memory:         memory,
 	}, nil
 }
 
--- a/hitchsoak/crowd_test.go
+++ b/hitchsoak/crowd_test.go
@@ -8,7 +8,6 @@
 	"os"
 	"strconv"
 	"strings"
-	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -16,6 +15,7 @@
 	qt "github.com/frankban/quicktest"
 	"golang.org/x/sys/unix"
 
+	"citronhitch.example/citronhitch/hitchfake"
 	hitchstandin "citronhitch.example/citronhitch/platform/standin"
 )
 
@@ -25,96 +25,8 @@
 	crowdFds       = 600
 	// crowdSpareFds are kept for endpoints, other instances and the store.
 	crowdSpareFds = 100
-	// crowdTime is how long a crowd stays before the ordinary request, and crowdDials how often
-	// one of its clients connects again after its connection was closed.
-	crowdTime  = 3 * time.Second
-	crowdDials = 3
 )
 
-// crowd is a number of clients, each of which sends the same bytes and then keeps its connection open.
-type crowd struct {
-	// Addr returns the address of a port of the instance with an IP address; nil means the one for callers.
-	Addr  func(ip string) string
-	Conns int
-	// Start and End are sent first and last, and Bytes bytes of lines between them, each of another name or all named Name.
-	Start, End string
-	Bytes      int
-	Name       string
-	// Unit, if set, is sent without end. In it {n} is a number, another one each time.
-	Unit string
-	// IsDeaf is set if the clients don't read what is sent to them.
-	IsDeaf bool
-}
-
-// bytes returns what a client sends.
-func (c crowd) bytes() []byte {
-	out := []byte(c.Start)
-	for n := 0; len(out) < len(c.Start)+c.Bytes; n++ {
-		if c.Name != "" {
-			out = append(out, c.Name+":\r\n"...)
-			continue
-		}
-		out = fmt.Appendf(out, "%xx:\r\n", n)
-	}
-	return append(out, c.End...)
-}
-
-// block returns a number of units, the numbers in which begin at n.
-func (c crowd) block(n int) (out []byte) {
-	for i := 0; c.Unit != "" && len(out) < 4<<10; i++ {
-		out = append(out, strings.ReplaceAll(c.Unit, "{n}", strconv.Itoa(n+i))...)
-	}
-	return out
-}
-
-// join lets the crowd connect to an address, and returns once each client has sent all or was cut off. The clients leave when the
-// returned function is called.
-func (c crowd) join(addr string) (leave func()) {
-	text := c.bytes()
-	var mu sync.Mutex
-	var conns []net.Conn
-	isOver := false
-	add := func(nc net.Conn) bool {
-		mu.Lock()
-		defer mu.Unlock()
-		conns = append(conns, nc)
-		return !isOver
-	}
-	var clients sync.WaitGroup
-	until := time.Now().Add(crowdTime)
-	for n := range c.Conns {
-		clients.Go(func() {
-			for range crowdDials {
-				nc, err := net.DialTimeout("tcp", addr, crowdTime)
-				if err != nil || !add(nc) {
-					return
-				}
-				_ = nc.SetWriteDeadline(until)
-				_, err = nc.Write(text)
-				for i := n << 20; err == nil && c.Unit != "" && time.Now().Before(until); i += 4 << 10 {
-					_, err = nc.Write(c.block(i))
-				}
-				_ = nc.SetReadDeadline(until)
-				if c.IsDeaf {
-					return
-				}
-				if _, err := io.Copy(io.Discard, nc); os.IsTimeout(err) {
-					return
-				}
-			}
-		})
-	}
-	clients.Wait()
-	return func() {
-		mu.Lock()
-		defer mu.Unlock()
-		isOver = true
-		for _, nc := range conns {
-			_ = nc.Close()
-		}
-	}
-}
-
 // startCrowdFleet starts one process with the limits of a crowd, and returns it when it serves.
 func startCrowdFleet(t *testing.T, program string) *endlessFleet {
 	f := &endlessFleet{killedFleet: &killedFleet{fleet: &fleet{dir: t.TempDir()}, t: t}}
@@ -167,14 +79,14 @@
 }
 
 // crowds returns the crowds by name.
-func crowds() map[string]crowd {
-	out := map[string]crowd{
-		"lines of many names":                     {Conns: 200, Start: crowdHead, Bytes: 15000, End: emptyBody},
-		"lines, endpoints are slow":               {Conns: 140, Start: slowHead, Bytes: 15000, End: emptyBody},
-		"lines of one name":                       {Conns: 250, Start: crowdHead, Bytes: 15000, Name: "a", End: emptyBody},
-		"15 kB of lines, no end":                  {Conns: 500, Start: crowdHead, Bytes: 15000},
-		"60 kB of lines, no end":                  {Conns: 120, Start: crowdHead, Bytes: 60000},
-		"60 kB of lines":                          {Conns: 100, Start: crowdHead, Bytes: 60000, End: emptyBody},
+func crowds() map[string]hitchfake.Crowd {
+	out := map[string]hitchfake.Crowd{
+		"lines of many names":                     {Conns: 200, Start: crowdHead, LineBytes: 15000, End: emptyBody},
+		"lines, endpoints are slow":               {Conns: 140, Start: slowHead, LineBytes: 15000, End: emptyBody},
+		"lines of one name":                       {Conns: 250, Start: crowdHead, LineBytes: 15000, Name: "a", End: emptyBody},
+		"15 kB of lines, no end":                  {Conns: 500, Start: crowdHead, LineBytes: 15000},
+		"60 kB of lines, no end":                  {Conns: 120, Start: crowdHead, LineBytes: 60000},
+		"60 kB of lines":                          {Conns: 100, Start: crowdHead, LineBytes: 60000, End: emptyBody},
 		"nothing":                                 {Conns: 800},
 		"one request, then nothing":               {Conns: 800, Start: crowdHead + emptyBody},
 		"a body of one-byte chunks":               {Conns: 100, Start: crowdHead + chunkStart, Unit: "1\r\na\r\n"},
@@ -185,10 +97,10 @@
 		"trailers":                                {Conns: 100, Start: crowdHead + chunkStart + "0\r\n", Unit: "a:\r\n"},
 		"tokens in Connection":                    {Conns: 100, Start: crowdHead + "Connection: " + strings.Repeat("a,", 7000) + "a\r\n", End: emptyBody},
 		"a body that never comes":                 {Conns: 800, Start: crowdHead + "Content-Length: 9\r\n\r\n"},
-		"a body that never comes, 15 kB of lines": {Conns: 400, Start: crowdHead, Bytes: 15000, End: "Content-Length: 9\r\n\r\n"},
+		"a body that never comes, 15 kB of lines": {Conns: 400, Start: crowdHead, LineBytes: 15000, End: "Content-Length: 9\r\n\r\n"},
 		"long bodies that stop":                   {Conns: 140, Start: crowdHead + "Content-Length: 900000\r\n\r\n" + strings.Repeat("a", 800000)},
-		"responses that aren't read":              {Conns: 140, Start: strings.Replace(slowHead, "20x100", "20000x0", 1) + emptyBody, IsDeaf: true},
-		"pipelined, not read":                     {Conns: 140, Unit: crowdHead + emptyBody, IsDeaf: true},
+		"responses that aren't read":              {Conns: 140, Start: strings.Replace(slowHead, "20x100", "20000x0", 1) + emptyBody, ReadsNothing: true},
+		"pipelined, not read":                     {Conns: 140, Unit: crowdHead + emptyBody, ReadsNothing: true},
 		"unknown hosts":                           {Conns: 50, Unit: "GET / HTTP/1.1\r\nHost: h{n}.example\r\n\r\n"},
 		"unknown paths":                           {Conns: 50, Unit: "GET /" + strings.Repeat("p", 1000) + "{n} HTTP/1.1\r\nHost: soak.example\r\n\r\n"},
 		"unknown keys":                            {Conns: 50, Unit: "GET /lookup/ HTTP/1.1\r\nHost: soak.example\r\nApi-Key: k{n}" + strings.Repeat("k", 1000) + "\r\n\r\n"},
@@ -196,14 +108,14 @@
 		"many prompts":                            {Conns: 50, Unit: "POST /stream/1x0/x HTTP/1.1\r\nHost: soak.example\r\nX-Attempt-Id: i{n}\r\nX-Prompt-Prefix: " + strings.Repeat("{n}:9,", 800) + "1:9\r\n" + crowdKey + emptyBody},
 		"many resumed streams":                    {Conns: 50, Unit: "POST /stream/1x0/x HTTP/1.1\r\nHost: soak.example\r\nX-Attempt-Id: i{n}\r\nResumes: r{n}" + strings.Repeat("r", 2000) + "\r\nLast-Event-Id: 3\r\n" + crowdKey + emptyBody},
 		"pipelined requests":                      {Conns: 100, Unit: crowdHead + emptyBody},
-		"pipelined heads of lines":                {Conns: 100, Unit: string(crowd{Start: crowdHead, Bytes: 15000, End: emptyBody}.bytes())},
+		"pipelined heads of lines":                {Conns: 100, Unit: string(hitchfake.Crowd{Start: crowdHead, LineBytes: 15000, End: emptyBody}.Bytes())},
 	}
-	for name, addr := range internalPorts {
-		out[name+", 1 MB of lines, no end"] = crowd{Addr: addr, Conns: 12, Start: plainHead, Bytes: 1 << 20}
-		out[name+", 1 MB of lines"] = crowd{Addr: addr, Conns: 12, Start: plainHead, Bytes: 1 << 20, End: emptyBody}
-		out[name+", a head without end"] = crowd{Addr: addr, Conns: 40, Start: plainHead, Unit: "a:\r\n"}
-		out[name+", nothing"] = crowd{Addr: addr, Conns: 800}
-		out[name+", one request, then nothing"] = crowd{Addr: addr, Conns: 800, Start: plainHead + emptyBody}
+	for name := range internalPorts {
+		out[name+", 1 MB of lines, no end"] = hitchfake.Crowd{Conns: 12, Start: plainHead, LineBytes: 1 << 20}
+		out[name+", 1 MB of lines"] = hitchfake.Crowd{Conns: 12, Start: plainHead, LineBytes: 1 << 20, End: emptyBody}
+		out[name+", a head without end"] = hitchfake.Crowd{Conns: 40, Start: plainHead, Unit: "a:\r\n"}
+		out[name+", nothing"] = hitchfake.Crowd{Conns: 800}
+		out[name+", one request, then nothing"] = hitchfake.Crowd{Conns: 800, Start: plainHead + emptyBody}
 	}
 	return out
 }
@@ -216,10 +128,10 @@
 		t.Run(name, func(t *testing.T) {
 			f := startCrowdFleet(t, program)
 			addr := hitchstandin.FrontAddr(f.instances[0].ip)
-			if c.Addr != nil {
-				addr = c.Addr(f.instances[0].ip)
+			if port, _, ok := strings.Cut(name, ","); ok && internalPorts[port] != nil {
+				addr = internalPorts[port](f.instances[0].ip)
 			}
-			leave := c.join(addr)
+			leave := c.Join(addr)
 			defer leave()
 			f.checkLimits(t)
 			f.awaitServing("beside")
@@ -253,7 +165,7 @@
 				nc, err := net.Dial("tcp", f.addrs()[0])
 				qt.Assert(t, err, qt.IsNil)
 				defer func() { _ = nc.Close() }()
-				_, _ = nc.Write(crowd{Start: crowdHead, Bytes: test.bytes, Name: "a", End: emptyBody}.bytes())
+				_, _ = nc.Write(hitchfake.Crowd{Start: crowdHead, LineBytes: test.bytes, Name: "a", End: emptyBody}.Bytes())
 				status := make([]byte, len("HTTP/1.1 200"))
 				_, _ = io.ReadFull(nc, status)
 				got = string(status[len("HTTP/1.1 "):])
