--- a/cmd/citronhitch/crowd_test.go
+++ b/cmd/citronhitch/crowd_test.go
@@ -33,6 +33,7 @@
 		"lines":                       {Conns: 400, Start: service, LineBytes: 30000, End: "\r\n"},
 		"lines without end of a head": {Conns: 400, Start: service, LineBytes: 30000},
 		"a head without end":          {Conns: 100, Start: head, Unit: "a:\r\n"},
+		"long bodies that stop":       {Conns: 250, Start: head + "Content-Length: 900000\r\n\r\n" + strings.Repeat("a", 800000)},
 	}
 }
 
--- a/hitchapi/api.go
+++ b/hitchapi/api.go
@@ -17,6 +17,7 @@
 
 	"citronhitch.example/citronhitch/hitchconfig"
 	"citronhitch.example/citronhitch/hitchrouter"
+	"citronhitch.example/citronhitch/hitchserver"
 )
 
 // ServicePrefix is the path prefix of calls to plain services.
@@ -33,6 +34,8 @@
 	Operators *OperatorAPI
 	// Metrics serves GET /metrics; nil disables it.
 	Metrics http.Handler
+	// Bodies bounds the memory of long request bodies.
+	Bodies hitchserver.BodyBudget
 }
 
 // Handler returns the HTTP handler for all operations.
--- a/hitchapi/chat.go
+++ b/hitchapi/chat.go
@@ -72,7 +72,7 @@
 	if err != nil {
 		return hitchrouter.ChatRequest{}, false, err
 	}
-	body, err := readBody(w, r, a.Router.BodyLimit())
+	body, err := a.readBody(w, r)
 	if err != nil {
 		return hitchrouter.ChatRequest{}, false, err
 	}
--- a/hitchapi/input.go
+++ b/hitchapi/input.go
@@ -1,8 +1,8 @@
 package hitchapi
 
 import (
+	"context"
 	"errors"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -10,6 +10,7 @@
 
 	"citronhitch.example/citronhitch/hitchfleet"
 	"citronhitch.example/citronhitch/hitchoutcome"
+	"citronhitch.example/citronhitch/hitchserver"
 )
 
 // Request header fields that callers set.
@@ -25,7 +26,9 @@
 const (
 	maxHeaderValueBytes = 200
 	bodyReadTimeout     = 15 * time.Second
-	maxTimeoutMillis    = 600_000
+	// returnDelay is when a caller may return whose body found no memory.
+	returnDelay      = time.Second
+	maxTimeoutMillis = 600_000
 )
 
 // apiKey returns the API key in the Authorization header, or "".
@@ -41,17 +44,22 @@
 	return strings.TrimSpace(key)
 }
 
-// readBody reads the complete request body. It fails if the body is larger than
-// limit bytes or takes longer than bodyReadTimeout.
-func readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, error) {
+// readBody reads the complete request body. It fails if the body is larger than the
+// limit, takes longer than bodyReadTimeout, or finds no memory.
+func (a *API) readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
+	limit := a.Router.BodyLimit()
 	controller := http.NewResponseController(w)
 	_ = controller.SetReadDeadline(time.Now().Add(bodyReadTimeout))
 	defer func() { _ = controller.SetReadDeadline(time.Time{}) }()
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	body, drawn, err := a.Bodies.ReadBody(http.MaxBytesReader(w, r.Body, limit), r.ContentLength)
+	context.AfterFunc(r.Context(), func() { a.Bodies.Release(drawn) }) // the context ends with the request
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		return nil, hitchoutcome.RefuseNotRun(hitchoutcome.ReasonTooLarge, time.Time{}, "the body is larger than %d bytes", limit)
 	}
+	if errors.Is(err, hitchserver.ErrBodyMemory) {
+		return nil, hitchoutcome.RefuseNotRun(hitchoutcome.ReasonOverloaded, time.Now().Add(returnDelay), "%v", err)
+	}
 	if err != nil {
 		return nil, badRequest("the body didn't arrive whole")
 	}
--- a/hitchapi/service.go
+++ b/hitchapi/service.go
@@ -41,7 +41,7 @@
 	if err != nil {
 		return hitchrouter.ServiceCall{}, err
 	}
-	body, err := readBody(w, r, a.Router.BodyLimit())
+	body, err := a.readBody(w, r)
 	if err != nil {
 		return hitchrouter.ServiceCall{}, err
 	}
--- a/hitchnode/wire.go
+++ b/hitchnode/wire.go
@@ -91,6 +91,7 @@
 	o := do.MustInvoke[*observer](i)
 	memory := hitchserver.Megabytes(n.Settings.MemoryMegabytes)
 	api := &hitchapi.API{Router: do.MustInvoke[*hitchrouter.Router](i), Operators: n.Operators()}
+	api.Bodies.Bytes = memory.BodyBytes()
 	api.Operators.Report = o.summary
 	api.Metrics = api.Operators.RequireOperator(http.HandlerFunc(o.serveMetrics))
 	return &hitchapi.Server{
