Datagrams with made-up names take a bounded part of the memory

An instance that isn't a hub never forgot them.

Cause: each name in a datagram became an entry of a map: who reported when, the loads of each, hubs, versions by service, who asked for slots. Nothing bounded how many there are, and some are only cleared by hubs.

Change: a packet whose names the view lists is handled as before. Others are strangers: instances that have just started or are stopping, and services of a configuration that is yet to come. At most 1,024 of their names count within 5 to 10 s; packets with further ones are dropped. The maps have at most 4,096 entries; a full one first drops those that are over. hitchrecent.HasRoom does that for all of them.

--- a/hitchbalance/slot.go
+++ b/hitchbalance/slot.go
@@ -5,11 +5,16 @@
 	"time"
 
 	"citronhitch.example/citronhitch/hitchfleet"
+	"citronhitch.example/citronhitch/hitchrecent"
 )
 
-// coldOwnerBurst is the burst of the requests that the owner of a service's queue assigns to an
-// endpoint in cold start.
-const coldOwnerBurst = 1
+const (
+	// coldOwnerBurst is the burst of the requests that the owner of a service's queue assigns to an
+	// endpoint in cold start.
+	coldOwnerBurst = 1
+	// maxSharedServices bounds the services that are said to be short of slots, which may be made up.
+	maxSharedServices = 4096
+)
 
 // SlotCount returns the number of slots of a service's endpoints. It returns false unless they
 // call for a common queue: they report the time that work takes, which one instance alone can't
@@ -33,7 +38,10 @@
 	if b.sharedUntil == nil {
 		b.sharedUntil = make(map[hitchfleet.ServiceID]time.Time)
 	}
-	b.sharedUntil[service] = later(until, b.sharedUntil[service])
+	isUnknown := func(id hitchfleet.ServiceID, _ time.Time) bool { return len(b.byService[id]) == 0 }
+	if _, ok := b.sharedUntil[service]; ok || hitchrecent.HasRoom(b.sharedUntil, maxSharedServices, isUnknown) {
+		b.sharedUntil[service] = later(until, b.sharedUntil[service])
+	}
 }
 
 // slots returns the number of requests that an endpoint runs at once.
--- a/hitchdigest/aggregator.go
+++ b/hitchdigest/aggregator.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"citronhitch.example/citronhitch/hitchfleet"
+	"citronhitch.example/citronhitch/hitchrecent"
 )
 
 // TTLs and size limits of an aggregator.
@@ -50,7 +51,10 @@
 	if a.reports == nil {
 		a.reports = make(map[hitchfleet.InstanceID]storedReport)
 	}
-	a.reports[r.From] = storedReport{loads: r.Loads, expiresAt: now.Add(reportTTL)}
+	isOld := func(_ hitchfleet.InstanceID, r storedReport) bool { return now.After(r.expiresAt) }
+	if _, ok := a.reports[r.From]; ok || hitchrecent.HasRoom(a.reports, maxInstances, isOld) {
+		a.reports[r.From] = storedReport{loads: r.Loads, expiresAt: now.Add(reportTTL)}
+	}
 	for _, c := range r.CachedPrefixes {
 		a.addCached(c, now.Add(cachedPrefixTTL))
 	}
--- a/hitchdigest/cutoff.go
+++ b/hitchdigest/cutoff.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"citronhitch.example/citronhitch/hitchfleet"
+	"citronhitch.example/citronhitch/hitchrecent"
 )
 
 // cutOffTTL is how long the word of an instance, or of a hub, counts.
@@ -38,7 +39,10 @@
 	if c.reportedAt == nil {
 		c.reportedAt = make(map[hitchfleet.InstanceID]time.Time)
 	}
-	c.reportedAt[r.From] = now
+	isOld := func(_ hitchfleet.InstanceID, at time.Time) bool { return now.Sub(at) >= cutOffTTL }
+	if _, ok := c.reportedAt[r.From]; ok || hitchrecent.HasRoom(c.reportedAt, maxInstances, isOld) {
+		c.reportedAt[r.From] = now
+	}
 }
 
 // Reported returns the instances that are cut off by their reports, at most as many as silent
--- a/hitchdigest/election.go
+++ b/hitchdigest/election.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"citronhitch.example/citronhitch/hitchfleet"
+	"citronhitch.example/citronhitch/hitchrecent"
 )
 
 const (
@@ -64,7 +65,10 @@
 	if e.hubs == nil {
 		e.hubs = make(map[hitchfleet.InstanceID]hubRecord)
 	}
-	e.hubs[status.From] = hubRecord{heardAt: now, hasStatus: true, isStoreReachable: status.IsStoreReachable}
+	isOld := func(_ hitchfleet.InstanceID, r hubRecord) bool { return now.Sub(r.heardAt) > forgetTime }
+	if _, ok := e.hubs[status.From]; ok || hitchrecent.HasRoom(e.hubs, maxInstances, isOld) {
+		e.hubs[status.From] = hubRecord{heardAt: now, hasStatus: true, isStoreReachable: status.IsStoreReachable}
+	}
 }
 
 // Roles returns the roles in a region, given its instances in the order of Rank. Silent
--- a/hitchdigest/liveness.go
+++ b/hitchdigest/liveness.go
@@ -6,12 +6,20 @@
 	"time"
 
 	"citronhitch.example/citronhitch/hitchfleet"
+	"citronhitch.example/citronhitch/hitchrecent"
 )
 
 // silenceTimeout is how long an instance may send no report before a hub lists it
 // as silent.
 const silenceTimeout = time.Second
 
+const (
+	// maxInstances bounds the maps by instance, as the IDs in datagrams may be made up.
+	maxInstances = 4096
+	// forgetTime is after how long an entry makes room for another in a full map.
+	forgetTime = 10 * time.Second
+)
+
 // maxSilentInstances bounds a hub's list of silent instances, so that its status fits
 // in a datagram. The others follow once these have been removed from the fleet.
 const maxSilentInstances = 200
@@ -45,7 +53,10 @@
 	if t.lastReport == nil {
 		t.lastReport = make(map[hitchfleet.InstanceID]time.Time)
 	}
-	t.lastReport[id] = now
+	isOld := func(_ hitchfleet.InstanceID, at time.Time) bool { return now.Sub(at) > forgetTime }
+	if _, ok := t.lastReport[id]; ok || hitchrecent.HasRoom(t.lastReport, maxInstances, isOld) {
+		t.lastReport[id] = now
+	}
 }
 
 // Silence returns the instances that sent no report for silenceTimeout: they hang, are
--- a/hitchdigest/unlisted.go
+++ b/hitchdigest/unlisted.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"citronhitch.example/citronhitch/hitchfleet"
+	"citronhitch.example/citronhitch/hitchrecent"
 )
 
 // Unlisted tracks the instances that report to a hub although its view doesn't list
@@ -31,7 +32,10 @@
 	if u.reports == nil {
 		u.reports = make(map[hitchfleet.InstanceID]unlistedReport)
 	}
-	u.reports[id] = unlistedReport{at: now, addr: addr}
+	isOld := func(_ hitchfleet.InstanceID, r unlistedReport) bool { return now.Sub(r.at) >= reportTTL }
+	if _, ok := u.reports[id]; ok || hitchrecent.HasRoom(u.reports, maxInstances, isOld) {
+		u.reports[id] = unlistedReport{at: now, addr: addr}
+	}
 }
 
 // Instances returns the instances that reported within reportTTL and aren't listed, with
--- a/hitchedge/digest.go
+++ b/hitchedge/digest.go
@@ -215,6 +215,9 @@
 			e.Log.Warn("failed to decode datagram", "From", from, "Error", err)
 			continue
 		}
+		if !e.strangers.admits(time.Now(), packet) {
+			continue
+		}
 		if packet.Slot != nil {
 			e.handleSlotMsg(time.Now(), packet.Slot, from.AddrPort())
 			continue
@@ -291,7 +294,9 @@
 		return
 	}
 	status := *digest.HubStatus
-	e.rollouts.recordStatus(digest.From, status.IsStoreReachable)
+	if e.strangers.lists(digest.From) {
+		e.rollouts.recordStatus(digest.From, status.IsStoreReachable)
+	}
 	if isHub {
 		e.cutOffs.RecordHubStatus(now, status)
 		e.liveness.RecordHubStatus(now, status)
--- a/hitchedge/dispatch.go
+++ b/hitchedge/dispatch.go
@@ -11,6 +11,7 @@
 	"citronhitch.example/citronhitch/hitchdispatch"
 	"citronhitch.example/citronhitch/hitchfleet"
 	"citronhitch.example/citronhitch/hitchingress"
+	"citronhitch.example/citronhitch/hitchrecent"
 )
 
 // Times of questions for slots.
@@ -30,6 +31,8 @@
 	lateWake = 15 * time.Millisecond
 	// maxToldWaiting is how many requests that wait fit into a datagram.
 	maxToldWaiting = 300
+	// maxHeardAge is after how long an owner makes room for another among those that answered.
+	maxHeardAge = 10 * time.Second
 	// maxRepeats is the largest number of repeated questions that is sent.
 	maxRepeats = 255
 )
@@ -211,7 +214,10 @@
 	if b.heardAt == nil {
 		b.heardAt = make(map[hitchfleet.InstanceID]time.Time)
 	}
-	b.heardAt[owner] = now
+	isOld := func(_ hitchfleet.InstanceID, at time.Time) bool { return now.Sub(at) > maxHeardAge }
+	if _, ok := b.heardAt[owner]; ok || hitchrecent.HasRoom(b.heardAt, maxNames, isOld) {
+		b.heardAt[owner] = now
+	}
 }
 
 // open registers a request that is in an owner's queue from now on. Its ID is new: an owner
--- a/hitchedge/dispatchowner.go
+++ b/hitchedge/dispatchowner.go
@@ -16,6 +16,7 @@
 	"citronhitch.example/citronhitch/hitchdispatch"
 	"citronhitch.example/citronhitch/hitchfleet"
 	"citronhitch.example/citronhitch/hitchingress"
+	"citronhitch.example/citronhitch/hitchrecent"
 )
 
 // Times of an owner's queues.
@@ -157,7 +158,10 @@
 	if o.askers == nil {
 		o.askers = make(map[hitchfleet.InstanceID]slotAsker)
 	}
-	o.askers[id] = a
+	isUnlisted := func(id hitchfleet.InstanceID, _ slotAsker) bool { return !o.edge.strangers.lists(id) }
+	if _, ok := o.askers[id]; ok || hitchrecent.HasRoom(o.askers, maxNames, isUnlisted) {
+		o.askers[id] = a
+	}
 }
 
 // releaseSilent frees the slots of instances that the hubs list as silent: what they sent to
--- a/hitchedge/edge.go
+++ b/hitchedge/edge.go
@@ -54,6 +54,7 @@
 	metrics       hitchingress.Metrics
 	gateway       *hitchingress.Gateway
 	room          room
+	strangers     strangers
 	callerServer  *hitchserver.Server
 	follower      hitchview.Follower
 	// registration keeps this instance's entry in the store.
@@ -267,6 +268,7 @@
 // setView applies a new view of the fleet to the components that use it.
 func (e *Edge) setView(view hitchview.View) {
 	e.doubtNewFleet(view)
+	e.strangers.setView(view)
 	e.gateway.SetView(time.Now(), view)
 	if view.Table != nil {
 		e.callerServer.SetLimits(callerLimits(view.Table.Limits()))
--- a/hitchorigin/history.go
+++ b/hitchorigin/history.go
@@ -38,6 +38,9 @@
 	if ok && leftAt.IsZero() {
 		return false
 	}
+	if !ok && len(h.leftAt) >= maxNoted {
+		return false
+	}
 	if h.leftAt == nil {
 		h.leftAt = make(map[T]time.Time)
 	}
--- a/hitchorigin/tracker.go
+++ b/hitchorigin/tracker.go
@@ -8,9 +8,15 @@
 	"citronhitch.example/citronhitch/hitchroute"
 )
 
-// shareEndedWithin is how long after its end the origin of a stream is still shared when
-// its route becomes mixed.
-const shareEndedWithin = 10 * time.Second
+const (
+	// shareEndedWithin is how long after its end the origin of a stream is still shared when
+	// its route becomes mixed.
+	shareEndedWithin = 10 * time.Second
+	// maxServices and maxNoted bound the services, and the versions of one, that other instances name: they
+	// may be made up.
+	maxServices = 4096
+	maxNoted    = 1024
+)
 
 // Tracker holds the origins of streams that an instance knows, and which versions the
 // endpoints of each route have had within the horizon. A route is mixed while these are
@@ -77,10 +83,14 @@
 	if t.versions == nil {
 		t.versions = make(map[hitchfleet.ServiceID]*history[string])
 	}
-	if t.versions[service] == nil {
-		t.versions[service] = &history[string]{}
+	if h := t.versions[service]; h != nil {
+		return h
+	}
+	h := &history[string]{}
+	if len(t.versions) < maxServices {
+		t.versions[service] = h
 	}
-	return t.versions[service]
+	return h
 }
 
 // setRoutes replaces the routes by those of a configuration. It is called with mu held.
