--- a/hitchsoak/crowddatagram_test.go
+++ b/hitchsoak/crowddatagram_test.go
@@ -56,7 +56,9 @@
 	},
 }
 
-func strangerID(n int) hitchfleet.InstanceID { return hitchfleet.InstanceID(fmt.Sprintf("stranger-%d", n)) }
+func strangerID(n int) hitchfleet.InstanceID {
+	return hitchfleet.InstanceID(fmt.Sprintf("stranger-%d", n))
+}
 
 // TestCrowdOfDatagrams guards against datagrams with many made-up IDs that make an instance run out of memory.
 func TestCrowdOfDatagrams(t *testing.T) {
