Own API: handshakes that aren't ended take a bounded part of the memory

Cause: each first packet opened a connection of some 60 kB until its handshake timed out; nothing bounded how many.

Change: a handshake counts from its first packet until the router's hello.

--- a/cmd/citronhitch/crowd_test.go
+++ b/cmd/citronhitch/crowd_test.go
@@ -1,13 +1,18 @@
 package main
 
 import (
+	"context"
+	"crypto/tls"
 	"fmt"
+	"net"
 	"os"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/quic-go/quic-go"
 	"golang.org/x/sys/unix"
 
 	"citronhitch.example/citronhitch/hitchdev"
@@ -50,15 +55,55 @@
 			qt.Assert(t, unix.Prlimit(pid, unix.RLIMIT_NOFILE, &limit, nil), qt.IsNil)
 			leave := c.Join(f.routers[0].values["Address"])
 			defer leave()
-			megabytes, ok := peakMegabytes(t, f.routers[0])
-			qt.Assert(t, ok, qt.IsTrue, qt.Commentf("the router has ended"))
-			fds, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", pid))
-			qt.Assert(t, err, qt.IsNil)
-			t.Logf("%d MB at the peak, %d descriptors", megabytes, len(fds))
-			qt.Check(t, megabytes < crowdMegabytes, qt.IsTrue, qt.Commentf("%d MB", megabytes))
-			qt.Check(t, len(fds) <= crowdFds-crowdSpareFds, qt.IsTrue, qt.Commentf("%d descriptors", len(fds)))
-			f.routers = f.routers[:1]
-			qt.Check(t, f.callFor(t, 5*time.Second) > 0, qt.IsTrue)
+			f.checkLimits(t)
 		})
 	}
 }
+
+// checkLimits checks that the first router lives, that its memory and its descriptors are within their bounds, and that it serves.
+func (f *fleet) checkLimits(t *testing.T) {
+	megabytes, ok := peakMegabytes(t, f.routers[0])
+	qt.Assert(t, ok, qt.IsTrue, qt.Commentf("the router has ended"))
+	fds, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", f.routers[0].cmd.Process.Pid))
+	qt.Assert(t, err, qt.IsNil)
+	t.Logf("%d MB at the peak, %d descriptors", megabytes, len(fds))
+	qt.Check(t, megabytes < crowdMegabytes, qt.IsTrue, qt.Commentf("%d MB", megabytes))
+	qt.Check(t, len(fds) <= crowdFds-crowdSpareFds, qt.IsTrue, qt.Commentf("%d descriptors", len(fds)))
+	f.routers = f.routers[:1]
+	qt.Check(t, f.callFor(t, 5*time.Second) > 0, qt.IsTrue)
+}
+
+// handshakeCrowd is how many handshakes are begun.
+const handshakeCrowd = 2000
+
+// deafConn is a socket that receives nothing.
+type deafConn struct{ net.PacketConn }
+
+// ReadFrom drops what arrives until the socket is closed.
+func (c deafConn) ReadFrom(b []byte) (n int, from net.Addr, err error) {
+	for err == nil {
+		_, _, err = c.PacketConn.ReadFrom(b)
+	}
+	return 0, nil, err
+}
+
+// TestCrowdOfHandshakes guards against clients that begin very many QUIC handshakes at the port for other routers, and end none.
+func TestCrowdOfHandshakes(t *testing.T) {
+	f := startFleetThrough(t, buildProgram(t), func(_, addr string) string { return addr }, fmt.Sprintf("--memory-mb=%d", crowdMegabytes))
+	addr, err := net.ResolveUDPAddr("udp", f.routers[0].values["PeerAddress"])
+	qt.Assert(t, err, qt.IsNil)
+	socket, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	qt.Assert(t, err, qt.IsNil)
+	transport := quic.Transport{Conn: deafConn{socket}}
+	defer func() { _ = transport.Close(); _ = socket.Close() }()
+	ctx, cancel := context.WithTimeout(t.Context(), 1500*time.Millisecond)
+	defer cancel()
+	var clients sync.WaitGroup
+	for range handshakeCrowd {
+		clients.Go(func() {
+			_, _ = transport.Dial(ctx, addr, &tls.Config{InsecureSkipVerify: true, NextProtos: []string{"citronhitch-peer/1"}}, &quic.Config{})
+		})
+	}
+	clients.Wait()
+	f.checkLimits(t)
+}
--- a/hitchpeer/node.go
+++ b/hitchpeer/node.go
@@ -61,19 +61,20 @@
 	// Zero means DefaultMaxLinks.
 	MaxLinks int
 
-	bindOnce  sync.Once
-	bindErr   error
-	boundOnce sync.Once
-	boundCh   chan struct{}
-	ctx       context.Context
-	cancel    context.CancelCauseFunc
-	local     *net.UDPAddr
-	transport *quic.Transport
-	keyring   keyring
-	links     links
-	tasks     sync.WaitGroup
-	tasksMu   sync.Mutex
-	stopped   bool
+	bindOnce   sync.Once
+	bindErr    error
+	boundOnce  sync.Once
+	boundCh    chan struct{}
+	ctx        context.Context
+	cancel     context.CancelCauseFunc
+	local      *net.UDPAddr
+	transport  *quic.Transport
+	keyring    keyring
+	links      links
+	handshakes handshakes
+	tasks      sync.WaitGroup
+	tasksMu    sync.Mutex
+	stopped    bool
 
 	handlersMu sync.RWMutex
 	handlers   map[Kind]Handler
@@ -166,7 +167,7 @@
 		return err
 	}
 	n.local = conn.LocalAddr().(*net.UDPAddr)
-	n.transport = &quic.Transport{Conn: conn}
+	n.transport = &quic.Transport{Conn: conn, VerifySourceAddress: n.handshakes.verifiesAddress, ConnContext: n.handshakes.begin}
 	n.ctx, n.cancel = context.WithCancelCause(context.Background())
 	n.initSelf()
 	close(n.boundChan())
--- a/hitchpeer/serve.go
+++ b/hitchpeer/serve.go
@@ -60,6 +60,7 @@
 	if err := verifyPeer(l.conn.ConnectionState().TLS, h.Sender.ID); err != nil {
 		return err
 	}
+	endHandshake(l.conn)
 	l.peer, l.openedAt = h.Sender, h.OpenedAt
 	n.updateMembers(HandshakeCompleted{Sender: h.Sender, ReceiverRecord: h.ReceiverRecord})
 	// The reply is built after the update, so that it refutes a wrong ReceiverRecord.
