The parts that clients may take add up to less than the machine has, idle connections to endpoints included

Cause: idle connections to endpoints were bounded to 64 for each of them, which is 48,640 with 760 endpoints; and the parts for connections, heads and bodies, a quarter, a quarter and an eighth with a copy, left too little beside what each connection takes.

Change: ConnPool.MaxIdle closes the connection that has been idle for longest; it is an eighth of the sockets. Callers may have a quarter, peers a tenth, the directory 1/32, readiness and metrics 1/64 each; with one connection to an endpoint for each request in flight that is less than all. Heads may take an eighth of the memory, connections a quarter at 64 KiB each, and the heap's soft limit is 0.6 of it.

--- a/hitchedge/edge.go
+++ b/hitchedge/edge.go
@@ -250,6 +250,7 @@
 		OriginExchange: e.originExchange(),
 	}
 	e.callerServer = e.newCallerServer()
+	e.conns.MaxIdle = int(float64(e.room.sockets) * idleShare)
 	e.gateway.Quarantine.SetRank(e.gateway.TrialRank)
 	e.gateway.Permits, e.gateway.Released, e.gateway.Turns = e.askPermit, e.release, e.askTurn
 	e.permits.reserve.StartsEmpty = true
--- a/hitchedge/room.go
+++ b/hitchedge/room.go
@@ -19,12 +19,14 @@
 	defaultDescriptors = 4096
 	// fileDescriptors are kept for files.
 	fileDescriptors = 200
-	// callerShare, peerShare, directoryShare and probeShare are the parts of the sockets that each port may have. The rest is
-	// for connections to endpoints, other instances and the store.
-	callerShare    = 3.0 / 8
-	peerShare      = 1.0 / 8
-	directoryShare = 1.0 / 16
-	probeShare     = 1.0 / 32
+	// callerShare, peerShare, directoryShare and probeShare are the parts of the sockets that each port may have. Of the rest,
+	// each request in flight needs one to an endpoint; a few are for other instances and the store.
+	callerShare    = 1.0 / 4
+	peerShare      = 1.0 / 10
+	directoryShare = 1.0 / 32
+	probeShare     = 1.0 / 64
+	// idleShare is the part for idle connections to endpoints.
+	idleShare = 1.0 / 8
 )
 
 // Limits of clients unless the configuration sets others.
--- a/hitchforward/conn.go
+++ b/hitchforward/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"container/list"
 	"context"
 	"errors"
 	"net"
@@ -45,8 +46,9 @@
 	limit limitedReader
 	// openedAt is when the connection was opened.
 	openedAt time.Time
-	// idleDeadline is until when the idle connection may be reused.
+	// idleDeadline is until when the idle connection may be reused, and place where it is in the pool's order of them.
 	idleDeadline time.Time
+	place        *list.Element
 	// wasUsed is set once a request is sent on the connection.
 	wasUsed bool
 	// carried are the IDs of the requests that were sent on the connection.
@@ -137,9 +139,13 @@
 	// Dial opens a TCP connection; nil means one that detects an unreachable network path by
 	// itself. It is set before the first connection.
 	Dial func(ctx context.Context, addr string) (net.Conn, error)
+	// MaxIdle bounds the idle connections to all endpoints together; 0 means no bound.
+	MaxIdle int
 
 	mu   sync.Mutex
 	idle map[string][]*conn
+	// order holds the idle connections, the one that has been idle for longest first.
+	order list.List
 
 	bodyMemory bodyMemory
 
@@ -168,10 +174,11 @@
 func (p *ConnPool) popIdle(addr, id string) (_ *conn, hasCarried bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	list := p.idle[addr]
-	for i, c := range slices.Backward(list) {
+	conns := p.idle[addr]
+	for i, c := range slices.Backward(conns) {
 		if !c.carried.contains(id) {
-			p.idle[addr] = slices.Delete(list, i, i+1)
+			p.idle[addr] = slices.Delete(conns, i, i+1)
+			p.order.Remove(c.place)
 			return c, hasCarried
 		}
 		hasCarried = true
@@ -179,7 +186,8 @@
 	return nil, hasCarried
 }
 
-// putIdle adds a connection to the pool until idleDeadline.
+// putIdle adds a connection to the pool until idleDeadline. If there are too many, the one that has been idle for longest is
+// closed.
 func (p *ConnPool) putIdle(addr string, c *conn, idleDeadline time.Time) {
 	c.idleDeadline = idleDeadline
 	_ = c.SetDeadline(time.Time{})
@@ -193,16 +201,39 @@
 		return
 	}
 	p.idle[addr] = append(p.idle[addr], c)
+	c.place = p.order.PushBack(idleConn{addr: addr, conn: c})
+	if p.MaxIdle > 0 && p.order.Len() > p.MaxIdle {
+		p.closeOldest()
+	}
+}
+
+// closeOldest closes the connection that has been idle for longest. It is called with mu held.
+func (p *ConnPool) closeOldest() {
+	oldest := p.order.Remove(p.order.Front()).(idleConn)
+	p.idle[oldest.addr] = slices.DeleteFunc(p.idle[oldest.addr], func(c *conn) bool { return c == oldest.conn })
+	if len(p.idle[oldest.addr]) == 0 {
+		delete(p.idle, oldest.addr)
+	}
+	_ = oldest.conn.Close()
+}
+
+// idleConn is an idle connection to an address.
+type idleConn struct {
+	addr string
+	conn *conn
 }
 
 // CloseIdle closes the idle connections to an address that no endpoint uses any
 // more, or whose network path is unreachable.
 func (p *ConnPool) CloseIdle(addr string) {
 	p.mu.Lock()
-	list := p.idle[addr]
+	conns := p.idle[addr]
 	delete(p.idle, addr)
+	for _, c := range conns {
+		p.order.Remove(c.place)
+	}
 	p.mu.Unlock()
-	for _, c := range list {
+	for _, c := range conns {
 		_ = c.Close()
 	}
 }
@@ -211,13 +242,14 @@
 func (p *ConnPool) CloseExpired(now time.Time) {
 	p.mu.Lock()
 	var expired []*conn
-	for addr, list := range p.idle {
-		kept := list[:0]
-		for _, c := range list {
+	for addr, conns := range p.idle {
+		kept := conns[:0]
+		for _, c := range conns {
 			if now.Before(c.idleDeadline) {
 				kept = append(kept, c)
 			} else {
 				expired = append(expired, c)
+				p.order.Remove(c.place)
 			}
 		}
 		p.idle[addr] = kept
--- a/hitchserver/memory.go
+++ b/hitchserver/memory.go
@@ -5,14 +5,14 @@
 // Divisions of a process's memory.
 const (
 	// heapShare is the part that the heap and stacks should stay below.
-	heapShare = 0.7
+	heapShare = 0.6
 	// headDivisor and bodyDivisor divide the memory. The quotients are for large heads and for long bodies, of which a copy
 	// may be on its way to an endpoint.
-	headDivisor = 4
+	headDivisor = 8
 	bodyDivisor = 8
 	// connDivisor divides the memory. The quotient is for callers' connections, of connBytes each.
 	connDivisor = 4
-	connBytes   = 32 << 10
+	connBytes   = 64 << 10
 	// defaultMemory is assumed for the division if it isn't known.
 	defaultMemory = Memory(256 << 20)
 )
--- a/hitchsoak/crowd_test.go
+++ b/hitchsoak/crowd_test.go
@@ -8,6 +8,7 @@
 	"os"
 	"strconv"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -142,6 +143,29 @@
 	}
 }
 
+// TestCrowdOfAll covers crowds of several kinds at once, which together are kept from taking more than each alone.
+func TestCrowdOfAll(t *testing.T) {
+	f := startCrowdFleet(t, buildProgram(t))
+	var joined sync.WaitGroup
+	var mu sync.Mutex
+	var leaves []func()
+	all := crowds()
+	for _, name := range []string{"lines, endpoints are slow", "15 kB of lines, no end", "a body that never comes, 15 kB of lines", "long bodies that stop", "many prompts", "responses that aren't read"} {
+		joined.Go(func() {
+			leave := all[name].Join(f.addrs()[0])
+			mu.Lock()
+			defer mu.Unlock()
+			leaves = append(leaves, leave)
+		})
+	}
+	joined.Wait()
+	for _, leave := range leaves {
+		defer leave()
+	}
+	f.checkLimits(t)
+	f.awaitServing("beside")
+}
+
 // TestConfiguredHeadLimit checks that the configuration's limit on heads is in force, also that of a new version, and that a
 // request within it is served however many lines its head has.
 func TestConfiguredHeadLimit(t *testing.T) {
