--- a/cmd/citronhitch/crowd_test.go
+++ b/cmd/citronhitch/crowd_test.go
@@ -47,12 +47,17 @@
 func TestCrowd(t *testing.T) {
 	program := buildProgram(t)
 	through := func(_, addr string) string { return addr }
+	var f *fleet
+	var routers []*process // those that have met no crowd
 	for name, c := range crowds(hitchdev.Kustakvariet().APIKey(0)) {
+		if len(routers) == 0 {
+			f = startFleetThrough(t, program, through, fmt.Sprintf("--memory-mb=%d", crowdMegabytes), "--connections=200")
+			routers = f.routers
+		}
+		f.routers, routers = routers[:1], routers[1:]
 		t.Run(name, func(t *testing.T) {
-			f := startFleetThrough(t, program, through, fmt.Sprintf("--memory-mb=%d", crowdMegabytes), "--connections=200")
-			pid := f.routers[0].cmd.Process.Pid
 			limit := unix.Rlimit{Cur: crowdFds, Max: crowdFds}
-			qt.Assert(t, unix.Prlimit(pid, unix.RLIMIT_NOFILE, &limit, nil), qt.IsNil)
+			qt.Assert(t, unix.Prlimit(f.routers[0].cmd.Process.Pid, unix.RLIMIT_NOFILE, &limit, nil), qt.IsNil)
 			leave := c.Join(f.routers[0].values["Address"])
 			defer leave()
 			f.checkLimits(t)
@@ -69,7 +74,6 @@
 	t.Logf("%d MB at the peak, %d descriptors", megabytes, len(fds))
 	qt.Check(t, megabytes < crowdMegabytes, qt.IsTrue, qt.Commentf("%d MB", megabytes))
 	qt.Check(t, len(fds) <= crowdFds-crowdSpareFds, qt.IsTrue, qt.Commentf("%d descriptors", len(fds)))
-	f.routers = f.routers[:1]
 	qt.Check(t, f.callFor(t, 5*time.Second) > 0, qt.IsTrue)
 }
 
@@ -105,5 +109,6 @@
 		})
 	}
 	clients.Wait()
+	f.routers = f.routers[:1]
 	f.checkLimits(t)
 }
--- a/hitchserver/conn.go
+++ b/hitchserver/conn.go
@@ -55,12 +55,18 @@
 	c.head.bytes += len(b)
 	c.head.lines += bytes.Count(b, []byte("\n"))
 	if c.currentLimits().exceeds(c.head.bytes) {
-		_, _ = io.WriteString(c.Conn, headTooLarge)
+		c.refuseHead()
 		return false
 	}
 	return c.server.Heads.hold(c, c.head.memoryBytes(), false)
 }
 
+// refuseHead responds to a head that is too large. A client that leaves earlier responses unread gets none.
+func (c *conn) refuseHead() {
+	_ = c.Conn.SetWriteDeadline(time.Now().Add(refusalWriteTime))
+	_, _ = io.WriteString(c.Conn, headTooLarge)
+}
+
 func (c *conn) currentLimits() Limits {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/hitchserver/limits.go
+++ b/hitchserver/limits.go
@@ -15,6 +15,9 @@
 // headSlackBytes is how much of a body may be read together with the end of a head.
 const headSlackBytes = 4 << 10
 
+// refusalWriteTime is how long the response to such a head may take.
+const refusalWriteTime = time.Second
+
 // headTooLarge is the response to a head that exceeds the limit.
 const headTooLarge = "HTTP/1.1 431 Request Header Fields Too Large\r\nContent-Type: text/plain; charset=utf-8\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
 
--- a/hitchserver/room_test.go
+++ b/hitchserver/room_test.go
@@ -1,10 +1,12 @@
 package hitchserver
 
 import (
+	"bufio"
 	"errors"
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -145,3 +147,44 @@
 	qt.Assert(t, b.used, qt.Equals, int64(0))
 	qt.Assert(t, b.Evicted(), qt.Equals, int64(2))
 }
+
+// BenchmarkRequest is what the bounds cost a request, beside other connections that wait.
+func BenchmarkRequest(b *testing.B) {
+	for _, others := range []int{10, 100, 1000} {
+		b.Run(strconv.Itoa(others), func(b *testing.B) {
+			s := &Server{MaxConns: others + 1, Heads: &HeadBudget{Bytes: 1 << 20}}
+			server, _ := net.Pipe()
+			c := &conn{Conn: server, server: s}
+			for range others {
+				s.add(&conn{Conn: server, server: s})
+			}
+			s.add(c)
+			r, err := http.ReadRequest(bufio.NewReader(strings.NewReader(request)))
+			qt.Assert(b, err, qt.IsNil)
+			b.ReportAllocs()
+			for b.Loop() {
+				c.beginRequest()
+				c.addToHead([]byte(request))
+				c.setPhase(PhaseHandling)
+				s.admit(c, r)
+				s.observeState(c, http.StateIdle)
+			}
+		})
+	}
+}
+
+// BenchmarkEviction is what a head costs for which another connection is closed.
+func BenchmarkEviction(b *testing.B) {
+	for _, others := range []int{10, 100, 1000} {
+		b.Run(strconv.Itoa(others), func(b *testing.B) {
+			budget := HeadBudget{Bytes: 1}
+			for range others {
+				budget.set(&conn{phaseSince: time.Now()}, 1, false)
+			}
+			c := &conn{}
+			for b.Loop() {
+				_ = budget.heaviest(c, time.Now())
+			}
+		})
+	}
+}
--- a/hitchsoak/crowd_test.go
+++ b/hitchsoak/crowd_test.go
@@ -71,12 +71,15 @@
 	chunkStart = "Transfer-Encoding: chunked\r\n\r\n"
 )
 
+// metricsPort is the port of the metrics, as deploy/system.toml declares it.
+const metricsPort = 9464
+
 // internalPorts are the addresses that don't serve callers' requests.
 var internalPorts = map[string]func(ip string) string{
 	"directory": func(ip string) string { return fmt.Sprintf("%s:%d", ip, hitchstandin.DirectoryPort) },
-	"readiness": func(ip string) string { return fmt.Sprintf("%s:%d", ip, 8220) },
+	"readiness": func(ip string) string { return fmt.Sprintf("%s:%d", ip, hitchstandin.ReadyPort) },
 	"peers":     hitchstandin.ControlAddr,
-	"metrics":   func(ip string) string { return fmt.Sprintf("%s:%d", ip, 9464) },
+	"metrics":   func(ip string) string { return fmt.Sprintf("%s:%d", ip, metricsPort) },
 }
 
 // crowds returns the crowds by name.
@@ -159,9 +162,11 @@
 		})
 	}
 	joined.Wait()
-	for _, leave := range leaves {
-		defer leave()
-	}
+	defer func() {
+		for _, leave := range leaves {
+			leave()
+		}
+	}()
 	f.checkLimits(t)
 	f.awaitServing("beside")
 }
